--- /dev/null
+++ b/emulator/engine.py
@@ -0,0 +1,271 @@
+"""Stand-in for model engines with continuous batching.
+
+Run as `python -m emulator.engine --count N`. An engine admits requests as they arrive, knows
+no priorities, and gives each request of its batch one token a step. What a request costs is
+hidden in the member `emulator` of its body. Each token repeats the request's nonce, so that a
+crossed or spliced answer is seen.
+"""
+
+from collections import OrderedDict
+from collections.abc import AsyncIterator
+from typing import Any
+
+import attrs
+import fire
+import orjson
+import trio
+from quart import Response, jsonify, request
+from quart_trio import QuartTrio
+
+from .hosting import host
+
+_KEPT_REQUESTS = 2000
+_CRASH_SECONDS = 1.0
+
+
+@attrs.define(eq=False)
+class Generation:
+    """One request on the engine."""
+
+    request: str
+    nonce: str
+    tokens: int
+    model: str
+    prefill_steps: int = 0
+    produced: int = 0
+    content: bytearray = attrs.field(factory=bytearray)
+    finished: bool = False
+    broken: bool = False
+    changed: trio.Event = attrs.field(factory=trio.Event)
+
+    def notify(self) -> None:
+        """Wakes the readers."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+
+@attrs.define(eq=False)
+class Engine:
+    """State of one engine."""
+
+    slots: int
+    step_seconds: float
+    tokens_per_step: int
+    checks_fencing: bool
+    cache_entries: int
+    waiting: list[Generation] = attrs.field(factory=list)
+    batch: list[Generation] = attrs.field(factory=list)
+    kept: OrderedDict[str, Generation] = attrs.field(factory=OrderedDict)
+    prefixes: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
+    history: list[dict[str, Any]] = attrs.field(factory=list)
+    orders: list[dict[str, Any]] = attrs.field(factory=list)
+    fencing: int = 0
+    busy_slot_seconds: float = 0.0
+    crashed_until: float = 0.0
+    load: dict[str, int] = attrs.field(factory=dict)
+
+    def submit(self, generation: Generation) -> None:
+        """Admits a request as it arrives."""
+        self.kept[generation.request] = generation
+        while len(self.kept) > _KEPT_REQUESTS:
+            self.kept.popitem(last=False)
+        self.waiting.append(generation)
+        self.history.append({'request': generation.request, 'nonce': generation.nonce})
+
+    def crash(self) -> None:
+        """Breaks every running request and forgets everything."""
+        for generation in [*self.batch, *self.waiting]:
+            generation.broken = True
+            generation.finished = True
+            generation.notify()
+        self.batch.clear()
+        self.waiting.clear()
+        self.kept.clear()
+        self.crashed_until = trio.current_time() + _CRASH_SECONDS
+
+    def step(self) -> None:
+        """Gives each request of the batch its tokens."""
+        while self.waiting and len(self.batch) < self.slots:
+            self.batch.append(self.waiting.pop(0))
+        self.busy_slot_seconds += len(self.batch) * self.step_seconds
+        for generation in list(self.batch):
+            self._advance(generation)
+            if generation.finished and generation in self.batch:
+                self.batch.remove(generation)
+        self.load = {'running': len(self.batch), 'waiting': len(self.waiting)}
+
+    def _advance(self, generation: Generation) -> None:
+        if generation.prefill_steps > 0:
+            generation.prefill_steps -= 1
+            return
+        for _ in range(min(self.tokens_per_step, generation.tokens - generation.produced)):
+            text = '{0}:{1} '.format(generation.nonce, generation.produced)
+            generation.content += (
+                b'data: {"id":"%s","object":"chat.completion.chunk","choices":'
+                b'[{"index":0,"delta":{"content":"%s"}}]}\n\n'
+                % (generation.request.encode(), text.encode())
+            )
+            generation.produced += 1
+        if generation.produced >= generation.tokens:
+            generation.content += b'data: [DONE]\n\n'
+            generation.finished = True
+        generation.notify()
+
+    async def run(self) -> None:
+        """Steps until cancelled."""
+        deadline = trio.current_time()
+        while True:
+            deadline = max(deadline + self.step_seconds, trio.current_time())
+            await trio.sleep_until(deadline)
+            self.step()
+
+    def touch_prefix(self, prefix: str) -> bool:
+        """Looks a prompt prefix up in the cache of limited size and inserts it."""
+        hit = prefix in self.prefixes
+        self.prefixes[prefix] = None
+        self.prefixes.move_to_end(prefix)
+        while len(self.prefixes) > self.cache_entries:
+            self.prefixes.popitem(last=False)
+        return hit
+
+
+async def _read(generation: Generation, offset: int) -> AsyncIterator[bytes]:
+    while True:
+        if len(generation.content) > offset:
+            chunk = bytes(generation.content[offset:])
+            offset += len(chunk)
+            yield chunk
+            continue
+        if generation.finished:
+            return
+        await generation.changed.wait()
+
+
+async def _collect(generation: Generation) -> Response:
+    while not generation.finished:
+        await generation.changed.wait()
+    if generation.broken:
+        return Response(status=500)
+    text = ''.join('{0}:{1} '.format(generation.nonce, at) for at in range(generation.tokens))
+    return jsonify({
+        'id': generation.request,
+        'object': 'chat.completion',
+        'choices': [{'index': 0, 'message': {'role': 'assistant', 'content': text}}],
+        'usage': {'completion_tokens': generation.tokens},
+    })
+
+
+def create_app(engine: Engine) -> QuartTrio:
+    """Creates the application of an engine."""
+    app = QuartTrio('emulator.engine')
+
+    @app.post('/v1/chat/completions')
+    async def chat() -> Response:
+        if trio.current_time() < engine.crashed_until:
+            return Response(status=503)
+        message = orjson.loads(await request.get_data())
+        hidden = message.get('emulator', {})
+        name = request.headers['X-Request-Id']
+        generation = Generation(
+            request=name,
+            nonce=str(hidden.get('nonce', name)),
+            tokens=int(hidden.get('tokens', 16)),
+            model=message['model'],
+        )
+        hit = engine.touch_prefix(str(message['messages'][0].get('content', ''))[:64])
+        generation.prefill_steps = 0 if hit else 1
+        engine.submit(generation)
+        if hidden.get('crash'):
+            engine.crash()
+        if not message.get('stream'):
+            return await _collect(generation)
+        headers = {'Content-Type': 'text/event-stream', 'X-Request-Id': name}
+        answer = Response(_read(generation, 0), headers=headers)
+        answer.timeout = None
+        return answer
+
+    @app.get('/v1/requests/<name>/stream')
+    async def resume(name: str) -> Response:
+        generation = engine.kept.get(name)
+        offset = request.args.get('offset', 0, type=int)
+        if generation is None or offset > len(generation.content):
+            return Response(status=404)
+        headers = {'Content-Type': 'text/event-stream', 'X-Request-Id': name}
+        answer = Response(_read(generation, offset), headers=headers)
+        answer.timeout = None
+        return answer
+
+    @app.delete('/v1/requests/<name>')
+    async def cancel(name: str) -> Response:
+        generation = engine.kept.get(name)
+        if generation is not None:
+            generation.tokens = generation.produced
+            generation.finished = True
+            generation.notify()
+        return Response(status=204)
+
+    _add_control(app, engine)
+    return app
+
+
+def _add_control(app: QuartTrio, engine: Engine) -> None:
+    @app.get('/v1/load')
+    async def load() -> Response:
+        return jsonify(engine.load)
+
+    @app.post('/v1/orders')
+    async def orders() -> Response:
+        order = await request.get_json(force=True)
+        if engine.checks_fencing and order['fencing_token'] < engine.fencing:
+            return Response(status=409)
+        engine.fencing = max(engine.fencing, order['fencing_token'])
+        engine.orders.append(order)
+        return jsonify({})
+
+    @app.post('/crash')
+    async def crash() -> Response:
+        engine.crash()
+        return jsonify({})
+
+    @app.get('/stats')
+    async def stats() -> Response:
+        return jsonify({
+            'busy_slot_seconds': engine.busy_slot_seconds,
+            'slots': engine.slots,
+            'history': engine.history,
+            'orders': engine.orders,
+        })
+
+
+async def _main(engines: list[Engine], ports: list[int]) -> None:
+    async with trio.open_nursery() as nursery:
+        for engine in engines:
+            nursery.start_soon(engine.run)
+        await host([(create_app(engine), port) for engine, port in zip(engines, ports)])
+
+
+def main(
+    count: int = 1, slots: int = 8, step_milliseconds: float = 20.0, tokens_per_step: int = 1,
+    checks_fencing: bool = True, cache_entries: int = 256, port: int = 0,
+) -> None:
+    """Runs stand-in engines.
+
+    Args:
+        count: Number of engines in this process.
+        slots: Requests in the batch of each engine.
+        step_milliseconds: Time of one step.
+        tokens_per_step: Tokens that each request gets in a step.
+        checks_fencing: Whether an order with an old fencing token is refused.
+        cache_entries: Prompt prefixes that the cache holds.
+        port: TCP port of the first engine; zero lets the kernel choose.
+    """
+    engines = [
+        Engine(slots, step_milliseconds / 1000, tokens_per_step, checks_fencing, cache_entries)
+        for _ in range(count)
+    ]
+    ports = [port + place if port else 0 for place in range(count)]
+    trio.run(_main, engines, ports)
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- /dev/null
+++ b/emulator/fleet.py
@@ -0,0 +1,323 @@
+"""Starts a small fleet as separate processes on loopback, for the demo, tests and benchmarks.
+
+It stands in for the platform's process scheduler: it starts processes, enters them in the live
+list, and ends only what it started.
+"""
+
+import configparser
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+import attrs
+import httpx
+import orjson
+
+FLEET_KEY = 'development-fleet-key'
+_START_SECONDS = 30.0
+_STOP_SECONDS = 10.0
+
+
+@attrs.define(eq=False)
+class Process:
+    """One process that the fleet started.
+
+    Attributes:
+        name: Name in the live list and of its settings file.
+        popen: The process.
+        addresses: URLs that it listens on.
+        log: File that receives its standard output.
+    """
+
+    name: str
+    popen: subprocess.Popen[bytes]
+    log: Path
+    addresses: list[str] = attrs.field(factory=list)
+
+    @property
+    def address(self) -> str:
+        """First URL that it listens on."""
+        return self.addresses[0]
+
+    def freeze(self) -> None:
+        """Stops the process until `thaw`."""
+        self.popen.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Lets a frozen process go on."""
+        self.popen.send_signal(signal.SIGCONT)
+
+    def kill(self) -> None:
+        """Ends the process without warning."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def terminate(self) -> None:
+        """Asks the process to shut down."""
+        self.popen.terminate()
+
+
+def wait_until(condition: Callable[[], Any], *, seconds: float, what: str) -> Any:
+    """Waits until a condition holds and returns its value.
+
+    Raises:
+        TimeoutError: It did not hold in time.
+    """
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        found = condition()
+        if found:
+            return found
+        time.sleep(0.02)
+    raise TimeoutError(what)
+
+
+class Fleet:
+    """Processes of one fleet; use as a context manager."""
+
+    def __init__(self, *, settings: Mapping[str, Mapping[str, Any]] | None = None) -> None:
+        """Prepares a fleet without processes.
+
+        Args:
+            settings: Settings by section that replace the defaults in every process.
+        """
+        self.folder = Path(tempfile.mkdtemp(prefix='fireflymux-'))
+        self.processes: dict[str, Process] = {}
+        self.client = httpx.Client(timeout=30, trust_env=False)
+        self._settings = settings or {}
+        self._platform = ''
+
+    def __enter__(self) -> 'Fleet':
+        """Returns the fleet."""
+        return self
+
+    def __exit__(self, *_details: object) -> None:
+        """Ends every process."""
+        self.close()
+
+    @property
+    def platform(self) -> str:
+        """URL of the platform's stand-in."""
+        return self._platform
+
+    def close(self) -> None:
+        """Ends every process that was started."""
+        for process in self.processes.values():
+            process.popen.send_signal(signal.SIGCONT)
+            process.popen.kill()
+        for process in self.processes.values():
+            process.popen.wait(_STOP_SECONDS)
+        self.client.close()
+
+    def start_platform(self, *, live_lag: float = 0.2) -> None:
+        """Starts the platform's stand-in."""
+        arguments = ['-m', 'emulator.platform', '--live-lag={0}'.format(live_lag)]
+        self._platform = self._start('platform', arguments).address
+
+    def start_engines(self, name: str, count: int, **options: Any) -> list[str]:
+        """Starts engines in one process and returns their URLs."""
+        return self._start_endpoints('emulator.engine', name, count, options)
+
+    def start_services(self, name: str, count: int, **options: Any) -> list[str]:
+        """Starts services in one process and returns their URLs."""
+        return self._start_endpoints('emulator.service', name, count, options)
+
+    def start_router(
+        self, name: str, *, failure_domain: str = 'a', settings: Mapping[str, Any] | None = None,
+    ) -> Process:
+        """Starts a router and enters it in the live list."""
+        sections = self._sections(name, failure_domain)
+        sections['router'] = {**self._settings.get('router', {}), **(settings or {})}
+        return self._start_role('router', name, sections, pool='')
+
+    def start_sidecar(
+        self, name: str, *, endpoint_url: str, pool: str, kind: str, slots: int,
+        failure_domain: str = 'a', settings: Mapping[str, Any] | None = None,
+    ) -> Process:
+        """Starts a sidecar and enters it in the live list."""
+        sections = self._sections(name, failure_domain)
+        sections['sidecar'] = {
+            'endpoint': name, 'endpoint_url': endpoint_url, 'pool': pool, 'kind': kind,
+            'slots': slots, **self._settings.get('sidecar', {}), **(settings or {}),
+        }
+        return self._start_role('sidecar', name, sections, pool=pool)
+
+    def operate(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Runs an operator's command and returns what it printed."""
+        settings = self._write_settings('operator', {'platform': self._platform_section()})
+        command = [sys.executable, '-m', 'fireflymux', *arguments, '--settings', str(settings)]
+        return subprocess.run(command, capture_output=True, text=True, check=False, timeout=60)
+
+    def add_contract(self, account: str, *pools: str, **terms: Any) -> None:
+        """Creates a contract whose secret is `secret`."""
+        options = ['--{0}={1}'.format(name, term) for name, term in terms.items()]
+        done = self.operate(
+            'contract', 'create', account, 'secret', ','.join(pools), *options,
+        )
+        if done.returncode:
+            raise RuntimeError(done.stderr)
+
+    def add_contracts(self, contracts: Sequence[Mapping[str, Any]]) -> None:
+        """Commits many contracts directly to the table, without the command line."""
+        from fireflymux import codec
+        from fireflymux.credentials import digest_key
+        from fireflymux.messages import ConfigChange, ConfigHead, Contract
+
+        puts = []
+        for version, terms in enumerate(contracts, start=1):
+            contract = Contract(**{
+                'weight': 1.0, 'rate_per_second': 1e6, 'concurrency': 100000,
+                'queue_length': 1000000, 'key_digest': digest_key('secret'), **terms,
+            })
+            change = ConfigChange(
+                version=version, change_id=str(version), operator='test', contract=contract,
+            )
+            puts.append({
+                'key': 'config/changes/{0:012d}'.format(version), 'expected_version': 0,
+                'value': codec.to_plain(change),
+            })
+        head = ConfigHead(version=len(contracts), snapshot_version=0)
+        puts.append({
+            'key': 'config/head', 'expected_version': 0, 'value': codec.to_plain(head),
+        })
+        for start in range(0, len(puts), 100):
+            self.client.post(
+                self._platform + '/table/transactions',
+                content=orjson.dumps({'puts': puts[start:start + 100]}),
+            ).raise_for_status()
+
+    def set_fault(self, service: str, mode: str, **options: Any) -> None:
+        """Makes a service of the platform misbehave."""
+        self.client.post(
+            self._platform + '/faults', json={'service': service, 'mode': mode, **options},
+        ).raise_for_status()
+
+    def set_live(self, name: str, role: str, address: str, **options: Any) -> None:
+        """Enters an instance in the live list."""
+        entry = {
+            'name': name, 'role': role, 'address': address, 'failure_domain': 'a', **options,
+        }
+        self.client.put(
+            '{0}/live/{1}'.format(self._platform, name), json=entry,
+        ).raise_for_status()
+
+    def drop_live(self, name: str) -> None:
+        """Takes an instance out of the live list."""
+        self.client.delete('{0}/live/{1}'.format(self._platform, name)).raise_for_status()
+
+    def wait_ready(self, *, seconds: float = 20.0) -> None:
+        """Waits until every router and sidecar is ready and the routers hear every sidecar."""
+        roles = [item for item in self.processes.values() if (self.folder / item.name).exists()]
+        for process in roles:
+            wait_until(
+                lambda item=process: self._is_ready(item.address), seconds=seconds,
+                what='{0} is not ready'.format(process.name),
+            )
+        sidecars = [item for item in roles if self._is_sidecar(item)]
+        routers = [item for item in roles if item not in sidecars]
+        for router in routers:
+            wait_until(
+                lambda item=router: self._count_up(item) >= len(sidecars), seconds=seconds,
+                what='{0} does not hear every sidecar'.format(router.name),
+            )
+
+    def metric(self, process: Process, name: str, **labels: str) -> float:
+        """Sums a metric of a process over the series that carry the labels."""
+        text = self.client.get(process.address + '/metrics').text
+        total = 0.0
+        for line in text.splitlines():
+            if not line.startswith('fireflymux_' + name):
+                continue
+            if all('{0}="{1}"'.format(key, item) in line for key, item in labels.items()):
+                total += float(line.rpartition(' ')[2])
+        return total
+
+    def _is_sidecar(self, process: Process) -> bool:
+        return '[sidecar]' in (self.folder / process.name).read_text()
+
+    def _count_up(self, process: Process) -> int:
+        return process.log.read_text().count('"sidecar_up"')
+
+    def _is_ready(self, address: str) -> bool:
+        try:
+            return self.client.get(address + '/ready').is_success
+        except httpx.HTTPError:
+            return False
+
+    def _sections(self, name: str, failure_domain: str) -> dict[str, dict[str, Any]]:
+        sections = {
+            'instance': {
+                'name': name, 'failure_domain': failure_domain,
+                'listen_host': '127.0.0.1', 'listen_port': 0,
+            },
+            'fleet': {'key': FLEET_KEY},
+            'platform': self._platform_section(),
+            'observability': {'trace_file': str(self.folder / 'traces.jsonl')},
+        }
+        for section, items in self._settings.items():
+            if section in sections:
+                sections[section].update(items)
+        return sections
+
+    def _platform_section(self) -> dict[str, Any]:
+        return {
+            'table_url': self._platform + '/table',
+            'object_url': self._platform + '/objects',
+            'live_url': self._platform + '/live',
+        }
+
+    def _write_settings(self, name: str, sections: Mapping[str, Mapping[str, Any]]) -> Path:
+        parser = configparser.ConfigParser(interpolation=None)
+        for section, items in sections.items():
+            parser[section] = {key: str(item) for key, item in items.items()}
+        path = self.folder / name
+        with path.open('w', encoding='utf-8') as stream:
+            parser.write(stream)
+        return path
+
+    def _start_role(
+        self, role: str, name: str, sections: Mapping[str, Mapping[str, Any]], *, pool: str,
+    ) -> Process:
+        path = self._write_settings(name, sections)
+        process = self._start(name, ['-m', 'fireflymux', role, str(path)])
+        self.set_live(name, role, process.address, pool=pool)
+        return process
+
+    def _start_endpoints(
+        self, module: str, name: str, count: int, options: Mapping[str, Any],
+    ) -> list[str]:
+        arguments = ['-m', module, '--count={0}'.format(count)]
+        arguments += ['--{0}={1}'.format(key, item) for key, item in options.items()]
+        return self._start(name, arguments).addresses
+
+    def _start(self, name: str, arguments: Sequence[str]) -> Process:
+        log = self.folder / (name + '.log')
+        with log.open('wb') as stream:
+            popen = subprocess.Popen(
+                [sys.executable, *arguments], stdout=stream, stderr=subprocess.STDOUT,
+                env={**os.environ, 'PYTHONUNBUFFERED': '1'},
+            )
+        process = Process(name, popen, log)
+        self.processes[name] = process
+        process.addresses = wait_until(
+            lambda: _find_addresses(process), seconds=_START_SECONDS,
+            what='{0} did not start'.format(name),
+        )
+        return process
+
+
+def _find_addresses(process: Process) -> list[str]:
+    if process.popen.poll() is not None:
+        raise RuntimeError(process.log.read_text())
+    for line in process.log.read_text().splitlines():
+        if '"listening"' not in line:
+            continue
+        message = orjson.loads(line)
+        return message.get('addresses') or [message['address']]
+    return []
--- /dev/null
+++ b/emulator/platform.py
@@ -0,0 +1,221 @@
+"""Stand-in for the platform: table service, object store, lagging live list, weight store.
+
+Run as `python -m emulator.platform [--port N] [--live-lag SECONDS]`. POST /faults makes one of
+the services slow or down, or lets it lose its answers after the write took effect.
+"""
+
+import bisect
+from typing import Any
+
+import attrs
+import fire
+import trio
+from quart import Response, jsonify, request
+from quart_trio import QuartTrio
+
+from .hosting import host
+
+_TRANSACTION_LIMIT = 100
+_WEIGHT_RATE_PER_SECOND = 2.0
+_SERVICES = ('table', 'objects', 'live')
+
+
+@attrs.define
+class Fault:
+    """How one service misbehaves.
+
+    Attributes:
+        mode: One of ok, down, slow and lose_answers.
+        seconds: Delay of each answer in the mode slow.
+        remaining: Requests that the fault still hits; negative means all.
+    """
+
+    mode: str = 'ok'
+    seconds: float = 0.0
+    remaining: int = -1
+
+
+@attrs.define
+class PlatformState:
+    """Everything that the platform keeps."""
+
+    rows: dict[str, tuple[int, Any]] = attrs.field(factory=dict)
+    keys: list[str] = attrs.field(factory=list)
+    objects: dict[str, bytes] = attrs.field(factory=dict)
+    live: dict[str, tuple[float, dict[str, Any]]] = attrs.field(factory=dict)
+    shown: list[dict[str, Any]] = attrs.field(factory=list)
+    faults: dict[str, Fault] = attrs.field(
+        factory=lambda: {name: Fault() for name in _SERVICES},
+    )
+    counts: dict[str, int] = attrs.field(factory=dict)
+    live_lag: float = 0.5
+    weights_next: float = 0.0
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Counts an operation."""
+        self.counts[name] = self.counts.get(name, 0) + amount
+
+    def commit(self, puts: list[dict[str, Any]]) -> list[str]:
+        """Applies all writes or none; returns the keys whose condition failed."""
+        failed = [
+            put['key'] for put in puts
+            if self.rows.get(put['key'], (0, None))[0] != put['expected_version']
+        ]
+        if failed:
+            return failed
+        for put in puts:
+            if put['key'] not in self.rows:
+                bisect.insort(self.keys, put['key'])
+            self.rows[put['key']] = (put['expected_version'] + 1, put['value'])
+        return []
+
+
+async def _meet_fault(state: PlatformState, service: str) -> str:
+    fault = state.faults[service]
+    if fault.mode == 'ok' or fault.remaining == 0:
+        return 'ok'
+    fault.remaining -= 1
+    if fault.mode == 'slow':
+        await trio.sleep(fault.seconds)
+        return 'ok'
+    return fault.mode
+
+
+def create_app(state: PlatformState) -> QuartTrio:
+    """Creates the platform's application."""
+    app = QuartTrio('emulator.platform')
+    _add_table(app, state)
+    _add_objects(app, state)
+    _add_live(app, state)
+
+    @app.post('/faults')
+    async def faults() -> Response:
+        message = await request.get_json()
+        service = message.pop('service')
+        state.faults[service] = Fault(**message)
+        return jsonify({})
+
+    @app.get('/counts')
+    async def counts() -> Response:
+        return jsonify(state.counts)
+
+    return app
+
+
+def _add_table(app: QuartTrio, state: PlatformState) -> None:
+    @app.post('/table/transactions')
+    async def transactions() -> Response:
+        puts = (await request.get_json(force=True))['puts']
+        mode = await _meet_fault(state, 'table')
+        if mode == 'down':
+            return Response(status=503)
+        if len(puts) > _TRANSACTION_LIMIT:
+            return Response(status=400)
+        state.count('transactions')
+        state.count('rows_written', len(puts))
+        failed = state.commit(puts)
+        if mode == 'lose_answers':
+            return Response(status=504)
+        if failed:
+            return Response(
+                b'{"failed": [%s]}' % b','.join(b'"%s"' % key.encode() for key in failed),
+                status=409, content_type='application/json',
+            )
+        return jsonify({})
+
+    @app.get('/table/rows/<path:key>')
+    async def read_row(key: str) -> Response:
+        if await _meet_fault(state, 'table') == 'down':
+            return Response(status=503)
+        state.count('reads')
+        if key not in state.rows:
+            return Response(status=404)
+        version, found = state.rows[key]
+        return jsonify({'key': key, 'version': version, 'value': found})
+
+    @app.get('/table/rows')
+    async def read_rows() -> Response:
+        if await _meet_fault(state, 'table') == 'down':
+            return Response(status=503)
+        state.count('reads')
+        prefix = request.args['prefix']
+        start = bisect.bisect_right(state.keys, request.args['after'])
+        stop = start + request.args.get('limit', 100, type=int)
+        keys = [key for key in state.keys[start:stop] if key.startswith(prefix)]
+        return jsonify([
+            {'key': key, 'version': state.rows[key][0], 'value': state.rows[key][1]}
+            for key in keys
+        ])
+
+
+def _add_objects(app: QuartTrio, state: PlatformState) -> None:
+    @app.put('/objects/<path:name>')
+    async def write_object(name: str) -> Response:
+        content = await request.get_data()
+        mode = await _meet_fault(state, 'objects')
+        if mode == 'down':
+            return Response(status=503)
+        state.count('object_writes')
+        state.objects[name] = content
+        return Response(status=504) if mode == 'lose_answers' else jsonify({})
+
+    @app.get('/objects/<path:name>')
+    async def read_object(name: str) -> Response:
+        if await _meet_fault(state, 'objects') == 'down':
+            return Response(status=503)
+        if name not in state.objects:
+            return Response(status=404)
+        return Response(state.objects[name])
+
+    @app.get('/weights/<path:_name>')
+    async def weights(_name: str) -> Response:
+        now = trio.current_time()
+        if now < state.weights_next:
+            return Response(status=429, headers={'Retry-After': '1'})
+        state.weights_next = now + 1 / _WEIGHT_RATE_PER_SECOND
+        return Response(b'weights')
+
+
+def _add_live(app: QuartTrio, state: PlatformState) -> None:
+    @app.put('/live/<name>')
+    async def announce(name: str) -> Response:
+        state.live[name] = (trio.current_time(), await request.get_json(force=True))
+        return jsonify({})
+
+    @app.delete('/live/<name>')
+    async def withdraw(name: str) -> Response:
+        state.live.pop(name, None)
+        return jsonify({})
+
+    @app.get('/live')
+    async def read_live() -> Response:
+        if await _meet_fault(state, 'live') == 'down':
+            return Response(status=503)
+        return jsonify(state.shown)
+
+
+async def _refresh_live(state: PlatformState) -> None:
+    while True:
+        await trio.sleep(state.live_lag)
+        state.shown = [entry for _, entry in state.live.values()]
+
+
+async def _main(port: int, live_lag: float) -> None:
+    state = PlatformState(live_lag=live_lag)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_refresh_live, state)
+        await host([(create_app(state), port)])
+
+
+def main(port: int = 0, live_lag: float = 0.3) -> None:
+    """Runs the platform's stand-in.
+
+    Args:
+        port: TCP port; zero lets the kernel choose.
+        live_lag: Time after which a change of the live list is seen, in seconds.
+    """
+    trio.run(_main, port, live_lag)
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- /dev/null
+++ b/emulator/service.py
@@ -0,0 +1,75 @@
+"""Stand-in for plain services, some of whose calls must not repeat.
+
+Run as `python -m emulator.service --count N`. Each call with a body counts as an effect, by
+its Idempotency-Key and the nonce in its body.
+"""
+
+from typing import Any
+
+import attrs
+import fire
+import orjson
+import trio
+from quart import Response, jsonify, request
+from quart_trio import QuartTrio
+
+from .hosting import host
+
+
+@attrs.define(eq=False)
+class Service:
+    """State of one service."""
+
+    default_delay: float = 0.0
+    effects: list[dict[str, Any]] = attrs.field(factory=list)
+    busy_seconds: float = 0.0
+
+
+def create_app(service: Service) -> QuartTrio:
+    """Creates the application of a service."""
+    app = QuartTrio('emulator.service')
+
+    @app.get('/stats')
+    async def stats() -> Response:
+        return jsonify({'effects': service.effects, 'busy_slot_seconds': service.busy_seconds})
+
+    @app.route('/<path:path>', methods=['GET', 'POST', 'PUT', 'DELETE'])
+    async def call(path: str) -> Response:
+        body = await request.get_data()
+        message = orjson.loads(body) if body else {}
+        delay = float(message.get('delay', service.default_delay))
+        effect = {
+            'path': path,
+            'key': request.headers.get('Idempotency-Key', ''),
+            'nonce': message.get('nonce', ''),
+        }
+        if request.method != 'GET':
+            service.effects.append(effect)
+        await trio.sleep(delay)
+        service.busy_seconds += delay
+        return jsonify({**effect, 'number': len(service.effects), 'pad': 'x' * message.get('pad', 0)})
+
+    return app
+
+
+async def _main(count: int, port: int, delay_milliseconds: float) -> None:
+    services = [Service(default_delay=delay_milliseconds / 1000) for _ in range(count)]
+    await host([
+        (create_app(service), port + place if port else 0)
+        for place, service in enumerate(services)
+    ])
+
+
+def main(count: int = 1, port: int = 0, delay_milliseconds: float = 5.0) -> None:
+    """Runs stand-in services.
+
+    Args:
+        count: Number of services in this process.
+        port: TCP port of the first service; zero lets the kernel choose.
+        delay_milliseconds: Time of one call unless its body names another.
+    """
+    trio.run(_main, count, port, delay_milliseconds)
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- /dev/null
+++ b/src/fireflymux/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as `python -m fireflymux`."""
+
+from .cli import main
+
+main()
--- /dev/null
+++ b/src/fireflymux/account_shares.py
@@ -0,0 +1,191 @@
+"""Virtual time of each client account as one sidecar sees it.
+
+The virtual time of an account is its normalized service over the whole fleet: what this
+sidecar metered, the charges in flight here, what other sidecars reported, and a floor that
+lifts an account which was idle to the least virtual time among the active ones, so that idle
+time earns no credit. Follows start-time fair queueing (Goyal, Vin, Cheng 1996) with the cost
+trued up while a request runs, as the virtual token counter does (Sheng et al. 2024).
+"""
+
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from .messages import ServiceTotal
+
+_ESTIMATE_GAIN = 0.2
+#: Estimate for an account of which nothing is known, in cost units.
+DEFAULT_ESTIMATE = 50.0
+
+
+@attrs.define
+class Charge:
+    """Cost of one running request.
+
+    Attributes:
+        account: The client account.
+        weight: Weight when the request was granted.
+        estimate: Expected cost in cost units.
+        metered: Cost so far in cost units.
+    """
+
+    account: str
+    weight: float
+    estimate: float
+    metered: float = 0.0
+
+    @property
+    def outstanding(self) -> float:
+        """Expected cost still to come, normalized."""
+        return max(self.estimate - self.metered, 0.0) / self.weight
+
+
+@attrs.define
+class _Share:
+    settled: float = 0.0
+    others_settled: float = 0.0
+    others_outstanding: float = 0.0
+    floor: float = 0.0
+    estimate: float = DEFAULT_ESTIMATE
+
+
+class AccountShares:
+    """Virtual times of the accounts of one pool."""
+
+    def __init__(self, pool: str, weight_of: Callable[[str], float]) -> None:
+        """Starts with no service.
+
+        Args:
+            pool: The pool that the endpoint belongs to.
+            weight_of: Returns the weight of an account's contract.
+        """
+        self._pool = pool
+        self._weight_of = weight_of
+        self._shares: dict[str, _Share] = {}
+        self._charges: dict[str, set[int]] = {}
+        self._open: dict[int, Charge] = {}
+        self._active: frozenset[str] = frozenset()
+        self._latest = 0.0
+
+    def open_charge(self, account: str) -> Charge:
+        """Charges the expected cost of a request at its grant.
+
+        Args:
+            account: The client account.
+
+        Returns:
+            The open charge.
+        """
+        share = self._share(account)
+        charge = Charge(account, self._weight_of(account), share.estimate)
+        self._latest = max(self._latest, self.virtual_time(account))
+        self._open[id(charge)] = charge
+        self._charges.setdefault(account, set()).add(id(charge))
+        return charge
+
+    def meter(self, charge: Charge, amount: float) -> None:
+        """Adds cost to a running request.
+
+        Args:
+            charge: The open charge.
+            amount: Cost units since the last call.
+        """
+        charge.metered += amount
+        self._share(charge.account).settled += amount / charge.weight
+
+    def close_charge(self, charge: Charge, *, learn: bool = True) -> None:
+        """Settles a charge; what was not metered is given back.
+
+        Args:
+            charge: The open charge.
+            learn: Whether the cost is that of a whole request.
+        """
+        if self._open.pop(id(charge), None) is None:
+            return
+        self._charges[charge.account].discard(id(charge))
+        if learn:
+            share = self._share(charge.account)
+            share.estimate += _ESTIMATE_GAIN * (charge.metered - share.estimate)
+
+    def merge_others(self, totals: Iterable[ServiceTotal]) -> None:
+        """Merges the service that other sidecars reported.
+
+        Args:
+            totals: Sum over the other sidecars, as one router knows it.
+        """
+        for total in totals:
+            if total.pool != self._pool:
+                continue
+            share = self._share(total.account)
+            share.others_settled = max(share.others_settled, total.settled)
+            share.others_outstanding = total.outstanding
+            share.floor = max(share.floor, total.floor)
+
+    def update_active(self, waiting: Iterable[str]) -> None:
+        """Lifts the accounts that became active since the last call.
+
+        Args:
+            waiting: Accounts with waiting requests at the routers.
+        """
+        active = frozenset(waiting) | self._running()
+        woken = active - self._active
+        self._active = active
+        if not woken:
+            return
+        level = self._level(active - woken)
+        for account in woken:
+            share = self._share(account)
+            share.floor += max(level - self.virtual_time(account), 0.0)
+
+    def virtual_time(self, account: str) -> float:
+        """Returns the normalized service of an account.
+
+        Args:
+            account: The client account.
+
+        Returns:
+            Cost units divided by weight, charges in flight included.
+        """
+        share = self._share(account)
+        running = self._charges.get(account, ())
+        outstanding = sum(self._open[key].outstanding for key in running)
+        known = share.settled + share.others_settled + share.floor
+        return known + share.others_outstanding + outstanding
+
+    def report(self) -> list[ServiceTotal]:
+        """Lists what this sidecar metered.
+
+        Returns:
+            One total for each account that it knows.
+        """
+        return [
+            ServiceTotal(
+                pool=self._pool,
+                account=account,
+                settled=share.settled,
+                outstanding=sum(
+                    self._open[key].outstanding for key in self._charges.get(account, ())
+                ),
+                floor=share.floor,
+            )
+            for account, share in self._shares.items()
+        ]
+
+    def _running(self) -> frozenset[str]:
+        here = frozenset(account for account, keys in self._charges.items() if keys)
+        elsewhere = frozenset(
+            account for account, share in self._shares.items() if share.others_outstanding > 0
+        )
+        return here | elsewhere
+
+    def _level(self, active: frozenset[str]) -> float:
+        if not active:
+            return self._latest
+        return min(self.virtual_time(account) for account in active)
+
+    def _share(self, account: str) -> _Share:
+        share = self._shares.get(account)
+        if share is None:
+            share = _Share()
+            self._shares[account] = share
+        return share
--- /dev/null
+++ b/src/fireflymux/backlog.py
@@ -0,0 +1,170 @@
+"""Requests that wait at one router, in one queue for each pool and client account."""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import attrs
+import trio
+
+from .errors import Refused
+from .messages import Reservation
+
+#: Pool and client account.
+QueueKey = tuple[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Where a request may run.
+
+    Attributes:
+        address: URL of the sidecar.
+        sidecar: Its incarnation.
+        grant: Accepted offer; empty for a direct attempt.
+    """
+
+    address: str
+    sidecar: str
+    grant: str = ''
+
+
+@attrs.define(eq=False)
+class Ticket:
+    """One waiting request.
+
+    Attributes:
+        pool: The pool it is for.
+        account: Its client account.
+        placement: Where it may run, once known.
+        decided: Set when the placement is known or the request is given up on.
+        refused: Why it was given up on.
+        avoid: Sidecar incarnations that failed it.
+    """
+
+    pool: str
+    account: str
+    placement: Placement | None = None
+    decided: trio.Event = attrs.field(factory=trio.Event)
+    refused: Refused | None = None
+    avoid: set[str] = attrs.field(factory=set)
+
+    def place(self, placement: Placement) -> None:
+        """Decides where the request may run."""
+        self.placement = placement
+        self.decided.set()
+
+    def give_up(self, refused: Refused) -> None:
+        """Decides that the request will not run."""
+        self.refused = refused
+        self.decided.set()
+
+
+class Backlog:
+    """Queues of one router."""
+
+    def __init__(self, *, concurrency_of: Callable[[str], int]) -> None:
+        """Starts empty.
+
+        Args:
+            concurrency_of: Returns how many requests of an account may run through this router.
+        """
+        self._concurrency_of = concurrency_of
+        self._queues: dict[QueueKey, deque[Ticket]] = {}
+        self._running: dict[str, int] = {}
+        self._waiting: dict[str, int] = {}
+
+    @property
+    def size(self) -> int:
+        """Requests that wait."""
+        return sum(self._waiting.values())
+
+    def waiting_of(self, account: str) -> int:
+        """Counts the waiting requests of an account over all pools."""
+        return self._waiting.get(account, 0)
+
+    def add(self, ticket: Ticket, *, first: bool = False) -> None:
+        """Adds a request.
+
+        Args:
+            ticket: The request.
+            first: Whether it waited before and goes ahead of the others.
+        """
+        queue = self._queues.setdefault((ticket.pool, ticket.account), deque())
+        if first:
+            queue.appendleft(ticket)
+        else:
+            queue.append(ticket)
+        self._waiting[ticket.account] = self._waiting.get(ticket.account, 0) + 1
+
+    def remove(self, ticket: Ticket) -> None:
+        """Removes a request that is given up on; one that is gone already is passed over."""
+        queue = self._queues.get((ticket.pool, ticket.account))
+        if queue is not None and ticket in queue:
+            queue.remove(ticket)
+            self._count_down(ticket)
+
+    def take(self, pool: str, account: str, sidecar: str) -> Ticket | None:
+        """Takes the oldest request that may run on a sidecar.
+
+        Args:
+            pool: The pool.
+            account: The client account.
+            sidecar: The sidecar incarnation.
+
+        Returns:
+            The request, or None if there is none or the concurrency is used up.
+        """
+        if self.free_concurrency(account) == 0:
+            return None
+        for ticket in self._queues.get((pool, account), ()):
+            if sidecar in ticket.avoid:
+                continue
+            self.remove(ticket)
+            return ticket
+        return None
+
+    def free_concurrency(self, account: str) -> int:
+        """Counts how many more requests of an account may run through this router."""
+        return max(self._concurrency_of(account) - self._running.get(account, 0), 0)
+
+    def start(self, account: str) -> None:
+        """Counts a request that starts to run."""
+        self._running[account] = self._running.get(account, 0) + 1
+
+    def stop(self, account: str) -> None:
+        """Counts a request that runs no more."""
+        self._running[account] -= 1
+        if self._running[account] == 0:
+            self._running.pop(account)
+
+    def grantable(self, pool: str, account: str) -> int:
+        """Counts the requests of an account that a sidecar may ask for."""
+        waiting = len(self._queues.get((pool, account), ()))
+        return min(waiting, self.free_concurrency(account))
+
+    def reservations(self, pool: str) -> list[Reservation]:
+        """Lists the reservations to leave at the sidecars of a pool."""
+        listed = (
+            Reservation(pool=pool, account=key[1], waiting=self.grantable(pool, key[1]))
+            for key in self._queues
+            if key[0] == pool
+        )
+        return [item for item in listed if item.waiting > 0]
+
+    def give_up_all(self, refused: Refused) -> None:
+        """Gives up on every waiting request."""
+        for ticket in list(self._tickets()):
+            self.remove(ticket)
+            ticket.give_up(refused)
+
+    def _tickets(self) -> Iterable[Ticket]:
+        return [ticket for queue in self._queues.values() for ticket in queue]
+
+    def _count_down(self, ticket: Ticket) -> None:
+        self._waiting[ticket.account] -= 1
+        if self._waiting[ticket.account] == 0:
+            self._waiting.pop(ticket.account)
+        key = (ticket.pool, ticket.account)
+        if not self._queues[key]:
+            self._queues.pop(key)
--- /dev/null
+++ b/src/fireflymux/caller_requests.py
@@ -0,0 +1,198 @@
+"""Checks the requests of callers before anything is queued."""
+
+import hashlib
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import attrs
+import orjson
+
+from .configuration import Configuration
+from .credentials import matches_digest, split_key
+from .errors import ErrorKind, Refused
+from .messages import Contract
+
+CHAT_PATH = '/v1/chat/completions'
+SERVICE_PREFIX = '/services/'
+_SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
+_KEY_LIMIT = 255
+_DUMMY_DIGEST = '0' * 64
+
+
+@attrs.define(frozen=True, kw_only=True)
+class CallerRequest:
+    """One checked request.
+
+    Attributes:
+        contract: Contract of its client account.
+        pool: Model or service that it is for.
+        method: HTTP method at the endpoint.
+        path: Path and query at the endpoint.
+        body: Its body.
+        content_type: Content type of the body.
+        idempotency_key: Key of a call that must not repeat; empty for others.
+        may_repeat: Whether running it twice does no harm.
+        is_stream: Whether the caller wants server-sent events.
+        timeout_seconds: Longest wait in the queue.
+        traceparent: Trace context of the caller.
+    """
+
+    contract: Contract
+    pool: str
+    method: str
+    path: str
+    body: bytes
+    content_type: str
+    idempotency_key: str
+    may_repeat: bool
+    is_stream: bool
+    timeout_seconds: float
+    traceparent: str
+
+    @property
+    def account(self) -> str:
+        """Client account of the caller."""
+        return self.contract.account
+
+    @property
+    def fingerprint(self) -> str:
+        """SHA-256 of method, path and body."""
+        digest = hashlib.sha256('{0} {1}\n'.format(self.method, self.path).encode())
+        digest.update(self.body)
+        return digest.hexdigest()
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedRequest:
+    """What the listener received.
+
+    Attributes:
+        method: HTTP method.
+        path: Path and query, still encoded.
+        headers: Headers by lower-case name.
+        body: Whole body.
+    """
+
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+
+
+def authenticate(configuration: Configuration, authorization: str) -> Contract | Refused:
+    """Finds the contract of a caller.
+
+    Args:
+        configuration: Contracts in force.
+        authorization: Value of the Authorization header.
+
+    Returns:
+        The contract, or why the caller is turned away.
+    """
+    account, secret = split_key(authorization)
+    contract = configuration.contracts.get(account)
+    # An unknown account takes the same time as a wrong secret.
+    digest = contract.key_digest if contract else _DUMMY_DIGEST
+    if not matches_digest(secret, digest) or contract is None:
+        return Refused(ErrorKind.unauthenticated)
+    if contract.retired:
+        return Refused(ErrorKind.account_retired)
+    return contract
+
+
+def parse_request(
+    received: ReceivedRequest, contract: Contract, *, default_timeout_seconds: float,
+) -> CallerRequest | Refused:
+    """Checks a request of an authenticated caller.
+
+    Args:
+        received: What the listener received.
+        contract: Contract of the caller.
+        default_timeout_seconds: Longest wait in the queue unless the caller asks for less.
+
+    Returns:
+        The request, or why it is refused.
+    """
+    timeout = _parse_timeout(received.headers, default_timeout_seconds)
+    if isinstance(timeout, Refused):
+        return timeout
+    if received.path == CHAT_PATH:
+        return _parse_chat(received, contract, timeout)
+    return _parse_service(received, contract, timeout)
+
+
+def _parse_timeout(headers: Mapping[str, str], default: float) -> float | Refused:
+    text = headers.get('x-request-timeout-seconds')
+    if text is None:
+        return default
+    try:
+        timeout = float(text)
+    except ValueError:
+        timeout = -1.0
+    if timeout > 0:
+        return min(timeout, default)
+    return Refused(ErrorKind.malformed_request, 'X-Request-Timeout-Seconds is not a duration')
+
+
+def _parse_chat(
+    received: ReceivedRequest, contract: Contract, timeout: float,
+) -> CallerRequest | Refused:
+    if received.method != 'POST':
+        return Refused(ErrorKind.malformed_request, 'chat completions take POST')
+    try:
+        message = orjson.loads(received.body)
+    except orjson.JSONDecodeError as error:
+        return Refused(ErrorKind.malformed_request, 'the body is not JSON: {0}'.format(error))
+    problem = _check_chat(message)
+    if problem:
+        return Refused(ErrorKind.malformed_request, problem)
+    return CallerRequest(
+        contract=contract,
+        pool=message['model'],
+        method='POST',
+        path=CHAT_PATH,
+        body=received.body,
+        content_type='application/json',
+        idempotency_key='',
+        may_repeat=True,
+        is_stream=bool(message.get('stream', False)),
+        timeout_seconds=timeout,
+        traceparent=received.headers.get('traceparent', ''),
+    )
+
+
+def _check_chat(message: object) -> str:
+    if not isinstance(message, dict):
+        return 'the body is not a JSON object'
+    if not isinstance(message.get('model'), str):
+        return 'the member "model" is not a string'
+    if not isinstance(message.get('messages'), list) or not message['messages']:
+        return 'the member "messages" is not a list with at least one message'
+    if not isinstance(message.get('stream', False), bool):
+        return 'the member "stream" is not a boolean'
+    return ''
+
+
+def _parse_service(
+    received: ReceivedRequest, contract: Contract, timeout: float,
+) -> CallerRequest | Refused:
+    pool, _, rest = received.path[len(SERVICE_PREFIX):].partition('/')
+    key = received.headers.get('idempotency-key', '')
+    is_safe = received.method in _SAFE_METHODS
+    if len(key) > _KEY_LIMIT:
+        return Refused(ErrorKind.malformed_request, 'the Idempotency-Key is too long')
+    if not is_safe and not key and pool in contract.key_required_pools:
+        return Refused(ErrorKind.idempotency_key_required)
+    return CallerRequest(
+        contract=contract,
+        pool=pool,
+        method=received.method,
+        path='/' + rest,
+        body=received.body,
+        content_type=received.headers.get('content-type', 'application/octet-stream'),
+        idempotency_key='' if is_safe else key,
+        may_repeat=is_safe,
+        is_stream=False,
+        timeout_seconds=timeout,
+        traceparent=received.headers.get('traceparent', ''),
+    )
--- /dev/null
+++ b/src/fireflymux/endpoint_call.py
@@ -0,0 +1,210 @@
+"""Sends one call to the endpoint beside the sidecar and fills its answer buffer."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import httpx
+import orjson
+import trio
+
+from .answer_buffer import AnswerBuffer, AnswerHead
+from .errors import ErrorKind, Ran, Refused
+from .headers import EVENT_STREAM, STREAM_END
+from .messages import RunOrder
+
+REQUEST_HEADER = 'X-Request-Id'
+_EVENT_END = b'\n\n'
+_RESUME_LIMIT = 3
+_RESUME_DELAY_SECONDS = 0.2
+_BYTES_PER_TOKEN = 4
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointCall:
+    """One call and where its effects go.
+
+    Attributes:
+        order: Description of the call.
+        body: Its body.
+        buffer: Receives the answer.
+        meter: Receives the cost units as they arise.
+        observe_first_token: Receives the time to the first byte in seconds.
+    """
+
+    order: RunOrder
+    body: bytes
+    buffer: AnswerBuffer
+    meter: Callable[[float], None]
+    observe_first_token: Callable[[float], None]
+
+    @property
+    def endpoint_request(self) -> str:
+        """Identifier of this attempt at the endpoint."""
+        return '{0}.{1}'.format(self.order.request, self.order.attempt)
+
+
+class EndpointClient:
+    """Calls one endpoint."""
+
+    def __init__(
+        self, client: httpx.AsyncClient, url: str, *, prompt_weight: float,
+        cost_per_second: float,
+    ) -> None:
+        """Uses an HTTP client without read timeout.
+
+        Args:
+            client: The HTTP client.
+            url: URL of the endpoint.
+            prompt_weight: Cost of one prompt token in cost units.
+            cost_per_second: Cost units of one second of a plain service.
+        """
+        self._client = client
+        self._url = url.rstrip('/')
+        self._prompt_weight = prompt_weight
+        self._cost_per_second = cost_per_second
+
+    async def call_service(self, call: EndpointCall) -> None:
+        """Sends a call to a plain service once.
+
+        Args:
+            call: The call.
+        """
+        started = trio.current_time()
+        try:
+            response = await self._client.request(
+                call.order.method,
+                self._url + call.order.path,
+                content=call.body,
+                headers=self._headers(call),
+            )
+        except httpx.HTTPError as error:
+            call.buffer.finish(_classify(error, ErrorKind.outcome_unknown))
+            return
+        finally:
+            elapsed = trio.current_time() - started
+            call.meter(elapsed * self._cost_per_second)
+        call.observe_first_token(elapsed)
+        call.buffer.start(AnswerHead(response.status_code, _content_type(response)))
+        call.buffer.append(response.content)
+        call.buffer.finish()
+
+    async def call_engine(self, call: EndpointCall) -> None:
+        """Sends a call to a model engine; a stream that breaks is resumed at its offset.
+
+        Args:
+            call: The call.
+        """
+        call.meter(len(call.body) / _BYTES_PER_TOKEN * self._prompt_weight)
+        request = self._client.build_request(
+            call.order.method,
+            self._url + call.order.path,
+            content=call.body,
+            headers=self._headers(call),
+        )
+        failure = await self._stream(call, request, started=trio.current_time())
+        if failure is not None and call.buffer.size > 0:
+            failure = await self.resume_engine(call, 0)
+        call.buffer.finish(failure)
+
+    async def resume_engine(self, call: EndpointCall, base: int) -> Refused | None:
+        """Continues the stream of a request that runs on the engine.
+
+        Args:
+            call: The call.
+            base: Offset of the buffer's first byte in the stream.
+
+        Returns:
+            Why the answer is not whole, or None.
+        """
+        failure: Refused | None = None
+        for _ in range(_RESUME_LIMIT):
+            url = '{0}/v1/requests/{1}/stream?offset={2}'.format(
+                self._url, call.endpoint_request, base + call.buffer.size,
+            )
+            request = self._client.build_request('GET', url)
+            failure = await self._stream(call, request, started=None)
+            if failure is None or failure.kind is ErrorKind.answer_expired:
+                return failure
+            await trio.sleep(_RESUME_DELAY_SECONDS)
+        return failure
+
+    async def cancel_engine(self, call: EndpointCall) -> None:
+        """Cancels a request on the engine.
+
+        Args:
+            call: The call.
+        """
+        url = '{0}/v1/requests/{1}'.format(self._url, call.endpoint_request)
+        try:
+            await self._client.delete(url, timeout=1)
+        except httpx.HTTPError:
+            return
+
+    async def _stream(
+        self, call: EndpointCall, request: httpx.Request, *, started: float | None,
+    ) -> Refused | None:
+        try:
+            response = await self._client.send(request, stream=True)
+        except httpx.HTTPError as error:
+            return _classify(error, ErrorKind.answer_cut)
+        try:
+            return await self._receive(call, response, started=started)
+        except httpx.HTTPError as error:
+            return Refused(ErrorKind.answer_cut, repr(error))
+        finally:
+            await response.aclose()
+
+    async def _receive(
+        self, call: EndpointCall, response: httpx.Response, *, started: float | None,
+    ) -> Refused | None:
+        if started is None and response.status_code != httpx.codes.OK:
+            return Refused(ErrorKind.answer_expired, 'the engine holds no such stream')
+        echoed = response.headers.get(REQUEST_HEADER, call.endpoint_request)
+        if echoed != call.endpoint_request:
+            return Refused(ErrorKind.answer_cut, 'the engine answered another request')
+        content_type = _content_type(response)
+        is_stream = content_type.startswith(EVENT_STREAM)
+        call.buffer.start(AnswerHead(response.status_code, content_type))
+        async for chunk in response.aiter_raw():
+            if started is not None:
+                call.observe_first_token(trio.current_time() - started)
+                started = None
+            call.buffer.append(chunk)
+            if is_stream:
+                call.meter(chunk.count(_EVENT_END))
+        if not is_stream:
+            call.meter(_count_completion_tokens(call.buffer.content))
+            return None
+        if call.buffer.ends_with(STREAM_END):
+            return None
+        return Refused(ErrorKind.answer_cut, 'the stream ended early')
+
+    def _headers(self, call: EndpointCall) -> dict[str, str]:
+        headers = {
+            'Content-Type': call.order.content_type,
+            REQUEST_HEADER: call.endpoint_request,
+        }
+        if call.order.idempotency_key:
+            headers['Idempotency-Key'] = call.order.idempotency_key
+            # A reused connection may close under the call, which leaves its outcome unknown.
+            headers['Connection'] = 'close'
+        if call.order.traceparent:
+            headers['traceparent'] = call.order.traceparent
+        return headers
+
+
+def _classify(error: httpx.HTTPError, kind: ErrorKind) -> Refused:
+    if isinstance(error, httpx.ConnectError | httpx.ConnectTimeout | httpx.PoolTimeout):
+        return Refused(ErrorKind.endpoint_unreachable, repr(error))
+    return Refused(kind, repr(error), Ran.unknown)
+
+
+def _content_type(response: httpx.Response) -> str:
+    return response.headers.get('Content-Type', 'application/octet-stream')
+
+
+def _count_completion_tokens(body: bytes) -> float:
+    try:
+        return float(orjson.loads(body)['usage']['completion_tokens'])
+    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError):
+        return len(body) / _BYTES_PER_TOKEN
--- /dev/null
+++ b/src/fireflymux/errors.py
@@ -0,0 +1,167 @@
+"""Closed list of error kinds and the answer that each one gives to a caller."""
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass
+from types import MappingProxyType
+
+from ._messages_generated import Problem
+
+
+class Ran(enum.StrEnum):
+    """Whether the request of a failed call reached its endpoint and ran."""
+
+    no = 'no'
+    yes = 'yes'
+    unknown = 'unknown'
+
+
+class ErrorKind(enum.StrEnum):
+    """Every kind of error that the system answers with."""
+
+    malformed_request = 'malformed_request'
+    headers_too_large = 'headers_too_large'
+    body_too_large = 'body_too_large'
+    unauthenticated = 'unauthenticated'
+    account_retired = 'account_retired'
+    pool_not_allowed = 'pool_not_allowed'
+    pool_unknown = 'pool_unknown'
+    idempotency_key_required = 'idempotency_key_required'
+    idempotency_key_reused = 'idempotency_key_reused'
+    rate_exceeded = 'rate_exceeded'
+    queue_full = 'queue_full'
+    queue_timeout = 'queue_timeout'
+    sidecar_busy = 'sidecar_busy'
+    sidecar_leaving = 'sidecar_leaving'
+    sidecar_unconfirmed = 'sidecar_unconfirmed'
+    endpoint_unreachable = 'endpoint_unreachable'
+    claims_unavailable = 'claims_unavailable'
+    call_in_progress = 'call_in_progress'
+    outcome_unknown = 'outcome_unknown'
+    crash_suspected = 'crash_suspected'
+    answer_cut = 'answer_cut'
+    answer_expired = 'answer_expired'
+    retries_exhausted = 'retries_exhausted'
+    configuration_unavailable = 'configuration_unavailable'
+    shutting_down = 'shutting_down'
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a caller is told for one error kind.
+
+    Attributes:
+        status: HTTP status code.
+        ran: Whether the request ran.
+        retry_after_seconds: When to come back; zero where coming back does not help.
+        title: One line for people.
+    """
+
+    status: int
+    ran: Ran
+    retry_after_seconds: float
+    title: str
+
+
+ANSWERS: Mapping[ErrorKind, Answer] = MappingProxyType({
+    ErrorKind.malformed_request: Answer(400, Ran.no, 0, 'The request is malformed'),
+    ErrorKind.headers_too_large: Answer(431, Ran.no, 0, 'The header block is too large'),
+    ErrorKind.body_too_large: Answer(413, Ran.no, 0, 'The body is too large'),
+    ErrorKind.unauthenticated: Answer(401, Ran.no, 0, 'The credential is missing or wrong'),
+    ErrorKind.account_retired: Answer(403, Ran.no, 0, 'The contract is retired'),
+    ErrorKind.pool_not_allowed: Answer(403, Ran.no, 0, 'The contract does not allow this pool'),
+    ErrorKind.pool_unknown: Answer(404, Ran.no, 0, 'No such model or service'),
+    ErrorKind.idempotency_key_required: Answer(
+        400, Ran.no, 0, 'This service requires an Idempotency-Key',
+    ),
+    ErrorKind.idempotency_key_reused: Answer(
+        422, Ran.no, 0, 'The Idempotency-Key belongs to another request',
+    ),
+    ErrorKind.rate_exceeded: Answer(429, Ran.no, 1, 'The rate of the contract is exceeded'),
+    ErrorKind.queue_full: Answer(429, Ran.no, 1, 'The queue of the contract is full'),
+    ErrorKind.queue_timeout: Answer(503, Ran.no, 1, 'The request waited too long'),
+    ErrorKind.sidecar_busy: Answer(503, Ran.no, 1, 'The endpoint has no free slot'),
+    ErrorKind.sidecar_leaving: Answer(503, Ran.no, 1, 'The endpoint is leaving'),
+    ErrorKind.sidecar_unconfirmed: Answer(
+        503, Ran.no, 1, 'The sidecar could not confirm its state',
+    ),
+    ErrorKind.endpoint_unreachable: Answer(503, Ran.no, 1, 'The endpoint is unreachable'),
+    ErrorKind.claims_unavailable: Answer(
+        503, Ran.no, 5, 'The table service that records calls is unavailable',
+    ),
+    ErrorKind.call_in_progress: Answer(
+        409, Ran.unknown, 1, 'A call with this Idempotency-Key is in progress',
+    ),
+    ErrorKind.outcome_unknown: Answer(
+        504, Ran.unknown, 0, 'The call was started and its outcome is unknown',
+    ),
+    ErrorKind.crash_suspected: Answer(
+        422, Ran.unknown, 60, 'Endpoints crashed while they ran this request',
+    ),
+    ErrorKind.answer_cut: Answer(502, Ran.yes, 1, 'The answer broke off'),
+    ErrorKind.answer_expired: Answer(410, Ran.unknown, 0, 'The answer is no longer kept'),
+    ErrorKind.retries_exhausted: Answer(
+        503, Ran.no, 1, 'No endpoint accepted the request within its retries',
+    ),
+    ErrorKind.configuration_unavailable: Answer(
+        503, Ran.no, 2, 'This instance has no configuration yet',
+    ),
+    ErrorKind.shutting_down: Answer(503, Ran.no, 1, 'This instance is shutting down'),
+})
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Tagged outcome of a call that failed.
+
+    Attributes:
+        kind: The kind of error.
+        detail: One line for people that names the cause.
+        ran: Overrides the table where the holder of the request knows more.
+        writer: Sidecar incarnation that claimed the call, where one did.
+    """
+
+    kind: ErrorKind
+    detail: str = ''
+    ran: Ran | None = None
+    writer: str = ''
+
+    @property
+    def outcome(self) -> Ran:
+        """Whether the request ran."""
+        return ANSWERS[self.kind].ran if self.ran is None else self.ran
+
+
+def to_problem(refused: Refused) -> Problem:
+    """Builds the problem document of a failed call.
+
+    Args:
+        refused: The failure.
+
+    Returns:
+        The document to send as application/problem+json.
+    """
+    answer = ANSWERS[refused.kind]
+    return Problem(
+        kind=refused.kind.value,
+        title=answer.title,
+        status=answer.status,
+        detail=refused.detail,
+        ran=refused.outcome.value,
+        retry_after_seconds=answer.retry_after_seconds,
+        writer=refused.writer,
+    )
+
+
+def from_problem(problem: Problem) -> Refused:
+    """Reads the failure out of a problem document.
+
+    Args:
+        problem: A document made by `to_problem`.
+
+    Returns:
+        The failure; an unknown kind reads as an unknown outcome.
+    """
+    if problem.kind not in ErrorKind.__members__:
+        return Refused(ErrorKind.outcome_unknown, problem.detail)
+    return Refused(ErrorKind(problem.kind), problem.detail, Ran(problem.ran), problem.writer)
--- /dev/null
+++ b/src/fireflymux/grants.py
@@ -0,0 +1,196 @@
+"""Grants the free slots of one endpoint to the accounts that waited for them.
+
+A sidecar offers each free slot to a router that holds a request of the account with the least
+virtual time. Until then the request stays at the router, so no queued work is lost with a
+sidecar, and the choice uses what is known at the last moment.
+"""
+
+import uuid
+from collections.abc import Awaitable, Callable
+
+import attrs
+import trio
+
+from .account_choice import choose_account
+from .account_shares import AccountShares, Charge
+from .admission_window import AdmissionWindow
+from .errors import ErrorKind, Refused
+from .messages import GrantOffer, GrantReply
+from .metrics import Metrics
+from .reservations import Reservations, RouterReservations
+
+#: Longest wait for the request after a router accepted a grant.
+GRANT_TIMEOUT_SECONDS = 2.0
+
+#: Sends an offer to a router; None means that the router did not answer.
+OfferSender = Callable[[str, GrantOffer], Awaitable[GrantReply | None]]
+
+
+@attrs.define(eq=False)
+class Slot:
+    """One slot of the endpoint in use.
+
+    Attributes:
+        charge: Cost of the request that uses it.
+    """
+
+    charge: Charge
+
+
+@attrs.define(eq=False)
+class _Pending:
+    charge: Charge
+    claimed: trio.Event = attrs.field(factory=trio.Event)
+
+
+@attrs.define(frozen=True, kw_only=True)
+class GrantIdentity:
+    """What an offer says about its sender."""
+
+    sidecar: str
+    address: str
+    pool: str
+
+
+class GrantScheduler:
+    """Slots of one endpoint, and the offers that are open for them."""
+
+    def __init__(
+        self,
+        identity: GrantIdentity,
+        *,
+        shares: AccountShares,
+        reservations: Reservations,
+        window: AdmissionWindow,
+        check_work: Callable[[], Refused | None],
+        send_offer: OfferSender,
+        metrics: Metrics,
+    ) -> None:
+        """Starts with all slots free."""
+        self._identity = identity
+        self._shares = shares
+        self._reservations = reservations
+        self._window = window
+        self._check_work = check_work
+        self._send_offer = send_offer
+        self._metrics = metrics
+        self._running: set[Slot] = set()
+        self._pending: dict[str, _Pending] = {}
+        self._changed = trio.Event()
+
+    @property
+    def free_slots(self) -> int:
+        """Slots that are neither in use nor on offer."""
+        return max(self._window.limit - len(self._running) - len(self._pending), 0)
+
+    @property
+    def running(self) -> int:
+        """Slots in use."""
+        return len(self._running)
+
+    def notify(self) -> None:
+        """Wakes the scheduler after a change of slots or reservations."""
+        self._changed.set()
+
+    def admit(self, account: str, grant: str) -> Slot | Refused:
+        """Gives a slot to a request that arrived.
+
+        Args:
+            account: The client account.
+            grant: Identifier of the accepted offer; empty if the router tries without one.
+
+        Returns:
+            The slot, or why the request may not run here now.
+        """
+        refused = self._check_work()
+        pending = self._pending.pop(grant, None)
+        if pending is not None:
+            pending.claimed.set()
+            if refused is not None:
+                self._shares.close_charge(pending.charge, learn=False)
+                return refused
+            return self._occupy(pending.charge)
+        if refused is not None:
+            return refused
+        if self.free_slots == 0 or self._reservations.accounts():
+            return Refused(ErrorKind.sidecar_busy)
+        return self._occupy(self._shares.open_charge(account))
+
+    def occupy_resumed(self, account: str) -> Slot:
+        """Takes a slot for a request that already runs on the endpoint.
+
+        Args:
+            account: The client account.
+
+        Returns:
+            The slot, also beyond the window.
+        """
+        return self._occupy(self._shares.open_charge(account))
+
+    def release(self, slot: Slot, *, learn: bool) -> None:
+        """Frees a slot.
+
+        Args:
+            slot: The slot.
+            learn: Whether the request ran to its end.
+        """
+        self._running.discard(slot)
+        self._shares.close_charge(slot.charge, learn=learn)
+        self._metrics.running.set({}, len(self._running))
+        self.notify()
+
+    async def run(self) -> None:
+        """Offers free slots until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                self._changed = trio.Event()
+                self._offer_free_slots(nursery)
+                await self._changed.wait()
+
+    def _offer_free_slots(self, nursery: trio.Nursery) -> None:
+        self._shares.update_active(self._reservations.accounts())
+        while self.free_slots > 0 and self._check_work() is None:
+            account = choose_account(self._reservations.accounts(), self._shares.virtual_time)
+            router = None if account is None else self._reservations.take(account)
+            if account is None or router is None:
+                return
+            grant = uuid.uuid4().hex
+            self._pending[grant] = _Pending(self._shares.open_charge(account))
+            nursery.start_soon(self._offer, router, grant, account)
+
+    async def _offer(self, router: RouterReservations, grant: str, account: str) -> None:
+        pending = self._pending[grant]
+        offer = GrantOffer(
+            grant=grant,
+            sidecar=self._identity.sidecar,
+            address=self._identity.address,
+            pool=self._identity.pool,
+            account=account,
+        )
+        reply = await self._send_offer(router.address, offer)
+        if reply is None:
+            self._reservations.drop(router.router)
+            self._withdraw(grant, 'unanswered')
+            return
+        self._reservations.set_waiting(router.router, account, reply.waiting)
+        if not reply.accepted:
+            self._withdraw(grant, 'declined')
+            return
+        with trio.move_on_after(GRANT_TIMEOUT_SECONDS):
+            await pending.claimed.wait()
+        self._withdraw(grant, 'expired')
+
+    def _withdraw(self, grant: str, result: str) -> None:
+        pending = self._pending.pop(grant, None)
+        if pending is None:
+            self._metrics.grants.inc({'result': 'used'})
+            return
+        self._metrics.grants.inc({'result': result})
+        self._shares.close_charge(pending.charge, learn=False)
+        self.notify()
+
+    def _occupy(self, charge: Charge) -> Slot:
+        slot = Slot(charge)
+        self._running.add(slot)
+        self._metrics.running.set({}, len(self._running))
+        return slot
--- /dev/null
+++ b/src/fireflymux/logs.py
@@ -0,0 +1,56 @@
+"""Writes one JSON line to standard output for each change of state."""
+
+import sys
+from typing import Any
+
+import logbook
+import orjson
+
+_LEVELS = {
+    'debug': logbook.DEBUG,
+    'info': logbook.INFO,
+    'warning': logbook.WARNING,
+    'error': logbook.ERROR,
+}
+
+
+def _format_record(record: logbook.LogRecord, handler: logbook.Handler) -> str:
+    line: dict[str, Any] = {
+        'time': record.time.isoformat() + 'Z',
+        'level': record.level_name.lower(),
+        'module': record.channel,
+        'event': record.message,
+    }
+    line.update(record.kwargs)
+    if record.exc_info:
+        line['error'] = record.formatted_exception
+    return orjson.dumps(line, default=str).decode()
+
+
+def start_logs(level: str, *, instance: str) -> None:
+    """Sends the records of this process to standard output.
+
+    Args:
+        level: Lowest level that is written; a key of the settings schema.
+        instance: Name that every line carries.
+    """
+    handler = logbook.StreamHandler(sys.stdout, level=_LEVELS[level])
+    handler.formatter = _format_record
+    handler.push_application()
+
+    def add_instance(record: logbook.LogRecord) -> None:
+        record.kwargs['instance'] = instance
+
+    logbook.Processor(add_instance).push_application()
+
+
+def get_logger(module: str) -> logbook.Logger:
+    """Returns the logger of a module.
+
+    Args:
+        module: The module's `__name__`.
+
+    Returns:
+        A logger; keyword arguments of its calls become fields of the line.
+    """
+    return logbook.Logger(module.rpartition('.')[2])
--- /dev/null
+++ b/src/fireflymux/messages.py
@@ -0,0 +1,43 @@
+"""Messages between processes and rows of the table service, generated from the schema."""
+
+from ._messages_generated import (
+    ClaimRow,
+    ConfigChange,
+    ConfigHead,
+    ConfigSnapshot,
+    ConfigUpdate,
+    Contract,
+    EndpointAnnouncement,
+    GrantOffer,
+    GrantReply,
+    Heartbeat,
+    HeartbeatReply,
+    LiveInstance,
+    Problem,
+    ReporterTotals,
+    Reservation,
+    RunOrder,
+    ServiceTotal,
+    TotalsSnapshot,
+)
+
+__all__ = (
+    'ClaimRow',
+    'ConfigChange',
+    'ConfigHead',
+    'ConfigSnapshot',
+    'ConfigUpdate',
+    'Contract',
+    'EndpointAnnouncement',
+    'GrantOffer',
+    'GrantReply',
+    'Heartbeat',
+    'HeartbeatReply',
+    'LiveInstance',
+    'Problem',
+    'ReporterTotals',
+    'Reservation',
+    'RunOrder',
+    'ServiceTotal',
+    'TotalsSnapshot',
+)
--- /dev/null
+++ b/src/fireflymux/operator.py
@@ -0,0 +1,183 @@
+"""Operator's changes of contracts and endpoint announcements."""
+
+import uuid
+from collections.abc import Callable
+
+import attrs
+import trio
+
+from .config_commit import Accepted, ChangeBuilder, CommitUnknown, Conflict, commit_change, load
+from .configuration import ENDPOINT_STATES, Configuration
+from .links import create_platform_client
+from .messages import ConfigChange, Contract, EndpointAnnouncement
+from .platform_client import PlatformClients
+from .settings import OperatorSettings
+
+#: Version that stands for the one that the command reads first.
+CURRENT = -1
+
+
+class InvalidChange(ValueError):
+    """A change that no configuration may hold."""
+
+
+def check_contract(contract: Contract) -> None:
+    """Checks the terms of a contract.
+
+    Args:
+        contract: The contract.
+
+    Raises:
+        InvalidChange: A term is out of its range.
+    """
+    checks = (
+        (bool(contract.account) and '.' not in contract.account, 'account: text without a dot'),
+        (contract.weight > 0, 'weight: above zero'),
+        (contract.rate_per_second > 0, 'rate_per_second: above zero'),
+        (contract.concurrency > 0, 'concurrency: above zero'),
+        (contract.queue_length > 0, 'queue_length: above zero'),
+        (bool(contract.pools), 'pools: at least one'),
+    )
+    problems = [allowed for holds, allowed in checks if not holds]
+    if problems:
+        raise InvalidChange('; '.join(problems))
+
+
+def build_contract_change(
+    operator: str, revise: Callable[[Contract | None], Contract], account: str,
+    expected_version: int,
+) -> ChangeBuilder:
+    """Builds the change of one contract.
+
+    Args:
+        operator: Who makes the change.
+        revise: Makes the new contract from the old one, if there is one.
+        account: The client account.
+        expected_version: Version of the contract that the operator saw; zero if none.
+
+    Returns:
+        A builder that refuses when the contract was changed in the meantime.
+    """
+    def build(current: Configuration) -> ConfigChange | Conflict:
+        found = current.contracts.get(account)
+        version = found.version if found else 0
+        if version != expected_version:
+            return Conflict(version, 'contract {0} is at version {1}'.format(account, version))
+        contract = revise(found)
+        check_contract(contract)
+        return ConfigChange(
+            version=0, change_id=uuid.uuid4().hex, operator=operator, contract=contract,
+        )
+
+    return build
+
+
+def build_announcement(
+    operator: str, endpoint: str, state: str, expected_version: int,
+) -> ChangeBuilder:
+    """Builds the announcement of an endpoint.
+
+    Args:
+        operator: Who makes the change.
+        endpoint: Name of the endpoint.
+        state: One of `ENDPOINT_STATES`.
+        expected_version: Version of the announcement that the operator saw; zero if none.
+
+    Returns:
+        A builder that refuses when another announcement came first.
+
+    Raises:
+        InvalidChange: There is no such state.
+    """
+    if state not in ENDPOINT_STATES:
+        raise InvalidChange('state: one of {0}'.format(', '.join(sorted(ENDPOINT_STATES))))
+
+    def build(current: Configuration) -> ConfigChange | Conflict:
+        found = current.endpoints.get(endpoint)
+        version = found.version if found else 0
+        if version != expected_version:
+            return Conflict(version, 'endpoint {0} is at version {1}'.format(endpoint, version))
+        return ConfigChange(
+            version=0,
+            change_id=uuid.uuid4().hex,
+            operator=operator,
+            endpoint=EndpointAnnouncement(endpoint=endpoint, state=state),
+        )
+
+    return build
+
+
+@attrs.define
+class OperatorSession:
+    """Runs operator's commands against the platform."""
+
+    settings: OperatorSettings
+    operator: str
+
+    def read(self) -> Configuration:
+        """Reads the newest configuration.
+
+        Returns:
+            The configuration.
+
+        Raises:
+            PlatformError: The platform did not answer.
+        """
+        return trio.run(self._read)
+
+    def put_contract(
+        self, account: str, revise: Callable[[Contract | None], Contract], *,
+        if_version: int = CURRENT,
+    ) -> Accepted | Conflict | CommitUnknown:
+        """Creates or changes a contract.
+
+        Args:
+            account: The client account.
+            revise: Makes the new contract from the old one.
+            if_version: Version that the operator saw; the newest one by default.
+
+        Returns:
+            The tagged outcome.
+        """
+        def make(current: Configuration) -> ChangeBuilder:
+            found = current.contracts.get(account)
+            expected = (found.version if found else 0) if if_version == CURRENT else if_version
+            return build_contract_change(self.operator, revise, account, expected)
+
+        return trio.run(self._commit, make)
+
+    def announce(
+        self, endpoint: str, state: str, *, if_version: int = CURRENT,
+    ) -> Accepted | Conflict | CommitUnknown:
+        """Announces the state of an endpoint.
+
+        Args:
+            endpoint: Name of the endpoint.
+            state: One of `ENDPOINT_STATES`.
+            if_version: Version that the operator saw; the newest one by default.
+
+        Returns:
+            The tagged outcome.
+        """
+        def make(current: Configuration) -> ChangeBuilder:
+            found = current.endpoints.get(endpoint)
+            expected = (found.version if found else 0) if if_version == CURRENT else if_version
+            return build_announcement(self.operator, endpoint, state, expected)
+
+        return trio.run(self._commit, make)
+
+    async def _read(self) -> Configuration:
+        async with create_platform_client(self.settings.platform, self.settings.tls) as client:
+            platform = PlatformClients.from_settings(self.settings.platform, client)
+            current = Configuration()
+            await load(platform.table, platform.objects, current)
+            return current
+
+    async def _commit(
+        self, make: Callable[[Configuration], ChangeBuilder],
+    ) -> Accepted | Conflict | CommitUnknown:
+        async with create_platform_client(self.settings.platform, self.settings.tls) as client:
+            platform = PlatformClients.from_settings(self.settings.platform, client)
+            current = Configuration()
+            await load(platform.table, platform.objects, current)
+            return await commit_change(platform, make(current))
--- /dev/null
+++ b/src/fireflymux/reservations.py
@@ -0,0 +1,139 @@
+"""Reservations that routers hold at one sidecar."""
+
+from collections.abc import Callable
+
+import attrs
+
+from .messages import Heartbeat
+
+
+@attrs.define
+class RouterReservations:
+    """Waiting requests of one router incarnation.
+
+    Attributes:
+        router: The router incarnation.
+        address: URL that grants are offered at.
+        sequence: Sequence number of its newest heartbeat.
+        seen_at: Time of that heartbeat in seconds.
+        waiting: Number of waiting requests by account.
+    """
+
+    router: str
+    address: str
+    sequence: int
+    seen_at: float
+    waiting: dict[str, int]
+
+
+class Reservations:
+    """The newest reservations of each router."""
+
+    def __init__(
+        self, pool: str, *, clock: Callable[[], float], expiry_seconds: float,
+    ) -> None:
+        """Starts empty.
+
+        Args:
+            pool: Pool of the endpoint; reservations for others are passed over.
+            clock: Returns the time in seconds.
+            expiry_seconds: Age at which a router's reservations are dropped.
+        """
+        self._pool = pool
+        self._clock = clock
+        self._expiry = expiry_seconds
+        self._routers: dict[str, RouterReservations] = {}
+        self._turn = 0
+
+    @property
+    def newest_contact(self) -> float:
+        """Time of the newest heartbeat of any router; minus infinity if there was none."""
+        return max((entry.seen_at for entry in self._routers.values()), default=float('-inf'))
+
+    def replace(self, heartbeat: Heartbeat) -> None:
+        """Replaces the reservations of the sending router.
+
+        Args:
+            heartbeat: Its heartbeat; one that is older than the newest is passed over.
+        """
+        known = self._routers.get(heartbeat.router)
+        if known is not None and known.sequence >= heartbeat.sequence:
+            return
+        self._routers[heartbeat.router] = RouterReservations(
+            router=heartbeat.router,
+            address=heartbeat.address,
+            sequence=heartbeat.sequence,
+            seen_at=self._clock(),
+            waiting={
+                item.account: item.waiting
+                for item in heartbeat.reservations
+                if item.pool == self._pool and item.waiting > 0
+            },
+        )
+
+    def accounts(self) -> set[str]:
+        """Lists the accounts with waiting requests at routers that are not silent.
+
+        Returns:
+            The accounts.
+        """
+        self._expire()
+        return {account for entry in self._routers.values() for account in entry.waiting}
+
+    def take(self, account: str) -> RouterReservations | None:
+        """Takes one reservation of an account; its routers take turns.
+
+        Args:
+            account: The client account.
+
+        Returns:
+            The router that holds the request, or None.
+        """
+        holders = [entry for entry in self._routers.values() if account in entry.waiting]
+        if not holders:
+            return None
+        self._turn += 1
+        chosen = holders[self._turn % len(holders)]
+        self.set_waiting(chosen.router, account, chosen.waiting[account] - 1)
+        return chosen
+
+    def set_waiting(self, router: str, account: str, waiting: int) -> None:
+        """Corrects the number of waiting requests after a grant.
+
+        Args:
+            router: The router incarnation.
+            account: The client account.
+            waiting: Requests that still wait there.
+        """
+        entry = self._routers.get(router)
+        if entry is None:
+            return
+        if waiting > 0:
+            entry.waiting[account] = waiting
+        else:
+            entry.waiting.pop(account, None)
+
+    def drop(self, router: str) -> None:
+        """Drops the reservations of a router that did not answer; a heartbeat restores them.
+
+        Args:
+            router: The router incarnation.
+        """
+        entry = self._routers.get(router)
+        if entry is not None:
+            entry.waiting.clear()
+
+    def addresses(self) -> list[str]:
+        """Lists the routers that are heard.
+
+        Returns:
+            Their URLs.
+        """
+        self._expire()
+        return [entry.address for entry in self._routers.values()]
+
+    def _expire(self) -> None:
+        limit = self._clock() - self._expiry
+        silent = [name for name, entry in self._routers.items() if entry.seen_at < limit]
+        for name in silent:
+            self._routers.pop(name)
--- /dev/null
+++ b/src/fireflymux/router.py
@@ -0,0 +1,394 @@
+"""Router: the entry instance that takes callers' requests and queues them by account."""
+
+import random
+import uuid
+from collections.abc import AsyncIterator
+
+import httpx
+import orjson
+import trio
+from opentelemetry.trace import Span
+from quart import Response, request
+from quart_trio import QuartTrio
+from werkzeug.exceptions import RequestEntityTooLarge
+
+from . import codec
+from ._settings_generated import RouterSettings
+from .backlog import Backlog, Placement
+from .caller_requests import CallerRequest, ReceivedRequest, authenticate, parse_request
+from .config_reader import ConfigReader, build_update
+from .configuration import Configuration
+from .credentials import is_fleet_key
+from .dispatch import DispatchParts, Dispatcher
+from .errors import ErrorKind, Refused, to_problem
+from .http_answers import answer_message, answer_problem, answer_stream
+from .limits import RateLimiter, share_of
+from .links import create_link_client, create_platform_client
+from .logs import get_logger
+from .messages import GrantOffer, GrantReply, TotalsSnapshot
+from .metrics import Metrics
+from .peers import PeerParts, Peers
+from .platform_client import PlatformClients
+from .run_client import RunClient, Stream, Whole, is_whole
+from .service_totals import ServiceTotals
+from .serving import Server, drain, wait_for_signal
+from .settings import ProcessSettings
+from .tracing import create_tracer, start_span, to_traceparent
+
+_log = get_logger(__name__)
+_READINESS_DELAY_SECONDS = 1.0
+
+
+class Router:
+    """State of one router incarnation."""
+
+    def __init__(self, settings: ProcessSettings, router: RouterSettings) -> None:
+        """Builds the parts from the settings.
+
+        Args:
+            settings: Settings of the process.
+            router: Section [router].
+        """
+        self.incarnation = uuid.uuid4().hex
+        self.settings = settings
+        self.router = router
+        self.metrics = Metrics()
+        self.configuration = Configuration()
+        self.totals = ServiceTotals()
+        self.tracer = create_tracer(
+            settings.observability.trace_file, instance=settings.instance.name,
+        )
+        self.is_stopping = False
+        self.answering = 0
+        self._link = create_link_client(settings.fleet, settings.tls)
+        self._platform_client = create_platform_client(settings.platform, settings.tls)
+        self.platform = PlatformClients.from_settings(settings.platform, self._platform_client)
+        self.backlog = Backlog(concurrency_of=self._concurrency_of)
+        self.limiter = RateLimiter(
+            maximum_routers=settings.fleet.maximum_routers, clock=trio.current_time,
+        )
+        self.reader = ConfigReader(
+            self.configuration,
+            platform=self.platform,
+            client=self._link,
+            routers=self._list_routers,
+            metrics=self.metrics,
+        )
+        self.peers = Peers(PeerParts(
+            router=self.incarnation,
+            client=self._link,
+            live=self.platform.live,
+            configuration=self.configuration,
+            reader=self.reader,
+            totals=self.totals,
+            backlog=self.backlog,
+            metrics=self.metrics,
+            heartbeat_seconds=settings.fleet.heartbeat_interval_seconds,
+            live_poll_seconds=settings.fleet.live_poll_interval_seconds,
+        ))
+        self.run_client = RunClient(self._link, self.peers, self.metrics)
+        self.dispatcher = Dispatcher(DispatchParts(
+            router=self.incarnation,
+            backlog=self.backlog,
+            peers=self.peers,
+            client=self.run_client,
+            metrics=self.metrics,
+            rng=random.Random(),
+            retry_limit=router.retry_limit,
+            config_version=lambda: self.configuration.version,
+        ))
+
+    @classmethod
+    def from_settings(cls, settings: ProcessSettings) -> 'Router':
+        """Builds a router.
+
+        Args:
+            settings: Settings with a section [router].
+
+        Returns:
+            The router, not yet listening.
+
+        Raises:
+            ValueError: There is no section [router].
+        """
+        if settings.router is None:
+            raise ValueError('the settings have no section [router]')
+        return cls(settings, settings.router)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return self.configuration.version > 0 and not self.is_stopping
+
+    async def run_tasks(self, nursery: trio.Nursery, address: str) -> None:
+        """Starts the background tasks.
+
+        Args:
+            nursery: Nursery that they run in.
+            address: URL of this router.
+        """
+        nursery.start_soon(self._read_configuration)
+        nursery.start_soon(self.peers.run, address)
+        nursery.start_soon(self._fetch_totals)
+
+    def admit(self, checked: CallerRequest) -> Refused | None:
+        """Applies the limits of the contract to a request that arrives.
+
+        Args:
+            checked: The request.
+
+        Returns:
+            Why it is refused, or None.
+        """
+        contract = checked.contract
+        if checked.pool not in contract.pools:
+            if checked.pool in self.peers.pools:
+                return Refused(ErrorKind.pool_not_allowed)
+            return Refused(ErrorKind.pool_unknown)
+        if checked.pool not in self.peers.pools:
+            return Refused(ErrorKind.endpoint_unreachable, 'the pool has no endpoint')
+        if not self.limiter.try_take(contract):
+            return Refused(ErrorKind.rate_exceeded)
+        longest = share_of(contract.queue_length, self.settings.fleet.maximum_routers)
+        if self.backlog.waiting_of(contract.account) >= longest:
+            return Refused(ErrorKind.queue_full)
+        return None
+
+    def _concurrency_of(self, account: str) -> int:
+        contract = self.configuration.contracts.get(account)
+        if contract is None:
+            return 1
+        return share_of(contract.concurrency, self.settings.fleet.maximum_routers)
+
+    def _list_routers(self) -> list[str]:
+        named = [url for url in self.settings.fleet.peer_routers.split(',') if url]
+        return list({*named, *self.peers.router_addresses})
+
+    async def _read_configuration(self) -> None:
+        await self.reader.run(
+            self.settings.fleet.config_poll_interval_seconds,
+            read=self.reader.read_platform_first,
+        )
+
+    async def _fetch_totals(self) -> None:
+        """Learns from another router what the fleet has served so far."""
+        for _ in range(10):
+            await trio.sleep(self.settings.fleet.live_poll_interval_seconds)
+            for address in self._list_routers():
+                try:
+                    response = await self._link.get(address + '/v1/totals', timeout=1)
+                    snapshot = codec.decode(response.content, TotalsSnapshot)
+                except (httpx.HTTPError, codec.DecodeError):
+                    continue
+                self.totals.merge_snapshot(snapshot)
+                return
+
+
+def create_app(router: Router) -> QuartTrio:
+    """Creates the application of a router.
+
+    Args:
+        router: Its state.
+
+    Returns:
+        The application.
+    """
+    app = QuartTrio('fireflymux.router')
+    app.config['MAX_CONTENT_LENGTH'] = router.router.maximum_body_bytes
+    app.config['BODY_TIMEOUT'] = None
+
+    @app.post('/v1/chat/completions')
+    async def chat() -> Response:
+        return await _serve(router)
+
+    methods = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS']
+
+    @app.route('/services/<path:_rest>', methods=methods, provide_automatic_options=False)
+    async def service(_rest: str) -> Response:
+        return await _serve(router)
+
+    @app.errorhandler(RequestEntityTooLarge)
+    async def body_too_large(_error: Exception) -> Response:
+        return _refuse(router, Refused(ErrorKind.body_too_large))
+
+    _add_links(app, router)
+    _add_observability(app, router)
+    return app
+
+
+def _add_links(app: QuartTrio, router: Router) -> None:
+    def has_key() -> bool:
+        return is_fleet_key(request.headers.get('Authorization', ''), router.settings.fleet.key)
+
+    @app.post('/v1/grants')
+    async def grants() -> Response:
+        if not has_key():
+            return answer_problem(Refused(ErrorKind.unauthenticated))
+        try:
+            offer = codec.decode(await request.get_data(), GrantOffer)
+        except codec.DecodeError as error:
+            return answer_problem(Refused(ErrorKind.malformed_request, str(error)))
+        placement = Placement(offer.address, offer.sidecar, offer.grant)
+        accepted = router.dispatcher.accept_grant(offer.pool, offer.account, placement)
+        waiting = router.backlog.grantable(offer.pool, offer.account)
+        return answer_message(GrantReply(accepted=accepted, waiting=waiting))
+
+    @app.get('/v1/config')
+    async def config() -> Response:
+        if not has_key():
+            return answer_problem(Refused(ErrorKind.unauthenticated))
+        after = request.args.get('after', 0, type=int)
+        return answer_message(build_update(
+            router.configuration, after=after, age_seconds=router.reader.age_seconds,
+        ))
+
+    @app.get('/v1/totals')
+    async def totals() -> Response:
+        if not has_key():
+            return answer_problem(Refused(ErrorKind.unauthenticated))
+        return answer_message(router.totals.to_snapshot())
+
+
+def _add_observability(app: QuartTrio, router: Router) -> None:
+    @app.get('/metrics')
+    async def metrics() -> Response:
+        router.metrics.waiting.set({}, router.backlog.size)
+        body, headers = router.metrics.render(request.headers.getlist('Accept'))
+        return Response(body, headers=headers)
+
+    @app.get('/live')
+    async def live() -> Response:
+        return Response(b'live\n')
+
+    @app.get('/ready')
+    async def ready() -> Response:
+        if router.is_ready:
+            return Response(b'ready\n')
+        kind = ErrorKind.shutting_down if router.is_stopping else (
+            ErrorKind.configuration_unavailable
+        )
+        return answer_problem(Refused(kind))
+
+
+async def _serve(router: Router) -> Response:
+    if router.is_stopping:
+        return _refuse(router, Refused(ErrorKind.shutting_down))
+    if not router.is_ready:
+        return _refuse(router, Refused(ErrorKind.configuration_unavailable))
+    router.answering += 1
+    try:
+        return await _check_and_send(router)
+    finally:
+        router.answering -= 1
+
+
+async def _check_and_send(router: Router) -> Response:
+    contract = authenticate(router.configuration, request.headers.get('Authorization', ''))
+    if isinstance(contract, Refused):
+        return _refuse(router, contract)
+    path = request.path
+    if request.query_string:
+        path = '{0}?{1}'.format(path, request.query_string.decode('latin-1'))
+    received = ReceivedRequest(
+        method=request.method,
+        path=path,
+        headers={name.lower(): text for name, text in request.headers.items()},
+        body=await request.get_data(),
+    )
+    checked = parse_request(
+        received, contract, default_timeout_seconds=router.router.queue_timeout_seconds,
+    )
+    if isinstance(checked, Refused):
+        return _refuse(router, checked)
+    refused = router.admit(checked)
+    if refused is not None:
+        return _refuse(router, refused)
+    return await _send(router, checked)
+
+
+async def _send(router: Router, checked: CallerRequest) -> Response:
+    span = _start_span(router, checked)
+    started = trio.current_time()
+    outcome: Whole | Stream | Refused | None = None
+    try:
+        outcome = await router.dispatcher.send(checked, to_traceparent(span))
+    finally:
+        if not isinstance(outcome, Stream):
+            span.end()
+    router.metrics.first_token.observe({'pool': checked.pool}, trio.current_time() - started)
+    if isinstance(outcome, Refused):
+        return _refuse(router, outcome)
+    headers = {'Content-Type': outcome.content_type, 'traceparent': to_traceparent(span)}
+    if isinstance(outcome, Whole):
+        router.dispatcher.finish(checked.account)
+        router.metrics.requests.inc({'pool': checked.pool, 'result': 'whole'})
+        return Response(outcome.body, status=outcome.status, headers=headers)
+    chunks = _relay(router, checked, outcome, span)
+    return answer_stream(chunks, status=outcome.status, headers=headers)
+
+
+async def _relay(
+    router: Router, checked: CallerRequest, stream: Stream, span: Span,
+) -> AsyncIterator[bytes]:
+    router.answering += 1
+    result = 'abandoned'
+    try:
+        async for chunk in router.run_client.read(stream):
+            yield chunk
+        result = 'whole' if is_whole(stream) else 'cut'
+        if result == 'cut':
+            yield _cut_event()
+    finally:
+        router.answering -= 1
+        router.dispatcher.finish(checked.account)
+        router.metrics.requests.inc({'pool': checked.pool, 'result': result})
+        span.end()
+        if result == 'abandoned':
+            with trio.CancelScope(shield=True):
+                await router.run_client.cancel(stream.placement, stream.order)
+
+
+def _cut_event() -> bytes:
+    problem = codec.to_plain(to_problem(Refused(ErrorKind.answer_cut)))
+    return b'event: error\ndata: ' + orjson.dumps({'error': problem}) + b'\n\n'
+
+
+def _start_span(router: Router, checked: CallerRequest) -> Span:
+    return start_span(
+        router.tracer, 'router.request', checked.traceparent,
+        account=checked.account, pool=checked.pool,
+    )
+
+
+def _refuse(router: Router, refused: Refused) -> Response:
+    router.metrics.refusals.inc({'kind': refused.kind.value})
+    return answer_problem(refused)
+
+
+async def run_router(settings: ProcessSettings) -> None:
+    """Runs a router until SIGTERM, then drains it.
+
+    Args:
+        settings: Settings with a section [router].
+    """
+    router = Router.from_settings(settings)
+    async with trio.open_nursery() as nursery:
+        server = Server(
+            create_app(router), settings.instance, settings.tls,
+            maximum_header_bytes=router.router.maximum_header_bytes,
+        )
+        address = await server.start(nursery)
+        await router.run_tasks(nursery, address)
+        _log.info('listening', address=address, role='router', router=router.incarnation)
+        await wait_for_signal()
+        router.is_stopping = True
+        _log.info('draining')
+        # The balancer needs a moment to see that this router is not ready any more.
+        await trio.sleep(_READINESS_DELAY_SECONDS)
+        is_clean = await drain(
+            lambda: router.answering == 0,
+            timeout_seconds=settings.instance.shutdown_timeout_seconds,
+        )
+        _log.info('stopped', clean=is_clean)
+        server.stop()
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/src/fireflymux/run_client.py
@@ -0,0 +1,232 @@
+"""Carries a request from a router to a sidecar and its answer back."""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import attrs
+import httpx
+import trio
+
+from . import codec, headers
+from .backlog import Placement
+from .errors import ErrorKind, Ran, Refused, from_problem
+from .messages import Problem, RunOrder
+from .metrics import Metrics
+from .peers import Peer, Peers
+
+_RESUME_LIMIT = 5
+_RESUME_DELAY_SECONDS = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """A whole answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@attrs.define(eq=False)
+class Stream:
+    """An answer that arrives.
+
+    Attributes:
+        status: HTTP status code.
+        content_type: Content type of the answer.
+        order: The order that it answers.
+        placement: Where it runs.
+        response: Transfer of the answer.
+        offset: Bytes received so far.
+    """
+
+    status: int
+    content_type: str
+    order: RunOrder
+    placement: Placement
+    response: httpx.Response
+    offset: int = 0
+    tail: bytes = b''
+
+
+class RunClient:
+    """Sends run orders to sidecars."""
+
+    def __init__(self, client: httpx.AsyncClient, peers: Peers, metrics: Metrics) -> None:
+        """Uses the link client of the process."""
+        self._client = client
+        self._peers = peers
+        self._metrics = metrics
+
+    async def start(
+        self, placement: Placement, order: RunOrder, body: bytes,
+    ) -> Whole | Stream | Refused:
+        """Sends an order and waits for the head of its answer.
+
+        Args:
+            placement: The sidecar.
+            order: The order.
+            body: Body of the call.
+
+        Returns:
+            The answer, its stream, or why there is none.
+        """
+        fields = {headers.ORDER: codec.encode(order).decode(), 'Content-Type': order.content_type}
+        request = self._client.build_request(
+            'POST', '{0}/v1/run'.format(placement.address), content=body, headers=fields,
+        )
+        outcome = await self._open(placement, order, request)
+        if isinstance(outcome, Refused) and outcome.kind is ErrorKind.outcome_unknown:
+            # The order may run: ask the same sidecar for its answer before anything else.
+            return await self._reopen(placement, order, 0, outcome)
+        return outcome
+
+    async def read(self, stream: Stream) -> AsyncIterator[bytes]:
+        """Yields a stream to its end; a transfer that breaks is resumed at its offset.
+
+        Args:
+            stream: A stream returned by `start`.
+
+        Yields:
+            Bytes without gap or overlap. Whether they are all is told by `is_whole`.
+        """
+        for _ in range(_RESUME_LIMIT):
+            async for chunk in self._receive(stream):
+                yield chunk
+            if is_whole(stream):
+                return
+            outcome = await self._reopen(
+                stream.placement, stream.order, stream.offset,
+                Refused(ErrorKind.answer_cut, 'the transfer broke off'),
+            )
+            if not isinstance(outcome, Stream):
+                return
+            stream.response = outcome.response
+
+    async def cancel(self, placement: Placement, order: RunOrder) -> None:
+        """Tells a sidecar that nobody waits for an answer.
+
+        Args:
+            placement: The sidecar.
+            order: The order to cancel.
+        """
+        url = '{0}/v1/runs/{1}/{2}'.format(placement.address, order.request, order.attempt)
+        try:
+            await self._client.delete(url, timeout=1)
+        except httpx.HTTPError:
+            return
+
+    async def _receive(self, stream: Stream) -> AsyncIterator[bytes]:
+        peer = self._peers.find(stream.placement.address)
+        chunks = stream.response.aiter_raw()
+        try:
+            while True:
+                chunk = await self._next_chunk(chunks, peer)
+                if not chunk:
+                    return
+                stream.offset += len(chunk)
+                stream.tail = (stream.tail + chunk)[-len(headers.STREAM_END):]
+                yield chunk
+        finally:
+            with trio.CancelScope(shield=True):
+                with trio.move_on_after(1):
+                    await stream.response.aclose()
+
+    async def _next_chunk(self, chunks: AsyncIterator[bytes], peer: Peer | None) -> bytes:
+        with _peer_scope(peer):
+            try:
+                return await anext(chunks, b'')
+            except httpx.HTTPError:
+                return b''
+        return b''
+
+    async def _reopen(
+        self, placement: Placement, order: RunOrder, offset: int, cause: Refused,
+    ) -> Whole | Stream | Refused:
+        url = '{0}/v1/runs/{1}/{2}/answer?offset={3}'.format(
+            placement.address, order.request, order.attempt, offset,
+        )
+        fields = {headers.ORDER: codec.encode(order).decode()}
+        for _ in range(_RESUME_LIMIT):
+            request = self._client.build_request('GET', url, headers=fields)
+            outcome = await self._open(placement, order, request)
+            if not isinstance(outcome, Refused):
+                self._metrics.resumes.inc({'result': 'resumed'})
+                return outcome
+            if outcome.kind is ErrorKind.answer_expired:
+                break
+            if outcome.kind not in _TRANSIENT:
+                return outcome
+            await trio.sleep(_RESUME_DELAY_SECONDS)
+        self._metrics.resumes.inc({'result': 'failed'})
+        return cause
+
+    async def _open(
+        self, placement: Placement, order: RunOrder, request: httpx.Request,
+    ) -> Whole | Stream | Refused:
+        peer = self._peers.find(placement.address)
+        with _peer_scope(peer):
+            try:
+                return await self._read_head(placement, order, request)
+            except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+                return Refused(ErrorKind.endpoint_unreachable, repr(error))
+            except httpx.HTTPError as error:
+                return Refused(ErrorKind.outcome_unknown, repr(error))
+        return Refused(ErrorKind.outcome_unknown, 'the sidecar went down')
+
+    async def _read_head(
+        self, placement: Placement, order: RunOrder, request: httpx.Request,
+    ) -> Whole | Stream | Refused:
+        response = await self._client.send(request, stream=True)
+        content_type = response.headers.get('Content-Type', '')
+        if headers.REQUEST_ECHO not in response.headers:
+            body = await response.aread()
+            return _read_problem(content_type, body)
+        if response.headers[headers.REQUEST_ECHO] != order.request:
+            await response.aclose()
+            return Refused(ErrorKind.outcome_unknown, 'the answer of another request arrived')
+        if content_type.startswith(headers.EVENT_STREAM):
+            return Stream(response.status_code, content_type, order, placement, response)
+        return Whole(response.status_code, content_type, await response.aread())
+
+
+_TRANSIENT = frozenset((ErrorKind.outcome_unknown, ErrorKind.endpoint_unreachable))
+
+
+def is_whole(stream: Stream) -> bool:
+    """Tells whether a stream arrived to its end.
+
+    Args:
+        stream: A stream that was read.
+
+    Returns:
+        Whether its last event is the one that ends every whole stream.
+    """
+    return stream.tail == headers.STREAM_END
+
+
+def _read_problem(content_type: str, body: bytes) -> Refused:
+    if content_type != headers.PROBLEM:
+        return Refused(ErrorKind.outcome_unknown, 'the sidecar answered without its echo')
+    try:
+        return from_problem(codec.decode(body, Problem))
+    except (codec.DecodeError, ValueError) as error:
+        return Refused(ErrorKind.outcome_unknown, str(error), Ran.unknown)
+
+
+class _peer_scope:  # noqa: N801
+    """Cancels the block when the peer goes down."""
+
+    def __init__(self, peer: Peer | None) -> None:
+        self._peer = peer
+        self._scope = trio.CancelScope()
+
+    def __enter__(self) -> None:
+        if self._peer is not None:
+            self._peer.scopes.add(self._scope)
+        self._scope.__enter__()
+
+    def __exit__(self, *details: object) -> bool | None:
+        if self._peer is not None:
+            self._peer.scopes.discard(self._scope)
+        return self._scope.__exit__(*details)  # type: ignore[arg-type]
--- /dev/null
+++ b/src/fireflymux/serving.py
@@ -0,0 +1,113 @@
+"""Serves an application with hypercorn and shuts it down gracefully."""
+
+import signal
+from collections.abc import Awaitable, Callable
+from urllib.parse import urlsplit
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+from quart_trio import QuartTrio
+
+from ._settings_generated import InstanceSettings, TlsSettings
+
+_KEEP_ALIVE_SECONDS = 120
+_BACKLOG = 1024
+
+
+def _build_config(
+    instance: InstanceSettings, tls: TlsSettings, *, maximum_header_bytes: int,
+) -> Config:
+    config = Config()
+    config.bind = ['{0}:{1}'.format(instance.listen_host, instance.listen_port)]
+    config.accesslog = None
+    config.errorlog = None
+    config.keep_alive_timeout = _KEEP_ALIVE_SECONDS
+    config.backlog = _BACKLOG
+    config.graceful_timeout = 1
+    config.h11_max_incomplete_size = maximum_header_bytes
+    if tls.certificate_file:
+        config.certfile = tls.certificate_file
+        config.keyfile = tls.key_file
+    return config
+
+
+class Server:
+    """Listener of one process."""
+
+    def __init__(
+        self,
+        app: QuartTrio,
+        instance: InstanceSettings,
+        tls: TlsSettings,
+        *,
+        maximum_header_bytes: int,
+    ) -> None:
+        """Prepares the listener.
+
+        Args:
+            app: The application.
+            instance: Section [instance].
+            tls: Section [tls].
+            maximum_header_bytes: Largest header block.
+        """
+        self._app = app
+        self._instance = instance
+        self._tls = tls
+        self._config = _build_config(instance, tls, maximum_header_bytes=maximum_header_bytes)
+        self._stopped = trio.Event()
+
+    async def start(self, nursery: trio.Nursery) -> str:
+        """Starts to listen.
+
+        Args:
+            nursery: Nursery that the listener runs in.
+
+        Returns:
+            URL that other processes reach this one at.
+        """
+        bound = await nursery.start(self._serve)
+        host = self._instance.advertised_host or self._instance.listen_host
+        scheme = 'https' if self._tls.certificate_file else 'http'
+        return '{0}://{1}:{2}'.format(scheme, host, urlsplit(bound[0]).port)
+
+    def stop(self) -> None:
+        """Closes the listener."""
+        self._stopped.set()
+
+    async def _serve(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+        await serve(
+            self._app,
+            self._config,
+            shutdown_trigger=self._stopped.wait,
+            task_status=task_status,
+        )
+
+
+async def wait_for_signal() -> None:
+    """Waits for SIGTERM or SIGINT."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            return
+
+
+async def drain(
+    is_idle: Callable[[], bool], *, timeout_seconds: float,
+    settle: Callable[[], Awaitable[None]] | None = None,
+) -> bool:
+    """Waits until nothing runs any more.
+
+    Args:
+        is_idle: Tells whether nothing runs.
+        timeout_seconds: Longest wait.
+        settle: Awaited before the wait, for instance to tell peers.
+
+    Returns:
+        Whether it became idle in time.
+    """
+    if settle is not None:
+        await settle()
+    with trio.move_on_after(timeout_seconds):
+        while not is_idle():
+            await trio.sleep(0.05)
+    return is_idle()
--- /dev/null
+++ b/src/fireflymux/settings.py
@@ -0,0 +1,212 @@
+"""Reads the INI settings of a process and reports every problem at once."""
+
+import configparser
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from importlib import resources
+from pathlib import Path
+from typing import Any
+
+import attrs
+import orjson
+
+from ._settings_generated import (
+    FleetSettings,
+    InstanceSettings,
+    ObservabilitySettings,
+    PlatformSettings,
+    RouterSettings,
+    SidecarSettings,
+    TlsSettings,
+)
+
+_SECTIONS: Mapping[str, type] = {
+    'instance': InstanceSettings,
+    'fleet': FleetSettings,
+    'platform': PlatformSettings,
+    'tls': TlsSettings,
+    'observability': ObservabilitySettings,
+    'router': RouterSettings,
+    'sidecar': SidecarSettings,
+}
+_REQUIRED = frozenset(('instance', 'fleet', 'platform'))
+_DEFAULTED = frozenset(('tls', 'observability'))
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """One problem of a settings file."""
+
+    file: str
+    section: str
+    key: str
+    found: str
+    allowed: str
+
+    def __str__(self) -> str:
+        """Describes the problem in one line."""
+        return '{0}: [{1}] {2}: found {3}, allowed {4}'.format(
+            self.file, self.section, self.key, self.found, self.allowed,
+        )
+
+
+class SettingsError(Exception):
+    """A settings file is not valid.
+
+    Attributes:
+        violations: Every problem found, in file order.
+    """
+
+    def __init__(self, violations: list[Violation]) -> None:
+        """Keeps the problems."""
+        super().__init__('\n'.join(str(violation) for violation in violations))
+        self.violations = violations
+
+
+@attrs.define(frozen=True, kw_only=True)
+class ProcessSettings:
+    """Settings of one process; the section of the other role is None."""
+
+    instance: InstanceSettings
+    fleet: FleetSettings
+    platform: PlatformSettings
+    tls: TlsSettings
+    observability: ObservabilitySettings
+    router: RouterSettings | None
+    sidecar: SidecarSettings | None
+
+    @classmethod
+    def from_file(cls, path: str) -> 'ProcessSettings':
+        """Reads and checks a settings file.
+
+        Args:
+            path: Path of the INI file.
+
+        Returns:
+            The settings.
+
+        Raises:
+            SettingsError: The file can't be read or holds a value that is not allowed.
+        """
+        return cls(**_read_sections(path, required=_REQUIRED))
+
+
+@attrs.define(frozen=True, kw_only=True)
+class OperatorSettings:
+    """Settings of an operator's command."""
+
+    platform: PlatformSettings
+    tls: TlsSettings
+
+    @classmethod
+    def from_file(cls, path: str) -> 'OperatorSettings':
+        """Reads and checks a settings file that holds at least [platform].
+
+        Args:
+            path: Path of the INI file; sections of processes in it are checked too.
+
+        Returns:
+            The settings.
+
+        Raises:
+            SettingsError: The file can't be read or holds a value that is not allowed.
+        """
+        sections = _read_sections(path, required=frozenset(('platform',)))
+        return cls(platform=sections['platform'], tls=sections['tls'])
+
+
+def _read_sections(path: str, *, required: frozenset[str]) -> dict[str, Any]:
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(Path(path).read_text(encoding='utf-8'))
+    except (OSError, UnicodeDecodeError, configparser.Error) as error:
+        problem = Violation(path, '', '', str(error).replace('\n', ' '), 'a readable INI file')
+        raise SettingsError([problem]) from error
+    return _check_sections(parser, path, required)
+
+
+def _check_sections(
+    parser: configparser.ConfigParser, path: str, required: frozenset[str],
+) -> dict[str, Any]:
+    definitions = _load_definitions()
+    violations: list[Violation] = []
+    sections: dict[str, Any] = {}
+    for unknown in sorted(set(parser.sections()) - set(_SECTIONS)):
+        violations.append(
+            Violation(path, unknown, '', 'an unknown section', ', '.join(_SECTIONS)),
+        )
+    for name, section_type in _SECTIONS.items():
+        sections[name] = None
+        if not parser.has_section(name) and name in required:
+            violations.append(Violation(path, name, '', 'no such section', 'the section'))
+            continue
+        if not parser.has_section(name) and name not in _DEFAULTED:
+            continue
+        raw = dict(parser[name]) if parser.has_section(name) else {}
+        schema = definitions[section_type.__name__]
+        fields, problems = _check_section(schema, raw, (path, name))
+        violations.extend(problems)
+        if not problems:
+            sections[name] = section_type(**fields)
+    if violations:
+        raise SettingsError(violations)
+    return sections
+
+
+def _load_definitions() -> Mapping[str, Any]:
+    text = resources.files(__package__).joinpath('settings_schema.json').read_bytes()
+    definitions: Mapping[str, Any] = orjson.loads(text)['definitions']
+    return definitions
+
+
+def _check_section(
+    schema: Mapping[str, Any], raw: Mapping[str, str], place: tuple[str, str],
+) -> tuple[dict[str, Any], list[Violation]]:
+    properties = schema['properties']
+    fields: dict[str, Any] = {}
+    problems: list[Violation] = []
+    for key in sorted(set(raw) - set(properties)):
+        allowed = 'one of {0}'.format(', '.join(properties))
+        problems.append(Violation(*place, key, 'an unknown key', allowed))
+    for key, rule in properties.items():
+        if key not in raw:
+            if key in schema.get('required', ()):
+                problems.append(Violation(*place, key, 'no value', _describe(rule)))
+            continue
+        checked = _convert(rule, raw[key])
+        if checked is None:
+            shown = '***' if key == 'key' else repr(raw[key])
+            problems.append(Violation(*place, key, shown, _describe(rule)))
+            continue
+        fields[key] = checked
+    return fields, problems
+
+
+def _convert(rule: Mapping[str, Any], text: str) -> Any:
+    if rule['type'] == 'string':
+        return text if _matches(rule, text) else None
+    try:
+        number = int(text) if rule['type'] == 'integer' else float(text)
+    except ValueError:
+        return None
+    in_range = rule['minimum'] <= number <= rule['maximum']
+    return number if in_range else None
+
+
+def _matches(rule: Mapping[str, Any], text: str) -> bool:
+    if 'enum' in rule and text not in rule['enum']:
+        return False
+    if len(text) < rule.get('minLength', 0):
+        return False
+    return 'pattern' not in rule or re.match(rule['pattern'], text) is not None
+
+
+def _describe(rule: Mapping[str, Any]) -> str:
+    if 'enum' in rule:
+        return 'one of {0}'.format(', '.join(rule['enum']))
+    if 'pattern' in rule:
+        return 'text that matches {0}'.format(rule['pattern'])
+    if rule['type'] == 'string':
+        return 'text of at least {0} characters'.format(rule.get('minLength', 0))
+    return '{0} from {1} to {2}'.format(rule['type'], rule['minimum'], rule['maximum'])
--- /dev/null
+++ b/src/fireflymux/sidecar.py
@@ -0,0 +1,426 @@
+"""Sidecar: the process beside one endpoint that admits, meters and guards its calls."""
+
+import random
+import uuid
+from collections.abc import AsyncIterator, Iterable
+
+import attrs
+import httpx
+import trio
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from . import codec, headers
+from ._settings_generated import SidecarSettings
+from .account_shares import AccountShares
+from .admission_window import AdmissionWindow
+from .claims import ClaimBook
+from .config_reader import ConfigReader
+from .configuration import Configuration
+from .credentials import is_fleet_key
+from .endpoint_call import EndpointClient
+from .errors import ErrorKind, Refused
+from .grants import GrantIdentity, GrantScheduler, Slot
+from .http_answers import answer_message, answer_problem, answer_stream
+from .links import (
+    LINK_TIMEOUT_SECONDS,
+    create_endpoint_client,
+    create_link_client,
+    create_platform_client,
+)
+from .logs import get_logger
+from .messages import GrantOffer, GrantReply, Heartbeat, HeartbeatReply, RunOrder
+from .metrics import Metrics
+from .platform_client import PlatformClients
+from .reservations import Reservations
+from .serving import Server, drain, wait_for_signal
+from .settings import ProcessSettings
+from .sidecar_runs import Run, RunParts, SidecarRuns
+from .table_batch import TableBatch
+from .tracing import create_tracer, start_span, to_traceparent
+
+_log = get_logger(__name__)
+_MAXIMUM_HEADER_BYTES = 65536
+_CONFIRM_INTERVAL_SECONDS = 1.0
+#: Age of the last confirmation above which no work is accepted.
+CONFIRM_LIMIT_SECONDS = 2.5
+_HEARTBEATS_TO_EXPIRY = 5
+_MILLISECONDS = 1000
+
+
+class Sidecar:
+    """State of one sidecar incarnation."""
+
+    def __init__(self, settings: ProcessSettings, sidecar: SidecarSettings) -> None:
+        """Builds the parts from the settings.
+
+        Args:
+            settings: Settings of the process.
+            sidecar: Section [sidecar].
+        """
+        self.incarnation = uuid.uuid4().hex
+        self.settings = settings
+        self.sidecar = sidecar
+        self.metrics = Metrics()
+        self.configuration = Configuration()
+        self.tracer = create_tracer(
+            settings.observability.trace_file, instance=settings.instance.name,
+        )
+        self.is_stopping = False
+        self.heard_version = 0
+        self._link = create_link_client(settings.fleet, settings.tls)
+        self._platform_client = create_platform_client(settings.platform, settings.tls)
+        self._endpoint_client = create_endpoint_client(settings.tls)
+        self.platform = PlatformClients.from_settings(settings.platform, self._platform_client)
+        self.reservations = Reservations(
+            sidecar.pool,
+            clock=trio.current_time,
+            expiry_seconds=settings.fleet.heartbeat_interval_seconds * _HEARTBEATS_TO_EXPIRY,
+        )
+        self.shares = AccountShares(sidecar.pool, self.configuration.weight_of)
+        self.window = AdmissionWindow(
+            sidecar.slots,
+            target_seconds=sidecar.first_token_target_milliseconds / _MILLISECONDS,
+            clock=trio.current_time,
+        )
+        self.batch = TableBatch(self.platform.table, self.metrics)
+        self.claims = ClaimBook(self.incarnation, self.platform, self.batch, self.metrics)
+        self.reader = ConfigReader(
+            self.configuration,
+            platform=self.platform,
+            client=self._link,
+            routers=self.list_routers,
+            metrics=self.metrics,
+        )
+
+    @classmethod
+    def from_settings(cls, settings: ProcessSettings) -> 'Sidecar':
+        """Builds a sidecar.
+
+        Args:
+            settings: Settings with a section [sidecar].
+
+        Returns:
+            The sidecar, not yet listening.
+
+        Raises:
+            ValueError: There is no section [sidecar].
+        """
+        if settings.sidecar is None:
+            raise ValueError('the settings have no section [sidecar]')
+        return cls(settings, settings.sidecar)
+
+    def connect(self, address: str) -> None:
+        """Builds the parts that need the address of this process.
+
+        Args:
+            address: URL that routers reach this process at.
+        """
+        self.scheduler = GrantScheduler(
+            GrantIdentity(
+                sidecar=self.incarnation, address=address, pool=self.sidecar.pool,
+            ),
+            shares=self.shares,
+            reservations=self.reservations,
+            window=self.window,
+            check_work=self.check_work,
+            send_offer=self.send_offer,
+            metrics=self.metrics,
+        )
+        self.runs = SidecarRuns(RunParts(
+            scheduler=self.scheduler,
+            shares=self.shares,
+            window=self.window,
+            claims=self.claims,
+            endpoint=EndpointClient(
+                self._endpoint_client,
+                self.sidecar.endpoint_url,
+                prompt_weight=self.sidecar.prompt_token_weight,
+                cost_per_second=self.sidecar.cost_per_second,
+            ),
+            metrics=self.metrics,
+            is_engine=self.sidecar.kind == 'engine',
+            keep_seconds=self.sidecar.resume_seconds,
+            maximum_answer_bytes=self.sidecar.maximum_answer_bytes,
+        ))
+
+    def list_routers(self) -> Iterable[str]:
+        """Lists the routers to ask for the configuration.
+
+        Returns:
+            URLs in random order.
+        """
+        named = [url for url in self.settings.fleet.peer_routers.split(',') if url]
+        addresses = list({*self.reservations.addresses(), *named})
+        random.shuffle(addresses)
+        return addresses
+
+    def check_work(self) -> Refused | None:
+        """Tells why no new work may start now.
+
+        Returns:
+            The reason, or None if work may start.
+        """
+        if self.is_stopping:
+            return Refused(ErrorKind.sidecar_leaving, 'the sidecar is shutting down')
+        if self.configuration.is_leaving(self.sidecar.endpoint):
+            return Refused(ErrorKind.sidecar_leaving, 'the endpoint is announced as leaving')
+        if self.configuration.version == 0:
+            return Refused(ErrorKind.sidecar_unconfirmed, 'no configuration')
+        if self.configuration.version < self.heard_version:
+            return Refused(ErrorKind.sidecar_unconfirmed, 'a newer configuration exists')
+        if self.reader.confirmed_seconds_ago > CONFIRM_LIMIT_SECONDS:
+            return Refused(ErrorKind.sidecar_unconfirmed, 'the confirmation is too old')
+        return None
+
+    def accept_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatReply:
+        """Takes the reservations and totals of a router.
+
+        Args:
+            heartbeat: The heartbeat.
+
+        Returns:
+            The state of this sidecar.
+        """
+        self.heard_version = max(self.heard_version, heartbeat.config_version)
+        self.shares.merge_others(heartbeat.totals)
+        self.reservations.replace(heartbeat)
+        self.scheduler.notify()
+        refused = self.check_work()
+        return HeartbeatReply(
+            sidecar=self.incarnation,
+            endpoint=self.sidecar.endpoint,
+            pool=self.sidecar.pool,
+            config_version=self.configuration.version,
+            free_slots=0 if refused else self.scheduler.free_slots,
+            leaving=refused is not None and refused.kind is ErrorKind.sidecar_leaving,
+            totals=self.shares.report(),
+        )
+
+    async def send_offer(self, address: str, offer: GrantOffer) -> GrantReply | None:
+        """Offers a slot to a router.
+
+        Args:
+            address: URL of the router.
+            offer: The offer.
+
+        Returns:
+            Its answer, or None if there was none in time.
+        """
+        try:
+            response = await self._link.post(
+                '{0}/v1/grants'.format(address),
+                content=codec.encode(offer),
+                headers={'Content-Type': headers.JSON},
+                timeout=LINK_TIMEOUT_SECONDS,
+            )
+            if response.is_success:
+                return codec.decode(response.content, GrantReply)
+        except (httpx.HTTPError, codec.DecodeError) as error:
+            _log.debug('offer_failed', router=address, reason=repr(error))
+        return None
+
+    async def run_tasks(self, nursery: trio.Nursery) -> None:
+        """Starts the background tasks.
+
+        Args:
+            nursery: Nursery that they run in.
+        """
+        nursery.start_soon(self.scheduler.run)
+        nursery.start_soon(self.runs.watch)
+        nursery.start_soon(self.batch.run)
+        nursery.start_soon(self.claims.run)
+        nursery.start_soon(self._read_configuration)
+
+    async def _read_configuration(self) -> None:
+        async def read() -> None:
+            await self.reader.read_routers_first()
+            self.scheduler.notify()
+
+        await self.reader.run(_CONFIRM_INTERVAL_SECONDS, read=read)
+
+
+def create_app(sidecar: Sidecar, nursery: trio.Nursery) -> QuartTrio:
+    """Creates the application of a sidecar.
+
+    Args:
+        sidecar: Its state.
+        nursery: Nursery that runs are started in.
+
+    Returns:
+        The application.
+    """
+    app = QuartTrio('fireflymux.sidecar')
+    app.config['MAX_CONTENT_LENGTH'] = None
+    app.config['BODY_TIMEOUT'] = None
+
+    @app.before_request
+    async def check_credential() -> Response | None:
+        if request.path in {'/metrics', '/live', '/ready'}:
+            return None
+        key = sidecar.settings.fleet.key
+        if is_fleet_key(request.headers.get('Authorization', ''), key):
+            return None
+        return answer_problem(Refused(ErrorKind.unauthenticated))
+
+    @app.post('/v1/heartbeat')
+    async def heartbeat() -> Response:
+        data = await request.get_data()
+        try:
+            message = codec.decode(data, Heartbeat)
+        except codec.DecodeError as error:
+            return answer_problem(Refused(ErrorKind.malformed_request, str(error)))
+        answer = answer_message(sidecar.accept_heartbeat(message))
+        sidecar.metrics.control_bytes.add({'direction': 'received'}, len(data))
+        return answer
+
+    @app.post('/v1/run')
+    async def run() -> Response:
+        try:
+            order = codec.decode(request.headers.get(headers.ORDER, ''), RunOrder)
+        except codec.DecodeError as error:
+            return answer_problem(Refused(ErrorKind.malformed_request, str(error)))
+        body = await request.get_data()
+        span = start_span(
+            sidecar.tracer, 'sidecar.run', order.traceparent, request=order.request,
+            account=order.account, pool=order.pool,
+        )
+        try:
+            traced = attrs.evolve(order, traceparent=to_traceparent(span))
+            return await _run(sidecar, nursery, traced, body)
+        finally:
+            span.end()
+
+    @app.get('/v1/runs/<name>/<int:attempt>/answer')
+    async def answer(name: str, attempt: int) -> Response:
+        offset = request.args.get('offset', 0, type=int)
+        found = sidecar.runs.find(name, attempt)
+        if found is None:
+            found = _resume_run(sidecar, nursery, offset)
+        if found is None or offset < found.base:
+            return answer_problem(Refused(ErrorKind.answer_expired, 'no such run'))
+        return await _answer_run(sidecar, found, name, offset=offset - found.base)
+
+    @app.delete('/v1/runs/<name>/<int:attempt>')
+    async def cancel(name: str, attempt: int) -> Response:
+        found = sidecar.runs.find(name, attempt)
+        if found is not None and sidecar.sidecar.kind == 'engine':
+            found.scope.cancel()
+        return Response(status=204)
+
+    _add_observability(app, sidecar)
+    return app
+
+
+def _add_observability(app: QuartTrio, sidecar: Sidecar) -> None:
+    @app.get('/metrics')
+    async def metrics() -> Response:
+        sidecar.metrics.window.set({}, sidecar.window.limit)
+        body, fields = sidecar.metrics.render(request.headers.getlist('Accept'))
+        return Response(body, headers=fields)
+
+    @app.get('/live')
+    async def live() -> Response:
+        return Response(b'live\n')
+
+    @app.get('/ready')
+    async def ready() -> Response:
+        refused = sidecar.check_work()
+        return Response(b'ready\n') if refused is None else answer_problem(refused)
+
+
+async def _run(
+    sidecar: Sidecar, nursery: trio.Nursery, order: RunOrder, body: bytes,
+) -> Response:
+    if order.idempotency_key:
+        joined = sidecar.runs.find_call(order)
+        if joined is not None:
+            return await _answer_run(sidecar, joined, order.request)
+    slot = sidecar.scheduler.admit(order.account, order.grant)
+    if isinstance(slot, Refused):
+        return answer_problem(slot)
+    run = sidecar.runs.create(order, body, slot)
+    nursery.start_soon(sidecar.runs.execute, run)
+    return await _answer_run(sidecar, run, order.request)
+
+
+def _resume_run(sidecar: Sidecar, nursery: trio.Nursery, offset: int) -> Run | None:
+    if sidecar.sidecar.kind != 'engine' or sidecar.is_stopping:
+        return None
+    try:
+        order = codec.decode(request.headers.get(headers.ORDER, ''), RunOrder)
+    except codec.DecodeError:
+        return None
+    slot: Slot = sidecar.scheduler.occupy_resumed(order.account)
+    run = sidecar.runs.create(order, b'', slot)
+    run.base = offset
+    nursery.start_soon(sidecar.runs.resume, run)
+    return run
+
+
+async def _answer_run(
+    sidecar: Sidecar, run: Run, request_name: str, *, offset: int = 0,
+) -> Response:
+    run.readers += 1
+    try:
+        return await _build_answer(sidecar, run, request_name, offset)
+    finally:
+        run.readers -= 1
+        run.left_at = trio.current_time()
+
+
+async def _build_answer(
+    sidecar: Sidecar, run: Run, request_name: str, offset: int,
+) -> Response:
+    head = await run.buffer.wait_head()
+    if isinstance(head, Refused):
+        return answer_problem(head)
+    fields = {headers.REQUEST_ECHO: request_name, 'Content-Type': head.content_type}
+    if head.content_type.startswith(headers.EVENT_STREAM) and sidecar.sidecar.kind == 'engine':
+        chunks = _read_run(sidecar, run, offset)
+        return answer_stream(chunks, status=head.status, headers=fields)
+    await run.buffer.wait_finished()
+    if run.buffer.failure is not None:
+        return answer_problem(run.buffer.failure)
+    return Response(run.buffer.content[offset:], status=head.status, headers=fields)
+
+
+async def _read_run(sidecar: Sidecar, run: Run, offset: int) -> AsyncIterator[bytes]:
+    flush = sidecar.sidecar.flush_interval_milliseconds / _MILLISECONDS
+    run.readers += 1
+    try:
+        async for chunk in run.buffer.read(
+            offset, flush_seconds=flush, clock=trio.current_time,
+        ):
+            yield chunk
+    finally:
+        run.readers -= 1
+        run.left_at = trio.current_time()
+
+
+async def run_sidecar(settings: ProcessSettings) -> None:
+    """Runs a sidecar until SIGTERM, then drains it.
+
+    Args:
+        settings: Settings with a section [sidecar].
+    """
+    sidecar = Sidecar.from_settings(settings)
+    async with trio.open_nursery() as nursery:
+        app = create_app(sidecar, nursery)
+        server = Server(
+            app, settings.instance, settings.tls, maximum_header_bytes=_MAXIMUM_HEADER_BYTES,
+        )
+        address = await server.start(nursery)
+        sidecar.connect(address)
+        await sidecar.run_tasks(nursery)
+        _log.info('listening', address=address, role='sidecar', sidecar=sidecar.incarnation)
+        await wait_for_signal()
+        sidecar.is_stopping = True
+        _log.info('draining')
+        is_clean = await drain(
+            lambda: sidecar.runs.is_idle,
+            timeout_seconds=settings.instance.shutdown_timeout_seconds,
+        )
+        _log.info('stopped', clean=is_clean)
+        server.stop()
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/src/fireflymux/sidecar_runs.py
@@ -0,0 +1,235 @@
+"""Requests that run on the endpoint, and those whose answer is still kept."""
+
+from collections.abc import Callable
+
+import attrs
+import trio
+
+from .account_shares import AccountShares
+from .admission_window import AdmissionWindow
+from .answer_buffer import AnswerBuffer
+from .claims import ClaimBook, Claimed, Replay
+from .endpoint_call import EndpointCall, EndpointClient
+from .errors import ErrorKind, Ran, Refused
+from .grants import GrantScheduler, Slot
+from .messages import RunOrder
+from .metrics import Metrics
+
+
+@attrs.define(eq=False)
+class Run:
+    """One attempt of one request.
+
+    Attributes:
+        order: Description of the call.
+        buffer: Its answer.
+        slot: Slot that it uses.
+        call: The call to the endpoint.
+        base: Offset of the buffer's first byte in the whole answer.
+        scope: Cancels the run.
+        readers: Routers that read the answer now.
+        left_at: Time at which the last reader left, in seconds.
+    """
+
+    order: RunOrder
+    buffer: AnswerBuffer
+    slot: Slot
+    call: EndpointCall
+    base: int = 0
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    readers: int = 0
+    left_at: float = 0.0
+
+
+@attrs.define(frozen=True, kw_only=True)
+class RunParts:
+    """What the runs of a sidecar share."""
+
+    scheduler: GrantScheduler
+    shares: AccountShares
+    window: AdmissionWindow
+    claims: ClaimBook
+    endpoint: EndpointClient
+    metrics: Metrics
+    is_engine: bool
+    keep_seconds: float
+    maximum_answer_bytes: int
+
+
+class SidecarRuns:
+    """All runs of one sidecar."""
+
+    def __init__(self, parts: RunParts) -> None:
+        """Starts without runs.
+
+        Args:
+            parts: What the runs share.
+        """
+        self._parts = parts
+        self._runs: dict[str, Run] = {}
+        self._calls: dict[tuple[str, str], Run] = {}
+        self._recording = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing runs, is read or waits to be recorded."""
+        busy = any(run.readers or not run.buffer.is_finished for run in self._runs.values())
+        return not busy and self._recording == 0
+
+    def find(self, request: str, attempt: int) -> Run | None:
+        """Finds a run.
+
+        Args:
+            request: Identifier of the request.
+            attempt: Number of the attempt.
+
+        Returns:
+            The run, or None if it is not or no longer kept.
+        """
+        run = self._runs.get(request)
+        return run if run is not None and run.order.attempt == attempt else None
+
+    def find_call(self, order: RunOrder) -> Run | None:
+        """Finds the kept run of the same idempotent call.
+
+        Args:
+            order: A call with an idempotency key.
+
+        Returns:
+            The run if its body is the same.
+        """
+        run = self._calls.get((order.account, order.idempotency_key))
+        if run is None or run.order.fingerprint != order.fingerprint:
+            return None
+        if run.buffer.failure is not None:
+            return None
+        return run
+
+    def create(self, order: RunOrder, body: bytes, slot: Slot) -> Run:
+        """Registers a run.
+
+        Args:
+            order: Description of the call.
+            body: Its body.
+            slot: Slot that it uses.
+
+        Returns:
+            The run, not yet started.
+        """
+        buffer = AnswerBuffer()
+        call = EndpointCall(
+            order=order,
+            body=body,
+            buffer=buffer,
+            meter=self._create_meter(slot, buffer),
+            observe_first_token=self._parts.window.observe,
+        )
+        run = Run(order, buffer, slot, call)
+        self._runs[order.request] = run
+        if order.idempotency_key:
+            self._calls[order.account, order.idempotency_key] = run
+        return run
+
+    async def execute(self, run: Run) -> None:
+        """Runs a request to its end and frees its slot.
+
+        Args:
+            run: A run made by `create`.
+        """
+        with run.scope:
+            await self._dispatch(run)
+        await self._finish(run)
+
+    async def resume(self, run: Run) -> None:
+        """Continues a stream that an earlier incarnation of this sidecar started.
+
+        Args:
+            run: A run made by `create` whose base is set.
+        """
+        with run.scope:
+            run.buffer.finish(await self._parts.endpoint.resume_engine(run.call, run.base))
+        await self._finish(run)
+
+    async def watch(self) -> None:
+        """Drops old runs, and cancels those that nobody reads, until cancelled."""
+        while True:
+            await trio.sleep(1)
+            limit = trio.current_time() - self._parts.keep_seconds
+            for request, run in list(self._runs.items()):
+                if run.readers or run.left_at > limit:
+                    continue
+                self._drop(request, run)
+
+    def _drop(self, request: str, run: Run) -> None:
+        if not run.buffer.is_finished:
+            if self._parts.is_engine:
+                run.scope.cancel()
+            return
+        self._runs.pop(request)
+        key = (run.order.account, run.order.idempotency_key)
+        if self._calls.get(key) is run:
+            self._calls.pop(key)
+
+    async def _dispatch(self, run: Run) -> None:
+        if run.order.idempotency_key:
+            await self._run_claimed(run)
+            return
+        await self._send(run)
+
+    async def _send(self, run: Run) -> None:
+        if self._parts.is_engine:
+            await self._parts.endpoint.call_engine(run.call)
+            return
+        await self._parts.endpoint.call_service(run.call)
+
+    async def _run_claimed(self, run: Run) -> None:
+        outcome = await self._parts.claims.claim(run.order)
+        if isinstance(outcome, Refused):
+            run.buffer.finish(outcome)
+            return
+        if isinstance(outcome, Replay):
+            run.buffer.start(outcome.head)
+            run.buffer.append(outcome.body)
+            run.buffer.finish()
+            return
+        await self._send(run)
+        self._recording += 1
+        try:
+            await self._settle(run, outcome)
+        finally:
+            self._recording -= 1
+
+    async def _settle(self, run: Run, claimed: Claimed) -> None:
+        failure = run.buffer.failure
+        self._parts.scheduler.release(run.slot, learn=failure is None)
+        if failure is None:
+            head = await run.buffer.wait_head()
+            assert not isinstance(head, Refused), 'a whole answer has a head'
+            await self._parts.claims.record(claimed, head, run.buffer.content)
+            return
+        if failure.outcome is Ran.no:
+            await self._parts.claims.release(claimed)
+            return
+        await self._parts.claims.record_unknown(claimed)
+
+    async def _finish(self, run: Run) -> None:
+        whole = run.buffer.is_whole
+        if not run.buffer.is_finished:
+            run.buffer.finish(Refused(ErrorKind.answer_cut, 'cancelled'))
+            if self._parts.is_engine:
+                await self._parts.endpoint.cancel_engine(run.call)
+        run.left_at = max(run.left_at, trio.current_time())
+        self._parts.scheduler.release(run.slot, learn=whole)
+        result = 'whole' if whole else 'failed'
+        self._parts.metrics.attempts.inc({'pool': run.order.pool, 'result': result})
+
+    def _create_meter(self, slot: Slot, buffer: AnswerBuffer) -> Callable[[float], None]:
+        shares = self._parts.shares
+        metrics = self._parts.metrics
+        labels = {'account': slot.charge.account}
+
+        def meter(amount: float) -> None:
+            shares.meter(slot.charge, amount)
+            metrics.cost_units.add(labels, amount)
+
+        return meter
