--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, each run by one make target."""
--- /dev/null
+++ b/bench/fairness.py
@@ -0,0 +1,119 @@
+"""Measures fairness gap, utilisation and control traffic of naive, chosen and rejected ways.
+
+Run as `python -m bench.fairness [--ways a,b] [--seconds N] [--seed N] [--json]`.
+"""
+
+import sys
+from collections.abc import Sequence
+
+import attrs
+import fire
+import orjson
+import trio
+
+from bench.deployment import NEW_ENGLAND, NZ_NORTH, Deployment, Shape, backlogged, start
+from emulator.load import Load, fairness_gap, utilisation
+
+WAYS = ('naive', 'chosen', 'charge_at_end', 'no_estimate', 'own_totals', 'first_come')
+_WARM_UP_SECONDS = 4.0
+
+
+@attrs.define(frozen=True, kw_only=True)
+class Measurement:
+    """One row of the table."""
+
+    shape: str
+    way: str
+    gap: float
+    bound: float
+    utilisation: float
+    control_bytes_per_router: float
+    answered: int
+    refused: int
+    first_token_p95: float
+
+
+def bound(shape: Shape, largest_cost: float, *, heartbeat_seconds: float, rate: float) -> float:
+    """Returns the bound on the gap in cost units for weight one.
+
+    Every slot can hold one request whose cost was not foreseen, plus one whole request on
+    either side, plus what the fleet serves while a report travels twice.
+
+    Args:
+        shape: Sizes of the deployment.
+        largest_cost: Cost of the largest request.
+        heartbeat_seconds: Interval between two reports.
+        rate: Cost units that the whole fleet serves in a second.
+    """
+    slots = shape.engines * shape.slots
+    return largest_cost * (slots + 2) + 2 * heartbeat_seconds * rate
+
+
+def control_bytes(deployment: Deployment) -> float:
+    """Returns the control bytes of all routers so far."""
+    return sum(
+        deployment.fleet.metric(router, 'control_bytes_total') for router in deployment.routers
+    )
+
+
+def measure(shape: Shape, way: str, *, seconds: float, seed: int) -> Measurement:
+    """Measures one way on one deployment."""
+    deployment = start(shape, way)
+    with deployment.fleet:
+        loads = backlogged(deployment)
+        load = Load(loads, deployment.engines, seed=seed, model='model')
+        result = trio.run(load.run, seconds)
+        control = 0.0 if way == 'naive' else control_bytes(deployment) / seconds
+    latencies = sorted(result.first_token) or [0.0]
+    return Measurement(
+        shape=shape.name,
+        way=way,
+        gap=fairness_gap(result, deployment.weights, start=_WARM_UP_SECONDS),
+        bound=bound(shape, 35 * 3, heartbeat_seconds=1.0, rate=shape.engines * shape.slots * 20),
+        utilisation=utilisation(result, shape.engines * shape.slots, start=_WARM_UP_SECONDS),
+        control_bytes_per_router=control / shape.routers,
+        answered=sum(result.answered.values()),
+        refused=sum(result.refused.values()),
+        first_token_p95=latencies[int(len(latencies) * 0.95)],
+    )
+
+
+def show(rows: Sequence[Measurement]) -> None:
+    """Prints the rows as a table."""
+    print(
+        f'{"deployment":<14}{"way":<16}{"gap":>8}{"bound":>8}{"util":>7}'
+        f'{"ctl B/s":>9}{"answers":>9}{"refused":>9}'
+    )
+    for row in rows:
+        print(
+            f'{row.shape:<14}{row.way:<16}{row.gap:>8.0f}{row.bound:>8.0f}'
+            f'{row.utilisation:>7.3f}{row.control_bytes_per_router:>9.0f}'
+            f'{row.answered:>9}{row.refused:>9}'
+        )
+
+
+def main(
+    ways: str | tuple[str, ...] = WAYS, seconds: float = 30.0, seed: int = 1, json: bool = False
+) -> None:
+    """Measures every way on both deployments.
+
+    Args:
+        ways: Comma-separated ways.
+        seconds: Length of each run.
+        seed: Seed of the costs.
+        json: Whether to print JSON too.
+    """
+    names = ways.split(',') if isinstance(ways, str) else ways
+    rows = []
+    for shape in (NEW_ENGLAND, NZ_NORTH):
+        for way in names:
+            rows.append(measure(shape, way, seconds=seconds, seed=seed))
+            show(rows[-1:])
+            sys.stdout.flush()
+    show(rows)
+    if json:
+        print(orjson.dumps([attrs.asdict(row) for row in rows]).decode())
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -63,6 +63,7 @@
     busy_slot_seconds: float = 0.0
     crashed_until: float = 0.0
     load: dict[str, int] = attrs.field(factory=dict)
+    served: dict[str, int] = attrs.field(factory=dict)
 
     def submit(self, generation: Generation) -> None:
         """Admits a request as it arrives."""
@@ -98,7 +99,10 @@
         if generation.prefill_steps > 0:
             generation.prefill_steps -= 1
             return
-        for _ in range(min(self.tokens_per_step, generation.tokens - generation.produced)):
+        account = generation.nonce.partition('-')[0]
+        count = min(self.tokens_per_step, generation.tokens - generation.produced)
+        self.served[account] = self.served.get(account, 0) + count
+        for _ in range(count):
             text = '{0}:{1} '.format(generation.nonce, generation.produced)
             generation.content += (
                 b'data: {"id":"%s","object":"chat.completion.chunk","choices":'
@@ -229,6 +233,10 @@
         engine.crash()
         return jsonify({})
 
+    @app.get('/served')
+    async def served() -> Response:
+        return jsonify({'served': engine.served, 'busy_slot_seconds': engine.busy_slot_seconds})
+
     @app.get('/stats')
     async def stats() -> Response:
         return jsonify(
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -81,12 +81,16 @@
 class Fleet:
     """Processes of one fleet; use as a context manager."""
 
-    def __init__(self, *, settings: Mapping[str, Mapping[str, Any]] | None = None) -> None:
+    def __init__(
+        self, *, settings: Mapping[str, Mapping[str, Any]] | None = None, variant: str = ''
+    ) -> None:
         """Prepares a fleet without processes.
 
         Args:
             settings: Settings by section that replace the defaults in every process.
+            variant: Name of a variant that routers and sidecars run; empty for the product.
         """
+        self._variant = variant
         self.folder = Path(tempfile.mkdtemp(prefix='fireflymux-'))
         self.processes: dict[str, Process] = {}
         self.client = httpx.Client(timeout=30, trust_env=False)
@@ -128,6 +132,11 @@
         """Starts services in one process and returns their URLs."""
         return self._start_endpoints('emulator.service', name, count, options)
 
+    def start_naive_router(self, name: str, endpoints: Sequence[str]) -> Process:
+        """Starts a naive router, the baseline."""
+        arguments = ['-m', 'emulator.naive_router', '--endpoints={0}'.format(','.join(endpoints))]
+        return self._start(name, arguments)
+
     def start_router(
         self,
         name: str,
@@ -337,7 +346,8 @@
         pool: str,
     ) -> Process:
         path = self._write_settings(name, sections)
-        process = self._start(name, ['-m', 'fireflymux', role, str(path)])
+        program = ['emulator.variants', self._variant] if self._variant else ['fireflymux']
+        process = self._start(name, ['-m', *program, role, str(path)])
         self.set_live(name, role, process.address, pool=pool)
         return process
 
--- /dev/null
+++ b/emulator/naive_router.py
@@ -0,0 +1,67 @@
+"""Naive baseline: each router deals its requests round-robin to the endpoints.
+
+Run as `python -m emulator.naive_router --endpoints URL,URL`. It has no queue of its own, no
+accounts and no sidecars; what an engine cannot batch waits in the engine.
+"""
+
+import itertools
+from collections.abc import AsyncIterator
+
+import fire
+import httpx
+import trio
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from .hosting import host
+
+_UNLIMITED = httpx.Limits(max_connections=None, max_keepalive_connections=None)
+
+
+def create_app(endpoints: list[str]) -> QuartTrio:
+    """Creates the application of a naive router."""
+    app = QuartTrio('emulator.naive_router')
+    client = httpx.AsyncClient(timeout=None, limits=_UNLIMITED, trust_env=False)
+    turns = itertools.cycle(endpoints)
+    numbers = itertools.count()
+
+    async def relay(response: httpx.Response) -> AsyncIterator[bytes]:
+        try:
+            async for chunk in response.aiter_raw():
+                yield chunk
+        finally:
+            await response.aclose()
+
+    @app.post('/v1/chat/completions')
+    async def chat() -> Response:
+        outgoing = client.build_request(
+            'POST',
+            f'{next(turns)}/v1/chat/completions',
+            content=await request.get_data(),
+            headers={'X-Request-Id': f'naive-{id(app)}-{next(numbers)}'},
+        )
+        response = await client.send(outgoing, stream=True)
+        answer = Response(
+            relay(response),
+            status=response.status_code,
+            headers={'Content-Type': response.headers['Content-Type']},
+        )
+        answer.timeout = None
+        return answer
+
+    return app
+
+
+def main(endpoints: str | tuple[str, ...], port: int = 0) -> None:
+    """Runs a naive router.
+
+    Args:
+        endpoints: Comma-separated URLs of the endpoints.
+        port: TCP port; zero lets the kernel choose.
+    """
+    urls = endpoints.split(',') if isinstance(endpoints, str) else list(endpoints)
+    trio.run(host, [(create_app(urls), port)])
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- /dev/null
+++ b/emulator/variants.py
@@ -0,0 +1,126 @@
+"""Runs the product with one of its mechanisms left out.
+
+Run as `python -m emulator.variants NAME ROLE SETTINGS`. Benchmarks measure the ways that were
+rejected with it, and each proof is shown to fail with it.
+"""
+
+import sys
+from collections.abc import Callable
+
+from fireflymux import account_shares, claims, cli, configuration, grants, sidecar
+from fireflymux.account_shares import AccountShares, Charge
+
+
+def charge_at_end() -> None:
+    """Charges the cost of a request only when it ends."""
+
+    def open_charge(shares: AccountShares, account: str) -> Charge:
+        charge = _open_charge(shares, account)
+        charge.estimate = 0.0
+        return charge
+
+    def meter(_shares: AccountShares, charge: Charge, amount: float) -> None:
+        charge.metered += amount
+
+    def close_charge(shares: AccountShares, charge: Charge, *, learn: bool = True) -> None:
+        if id(charge) in shares._open:
+            shares._share(charge.account).settled += charge.metered / charge.weight
+        _close_charge(shares, charge, learn=learn)
+
+    _open_charge = AccountShares.open_charge
+    _close_charge = AccountShares.close_charge
+    AccountShares.open_charge = open_charge
+    AccountShares.meter = meter
+    AccountShares.close_charge = close_charge
+
+
+def no_estimate() -> None:
+    """Charges tokens as they pass, and nothing at the grant."""
+
+    def open_charge(shares: AccountShares, account: str) -> Charge:
+        charge = _open_charge(shares, account)
+        charge.estimate = 0.0
+        return charge
+
+    _open_charge = AccountShares.open_charge
+    AccountShares.open_charge = open_charge
+
+
+def own_totals() -> None:
+    """Lets each sidecar know only what it served itself."""
+    AccountShares.merge_others = lambda _shares, _totals: None
+
+
+def no_floor() -> None:
+    """Lets an account that was idle keep its credit."""
+    AccountShares.update_active = lambda _shares, _waiting: None
+
+
+def first_come() -> None:
+    """Gives a free slot to the account whose name comes in a fixed turn, whatever it had."""
+    turn = {'at': 0}
+
+    def choose(waiting, _virtual_time):
+        names = sorted(waiting)
+        turn['at'] += 1
+        return names[turn['at'] % len(names)] if names else None
+
+    grants.choose_account = choose
+
+
+def no_claim() -> None:
+    """Sends calls that must not repeat without a claim."""
+
+    async def claim(book: claims.ClaimBook, order: object) -> claims.Claimed:
+        return claims.Claimed(claims.claim_key(order), 0, book._new_row(order))
+
+    async def forget(*_arguments: object) -> None:
+        return None
+
+    claims.ClaimBook.claim = claim
+    claims.ClaimBook.record = forget
+    claims.ClaimBook.release = forget
+    claims.ClaimBook.record_unknown = forget
+
+
+def no_confirmation() -> None:
+    """Lets a sidecar work on a configuration that it has not confirmed."""
+    sidecar.CONFIRM_LIMIT_SECONDS = float('inf')
+
+
+def any_version() -> None:
+    """Takes over any snapshot that is offered, also an older one."""
+
+    def replace(self: configuration.Configuration, snapshot: object) -> bool:
+        self._contracts = {item.account: item for item in snapshot.contracts}
+        self._endpoints = {item.endpoint: item for item in snapshot.endpoints}
+        self._version = snapshot.version
+        return True
+
+    configuration.Configuration.replace = replace
+
+
+VARIANTS: dict[str, Callable[[], None]] = {
+    item.__name__: item
+    for item in (
+        charge_at_end,
+        no_estimate,
+        own_totals,
+        no_floor,
+        first_come,
+        no_claim,
+        no_confirmation,
+        any_version,
+    )
+}
+
+
+def main() -> None:
+    """Leaves out one mechanism and runs the command line."""
+    VARIANTS[sys.argv.pop(1)]()
+    assert account_shares.DEFAULT_ESTIMATE > 0
+    cli.main()
+
+
+if __name__ == '__main__':
+    main()
