--- a/src/fireflymux/_messages_generated.py
+++ b/src/fireflymux/_messages_generated.py
@@ -13,15 +13,6 @@
     """Root of the message schema; never sent."""
 
 
-@define(frozen=True, kw_only=True)
-class Reservation:
-    """Waiting requests of one client account at the sending router."""
-
-    pool: str
-    account: str
-    waiting: int
-
-
 @define(frozen=True, kw_only=True)
 class ServiceTotal:
     """Normalized service of one client account in one pool, in cost units divided by weight."""
@@ -33,48 +24,58 @@
     floor: float = 0.0
 
 
+@define(frozen=True, kw_only=True)
+class TotalsTable:
+    """Service totals of one pool by column, in whole cost units; each column has one item for each account."""
+
+    accounts: list[str] = field(factory=list)
+    settled: list[int] = field(factory=list)
+    outstanding: list[int] = field(factory=list)
+    floors: list[int] = field(factory=list)
+
+
 @define(frozen=True, kw_only=True)
 class Heartbeat:
-    """Sent by a router to a sidecar; replaces the router's earlier reservations there."""
+    """Sent by a router to a sidecar; replaces the router's earlier reservations there, which count the waiting requests by client account."""
 
     router: str
     address: str
     config_version: int
     sequence: int
-    reservations: list[Reservation] = field(factory=list)
-    totals: list[ServiceTotal] = field(factory=list)
+    reservations: dict[str, int] = field(factory=dict)
+    totals: TotalsTable | None = None
 
 
 @define(frozen=True, kw_only=True)
 class HeartbeatReply:
-    """Answer of a sidecar to a heartbeat."""
+    """Answer of a sidecar to a heartbeat; it has totals where the heartbeat has some."""
 
     sidecar: str
     endpoint: str
-    pool: str
     config_version: int
     free_slots: int
     leaving: bool
-    totals: list[ServiceTotal] = field(factory=list)
+    totals: TotalsTable | None = None
 
 
 @define(frozen=True, kw_only=True)
 class GrantOffer:
-    """Offer of one free slot, sent by a sidecar to a router."""
+    """Offer of one free slot, sent by a sidecar to a router. An empty account stands for any account, and is sent where the sidecar knows of no waiting request."""
 
     grant: str
     sidecar: str
     address: str
     pool: str
     account: str
+    free_slots: int
 
 
 @define(frozen=True, kw_only=True)
 class GrantReply:
-    """Answer of a router to a grant offer."""
+    """Answer of a router to a grant offer: the account whose request takes the slot, empty if none does, and the reservations that remain."""
 
-    accepted: bool
-    waiting: int
+    account: str
+    reservations: dict[str, int] = field(factory=dict)
 
 
 @define(frozen=True, kw_only=True)
--- a/src/fireflymux/_settings_generated.py
+++ b/src/fireflymux/_settings_generated.py
@@ -33,6 +33,7 @@
 
     key: str
     heartbeat_interval_seconds: float = 1.0
+    totals_interval_seconds: float = 5.0
     config_poll_interval_seconds: float = 1.0
     live_poll_interval_seconds: float = 1.0
     peer_routers: str = ''
--- a/src/fireflymux/account_shares.py
+++ b/src/fireflymux/account_shares.py
@@ -14,6 +14,7 @@
 from .messages import ServiceTotal
 
 _ESTIMATE_GAIN = 0.2
+_NEVER = float('-inf')
 #: Estimate for an account of which nothing is known, in cost units.
 DEFAULT_ESTIMATE = 50.0
 
@@ -52,19 +53,31 @@
 class AccountShares:
     """Virtual times of the accounts of one pool."""
 
-    def __init__(self, pool: str, weight_of: Callable[[str], float]) -> None:
+    def __init__(
+        self,
+        pool: str,
+        weight_of: Callable[[str], float],
+        *,
+        clock: Callable[[], float],
+        idle_seconds: float,
+    ) -> None:
         """Starts with no service.
 
         Args:
             pool: The pool that the endpoint belongs to.
             weight_of: Returns the weight of an account's contract.
+            clock: Returns the time in seconds.
+            idle_seconds: Time without a request after which an account counts as idle. It
+                covers the time for which this sidecar may not hear of a waiting request.
         """
+        self._clock = clock
+        self._idle_seconds = idle_seconds
+        self._seen_at: dict[str, float] = {}
         self._pool = pool
         self._weight_of = weight_of
         self._shares: dict[str, _Share] = {}
         self._charges: dict[str, set[int]] = {}
         self._open: dict[int, Charge] = {}
-        self._active: frozenset[str] = frozenset()
         self._latest = 0.0
 
     def open_charge(self, account: str) -> Charge:
@@ -122,14 +135,16 @@
             share.floor = max(share.floor, total.floor)
 
     def update_active(self, waiting: Iterable[str]) -> None:
-        """Lifts the accounts that became active since the last call.
+        """Lifts the accounts that were idle and have requests again.
 
         Args:
             waiting: Accounts with waiting requests at the routers.
         """
+        now = self._clock()
         active = frozenset(waiting) | self._running()
-        woken = active - self._active
-        self._active = active
+        limit = now - self._idle_seconds
+        woken = {name for name in active if self._seen_at.get(name, _NEVER) < limit}
+        self._seen_at.update(dict.fromkeys(active, now))
         if not woken:
             return
         level = self._level(active - woken)
--- a/src/fireflymux/backlog.py
+++ b/src/fireflymux/backlog.py
@@ -8,7 +8,6 @@
 import trio
 
 from .errors import Refused
-from .messages import Reservation
 
 #: Pool and client account.
 QueueKey = tuple[str, str]
@@ -40,6 +39,7 @@
         decided: Set when the placement is known or the request is given up on.
         refused: Why it was given up on.
         avoid: Sidecar incarnations that failed it.
+        number: Place in the order of arrival at this router.
     """
 
     pool: str
@@ -48,6 +48,7 @@
     decided: trio.Event = attrs.field(factory=trio.Event)
     refused: Refused | None = None
     avoid: set[str] = attrs.field(factory=set)
+    number: int = 0
 
     def place(self, placement: Placement) -> None:
         """Decides where the request may run."""
@@ -73,6 +74,7 @@
         self._queues: dict[QueueKey, deque[Ticket]] = {}
         self._running: dict[str, int] = {}
         self._waiting: dict[str, int] = {}
+        self._arrivals = 0
 
     @property
     def size(self) -> int:
@@ -91,6 +93,8 @@
             first: Whether it waited before and goes ahead of the others.
         """
         queue = self._queues.setdefault((ticket.pool, ticket.account), deque())
+        self._arrivals += 1
+        ticket.number = 0 if first else self._arrivals
         if first:
             queue.appendleft(ticket)
         else:
@@ -143,14 +147,19 @@
         waiting = len(self._queues.get((pool, account), ()))
         return min(waiting, self.free_concurrency(account))
 
-    def reservations(self, pool: str) -> list[Reservation]:
-        """Lists the reservations to leave at the sidecars of a pool."""
-        listed = (
-            Reservation(pool=pool, account=key[1], waiting=self.grantable(pool, key[1]))
-            for key in self._queues
-            if key[0] == pool
-        )
-        return [item for item in listed if item.waiting > 0]
+    def reservations(self, pool: str) -> dict[str, int]:
+        """Counts the requests that the sidecars of a pool may ask for, by account."""
+        counts = {key[1]: self.grantable(*key) for key in self._queues if key[0] == pool}
+        return {account: waiting for account, waiting in counts.items() if waiting > 0}
+
+    def oldest_account(self, pool: str) -> str | None:
+        """Returns the account whose request has waited longest and may run."""
+        heads = [
+            (queue[0].number, key[1])
+            for key, queue in self._queues.items()
+            if key[0] == pool and self.free_concurrency(key[1])
+        ]
+        return min(heads)[1] if heads else None
 
     def give_up_all(self, refused: Refused) -> None:
         """Gives up on every waiting request."""
--- a/src/fireflymux/dispatch.py
+++ b/src/fireflymux/dispatch.py
@@ -10,7 +10,7 @@
 from .backlog import Backlog, Placement, Ticket
 from .caller_requests import CallerRequest
 from .errors import ErrorKind, Ran, Refused
-from .messages import RunOrder
+from .messages import GrantOffer, RunOrder
 from .metrics import Metrics
 from .peers import Peer, Peers
 from .retry_budget import RetryBudget, backoff_seconds
@@ -114,26 +114,30 @@
             if self._parts.backlog.grantable(pool, account) == 1:
                 self._parts.peers.notify(pool)
 
-    def accept_grant(self, pool: str, account: str, placement: Placement) -> bool:
-        """Gives the oldest request of an account to a sidecar that has a free slot.
+    def accept_grant(self, offer: GrantOffer, placement: Placement) -> str:
+        """Gives a waiting request to a sidecar that has a free slot.
 
         Args:
-            pool: The pool.
-            account: The client account.
+            offer: The offer; an empty account takes the request that waited longest.
             placement: The sidecar and its offer.
 
         Returns:
-            Whether there was one.
+            The account whose request takes the slot; empty if none does.
         """
         peer = self._parts.peers.find(placement.address)
         if peer is None or not self._parts.peers.may_work(peer):
-            return False
-        ticket = self._parts.backlog.take(pool, account, placement.sidecar)
+            return ''
+        account = offer.account or self._parts.backlog.oldest_account(offer.pool)
+        ticket = None
+        if account:
+            ticket = self._parts.backlog.take(offer.pool, account, placement.sidecar)
         if ticket is None:
-            return False
-        self._parts.backlog.start(account)
+            # The slot on offer is free too; a sidecar with a backlog will offer it elsewhere.
+            peer.free_slots = offer.free_slots if offer.account else offer.free_slots + 1
+            return ''
+        self._parts.backlog.start(ticket.account)
         ticket.place(placement)
-        return True
+        return ticket.account
 
     def _prepare(self, request: CallerRequest, traceparent: str) -> Dispatch:
         order = RunOrder(
--- a/src/fireflymux/grants.py
+++ b/src/fireflymux/grants.py
@@ -5,6 +5,7 @@
 sidecar, and the choice uses what is known at the last moment.
 """
 
+import random
 import uuid
 from collections.abc import Awaitable, Callable
 
@@ -39,7 +40,7 @@
 
 @attrs.define(eq=False)
 class _Pending:
-    charge: Charge
+    charge: Charge | None = None
     claimed: trio.Event = attrs.field(factory=trio.Event)
 
 
@@ -77,6 +78,8 @@
         self._running: set[Slot] = set()
         self._pending: dict[str, _Pending] = {}
         self._changed = trio.Event()
+        self._is_searching = False
+        self._is_search_due = False
 
     @property
     def free_slots(self) -> int:
@@ -106,10 +109,11 @@
         pending = self._pending.pop(grant, None)
         if pending is not None:
             pending.claimed.set()
+            charge = pending.charge or self._shares.open_charge(account)
             if refused is not None:
-                self._shares.close_charge(pending.charge, learn=False)
+                self._shares.close_charge(charge, learn=False)
                 return refused
-            return self._occupy(pending.charge)
+            return self._occupy(charge)
         if refused is not None:
             return refused
         if self.free_slots == 0 or self._reservations.accounts():
@@ -137,11 +141,13 @@
         self._running.discard(slot)
         self._shares.close_charge(slot.charge, learn=learn)
         self._metrics.running.set({}, len(self._running))
+        self._is_search_due = True
         self.notify()
 
     async def run(self) -> None:
         """Offers free slots until cancelled."""
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             while True:
                 self._changed = trio.Event()
                 self._offer_free_slots(nursery)
@@ -153,40 +159,74 @@
             account = choose_account(self._reservations.accounts(), self._shares.virtual_time)
             router = None if account is None else self._reservations.take(account)
             if account is None or router is None:
+                self._start_search(nursery)
                 return
             grant = uuid.uuid4().hex
             self._pending[grant] = _Pending(self._shares.open_charge(account))
-            nursery.start_soon(self._offer, router, grant, account)
-
-    async def _offer(self, router: RouterReservations, grant: str, account: str) -> None:
-        pending = self._pending[grant]
-        offer = GrantOffer(
-            grant=grant,
-            sidecar=self._identity.sidecar,
-            address=self._identity.address,
-            pool=self._identity.pool,
-            account=account,
-        )
-        reply = await self._send_offer(router.address, offer)
+            nursery.start_soon(self._send, router, grant, account)
+
+    def _start_search(self, nursery: trio.Nursery) -> None:
+        if self._is_search_due and not self._is_searching:
+            self._is_searching = True
+            nursery.start_soon(self._search)
+
+    async def _search(self) -> None:
+        """Asks each router once for any request, since this sidecar knows of none."""
+        self._is_search_due = False
+        routers = self._reservations.routers()
+        random.shuffle(routers)
+        try:
+            for router in routers:
+                if self.free_slots == 0 or self._reservations.accounts():
+                    return
+                grant = uuid.uuid4().hex
+                self._pending[grant] = _Pending()
+                await self._send(router, grant, '')
+        finally:
+            self._is_searching = False
+            self.notify()
+
+    async def _send(self, router: RouterReservations, grant: str, account: str) -> None:
+        reply = await self._send_offer(router.address, self._build_offer(grant, account))
         if reply is None:
             self._reservations.drop(router.router)
             self._withdraw(grant, 'unanswered')
             return
-        self._reservations.set_waiting(router.router, account, reply.waiting)
-        if not reply.accepted:
-            self._withdraw(grant, 'declined')
+        self._reservations.set_waiting(router.router, reply.reservations)
+        if not reply.account:
+            self._withdraw(grant, 'declined' if account else 'none')
+            return
+        pending = self._pending.get(grant)
+        if pending is None:
+            self._withdraw(grant, 'used')
             return
+        if pending.charge is None:
+            pending.charge = self._shares.open_charge(reply.account)
+        self._nursery.start_soon(self._expect, grant, pending)
+
+    async def _expect(self, grant: str, pending: _Pending) -> None:
         with trio.move_on_after(GRANT_TIMEOUT_SECONDS):
             await pending.claimed.wait()
         self._withdraw(grant, 'expired')
 
+    def _build_offer(self, grant: str, account: str) -> GrantOffer:
+        return GrantOffer(
+            grant=grant,
+            sidecar=self._identity.sidecar,
+            address=self._identity.address,
+            pool=self._identity.pool,
+            account=account,
+            free_slots=self.free_slots,
+        )
+
     def _withdraw(self, grant: str, result: str) -> None:
         pending = self._pending.pop(grant, None)
         if pending is None:
             self._metrics.grants.inc({'result': 'used'})
             return
         self._metrics.grants.inc({'result': result})
-        self._shares.close_charge(pending.charge, learn=False)
+        if pending.charge is not None:
+            self._shares.close_charge(pending.charge, learn=False)
         self.notify()
 
     def _occupy(self, charge: Charge) -> Slot:
--- a/src/fireflymux/links.py
+++ b/src/fireflymux/links.py
@@ -53,13 +53,17 @@
     Returns:
         A client that authenticates itself; streams have no read timeout of their own.
     """
-    return httpx.AsyncClient(
+    client = httpx.AsyncClient(
         verify=create_verify(tls),
         timeout=httpx.Timeout(None, connect=_CONNECT_TIMEOUT_SECONDS),
         headers={'Authorization': BEARER + fleet.key},
         limits=_UNLIMITED,
         trust_env=False,
     )
+    # Every heartbeat would carry these, and no listener of the system reads them.
+    for name in ('Accept', 'Accept-Encoding', 'User-Agent', 'Connection'):
+        client.headers.pop(name, None)
+    return client
 
 
 def create_endpoint_client(tls: TlsSettings) -> httpx.AsyncClient:
--- a/src/fireflymux/messages.py
+++ b/src/fireflymux/messages.py
@@ -15,10 +15,10 @@
     LiveInstance,
     Problem,
     ReporterTotals,
-    Reservation,
     RunOrder,
     ServiceTotal,
     TotalsSnapshot,
+    TotalsTable,
 )
 
 __all__ = (
@@ -36,8 +36,8 @@
     'LiveInstance',
     'Problem',
     'ReporterTotals',
-    'Reservation',
     'RunOrder',
     'ServiceTotal',
     'TotalsSnapshot',
+    'TotalsTable',
 )
--- a/src/fireflymux/peers.py
+++ b/src/fireflymux/peers.py
@@ -1,5 +1,7 @@
 """Sidecars that a router talks to: one task and one heartbeat loop for each."""
 
+import random
+
 import attrs
 import httpx
 import trio
@@ -14,10 +16,14 @@
 from .metrics import Metrics
 from .platform_client import LiveListClient, PlatformError
 from .service_totals import ServiceTotals
+from .totals_table import pack_totals, unpack_totals
+from .wire_size import received_bytes, sent_bytes
 
 _log = get_logger(__name__)
 #: Heartbeats in a row without answer after which a sidecar counts as down.
 _MISSES_TO_DOWN = 3
+#: Sidecars that hear of a new backlog at once.
+_NOTIFIED_PEERS = 2
 _FAST_HEARTBEAT_SECONDS = 0.02
 _FAILED_HEARTBEAT_DELAY_SECONDS = 0.25
 
@@ -33,6 +39,7 @@
         free_slots: Its free slots less the direct attempts since its last answer.
         is_leaving: Whether it takes no new work.
         is_up: Whether it answers heartbeats.
+        totals_due: Time of the next exchange of service totals in seconds.
         scopes: Transfers to cancel when it goes down.
     """
 
@@ -44,6 +51,7 @@
     is_up: bool = False
     sequence: int = 0
     misses: int = 0
+    totals_due: float = float('-inf')
     changed: trio.Event = attrs.field(factory=trio.Event)
     scopes: set[trio.CancelScope] = attrs.field(factory=set)
     task: trio.CancelScope = attrs.field(factory=trio.CancelScope)
@@ -66,7 +74,9 @@
     totals: ServiceTotals
     backlog: Backlog
     metrics: Metrics
+    rng: random.Random
     heartbeat_seconds: float
+    totals_seconds: float
     live_poll_seconds: float
 
 
@@ -113,8 +123,13 @@
         return not self._parts.configuration.is_leaving(peer.endpoint)
 
     def notify(self, pool: str) -> None:
-        """Sends the reservations of a pool to its sidecars soon."""
-        for peer in self.of_pool(pool):
+        """Sends the reservations of a pool to a few of its sidecars soon.
+
+        The others hear of them with their next heartbeat or their next offer.
+        """
+        workers = [peer for peer in self.of_pool(pool) if self.may_work(peer)]
+        sample = self._parts.rng.sample(workers, min(len(workers), _NOTIFIED_PEERS))
+        for peer in sample:
             peer.changed.set()
 
     async def run(self, address: str) -> None:
@@ -161,7 +176,8 @@
                     await peer.changed.wait()
 
     async def _beat(self, peer: Peer) -> None:
-        content = codec.encode(self._build_heartbeat(peer))
+        heartbeat = self._build_heartbeat(peer)
+        content = codec.encode(heartbeat)
         try:
             response = await self._parts.client.post(
                 '{0}/v1/heartbeat'.format(peer.address),
@@ -175,21 +191,27 @@
             self._miss(peer, repr(error))
             return
         self._parts.metrics.heartbeats.inc({'result': 'answered'})
-        self._parts.metrics.control_bytes.add({'direction': 'sent'}, len(content))
-        self._parts.metrics.control_bytes.add({'direction': 'received'}, len(response.content))
+        self._parts.metrics.control_bytes.add({'direction': 'sent'}, sent_bytes(response))
+        self._parts.metrics.control_bytes.add({'direction': 'received'}, received_bytes(response))
+        if heartbeat.totals is not None:
+            interval = self._parts.totals_seconds
+            peer.totals_due = trio.current_time() + interval * self._parts.rng.uniform(0.8, 1.0)
         self._accept(peer, reply)
 
     def _build_heartbeat(self, peer: Peer) -> Heartbeat:
         pool = peer.instance.pool
         peer.sequence += 1
         may_work = self.may_work(peer)
+        totals = None
+        if trio.current_time() >= peer.totals_due:
+            totals = pack_totals(self._parts.totals.sum_without(peer.sidecar, pool))
         return Heartbeat(
             router=self._parts.router,
             address=self._address,
             config_version=self._parts.configuration.version,
             sequence=peer.sequence,
-            reservations=self._parts.backlog.reservations(pool) if may_work else [],
-            totals=self._parts.totals.sum_without(peer.sidecar, pool),
+            reservations=self._parts.backlog.reservations(pool) if may_work else {},
+            totals=totals,
         )
 
     def _accept(self, peer: Peer, reply: HeartbeatReply) -> None:
@@ -197,13 +219,16 @@
         if not peer.is_up or peer.sidecar != reply.sidecar:
             _log.info('sidecar_up', address=peer.address, sidecar=reply.sidecar)
             self._parts.totals.forget_outstanding(peer.sidecar)
+            peer.totals_due = float('-inf')
             peer.changed.set()
         peer.is_up = True
         peer.sidecar = reply.sidecar
         peer.endpoint = reply.endpoint
         peer.is_leaving = reply.leaving
         peer.free_slots = reply.free_slots
-        self._parts.totals.merge(reply.sidecar, reply.totals)
+        if reply.totals is not None:
+            totals = unpack_totals(reply.totals, peer.instance.pool)
+            self._parts.totals.merge(reply.sidecar, totals)
 
     def _miss(self, peer: Peer, reason: str) -> None:
         self._parts.metrics.heartbeats.inc({'result': 'missed'})
--- a/src/fireflymux/reservations.py
+++ b/src/fireflymux/reservations.py
@@ -1,6 +1,6 @@
 """Reservations that routers hold at one sidecar."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import attrs
 
@@ -31,7 +31,6 @@
 
     def __init__(
         self,
-        pool: str,
         *,
         clock: Callable[[], float],
         expiry_seconds: float,
@@ -39,11 +38,9 @@
         """Starts empty.
 
         Args:
-            pool: Pool of the endpoint; reservations for others are passed over.
             clock: Returns the time in seconds.
             expiry_seconds: Age at which a router's reservations are dropped.
         """
-        self._pool = pool
         self._clock = clock
         self._expiry = expiry_seconds
         self._routers: dict[str, RouterReservations] = {}
@@ -68,11 +65,7 @@
             address=heartbeat.address,
             sequence=heartbeat.sequence,
             seen_at=self._clock(),
-            waiting={
-                item.account: item.waiting
-                for item in heartbeat.reservations
-                if item.pool == self._pool and item.waiting > 0
-            },
+            waiting=dict(heartbeat.reservations),
         )
 
     def accounts(self) -> set[str]:
@@ -98,24 +91,21 @@
             return None
         self._turn += 1
         chosen = holders[self._turn % len(holders)]
-        self.set_waiting(chosen.router, account, chosen.waiting[account] - 1)
+        chosen.waiting[account] -= 1
+        if chosen.waiting[account] <= 0:
+            chosen.waiting.pop(account)
         return chosen
 
-    def set_waiting(self, router: str, account: str, waiting: int) -> None:
-        """Corrects the number of waiting requests after a grant.
+    def set_waiting(self, router: str, waiting: Mapping[str, int]) -> None:
+        """Replaces what waits at a router by what its answer to an offer said.
 
         Args:
             router: The router incarnation.
-            account: The client account.
-            waiting: Requests that still wait there.
+            waiting: Number of waiting requests by account.
         """
         entry = self._routers.get(router)
-        if entry is None:
-            return
-        if waiting > 0:
-            entry.waiting[account] = waiting
-        else:
-            entry.waiting.pop(account, None)
+        if entry is not None:
+            entry.waiting = dict(waiting)
 
     def drop(self, router: str) -> None:
         """Drops the reservations of a router that did not answer; a heartbeat restores them.
@@ -127,6 +117,15 @@
         if entry is not None:
             entry.waiting.clear()
 
+    def routers(self) -> list[RouterReservations]:
+        """Lists the routers that are heard.
+
+        Returns:
+            Their reservations.
+        """
+        self._expire()
+        return list(self._routers.values())
+
     def addresses(self) -> list[str]:
         """Lists the routers that are heard.
 
--- a/src/fireflymux/router.py
+++ b/src/fireflymux/router.py
@@ -19,7 +19,7 @@
 from .config_reader import ConfigReader, build_update
 from .configuration import Configuration
 from .credentials import is_fleet_key
-from .dispatch import DispatchParts, Dispatcher
+from .dispatch import Dispatcher, DispatchParts
 from .errors import ErrorKind, Refused, to_problem
 from .http_answers import answer_message, answer_problem, answer_stream, read_body
 from .limits import RateLimiter, share_of
@@ -88,6 +88,8 @@
                 totals=self.totals,
                 backlog=self.backlog,
                 metrics=self.metrics,
+                rng=random.Random(),
+                totals_seconds=settings.fleet.totals_interval_seconds,
                 heartbeat_seconds=settings.fleet.heartbeat_interval_seconds,
                 live_poll_seconds=settings.fleet.live_poll_interval_seconds,
             )
@@ -237,9 +239,9 @@
         except codec.DecodeError as error:
             return answer_problem(Refused(ErrorKind.malformed_request, str(error)))
         placement = Placement(offer.address, offer.sidecar, offer.grant)
-        accepted = router.dispatcher.accept_grant(offer.pool, offer.account, placement)
-        waiting = router.backlog.grantable(offer.pool, offer.account)
-        return answer_message(GrantReply(accepted=accepted, waiting=waiting))
+        account = router.dispatcher.accept_grant(offer, placement)
+        reservations = router.backlog.reservations(offer.pool)
+        return answer_message(GrantReply(account=account, reservations=reservations))
 
     @app.get('/v1/config')
     async def config() -> Response:
--- a/src/fireflymux/service_totals.py
+++ b/src/fireflymux/service_totals.py
@@ -43,13 +43,11 @@
             totals: Its totals; the outstanding ones replace the earlier ones.
         """
         report = self._reports.setdefault(reporter, _Report())
-        report.outstanding.clear()
         for total in totals:
             key = (total.pool, total.account)
             report.settled[key] = max(report.settled.get(key, 0.0), total.settled)
             self._floors[key] = max(self._floors.get(key, 0.0), total.floor)
-            if total.outstanding > 0:
-                report.outstanding[key] = total.outstanding
+            report.outstanding[key] = total.outstanding
 
     def forget_outstanding(self, reporter: str) -> None:
         """Drops the charges in flight of a sidecar that is gone; what it served stays.
--- a/src/fireflymux/serving.py
+++ b/src/fireflymux/serving.py
@@ -27,6 +27,8 @@
     config.errorlog = None
     config.keep_alive_timeout = _KEEP_ALIVE_SECONDS
     config.backlog = _BACKLOG
+    config.include_date_header = False
+    config.include_server_header = False
     config.graceful_timeout = 1
     config.h11_max_incomplete_size = maximum_header_bytes
     if tls.certificate_file:
--- a/src/fireflymux/sidecar.py
+++ b/src/fireflymux/sidecar.py
@@ -37,6 +37,7 @@
 from .settings import ProcessSettings
 from .sidecar_runs import Run, RunParts, SidecarRuns
 from .table_batch import TableBatch
+from .totals_table import pack_totals, unpack_totals
 from .tracing import create_tracer, start_span, to_traceparent
 
 _log = get_logger(__name__)
@@ -74,11 +75,15 @@
         self._endpoint_client = create_endpoint_client(settings.tls)
         self.platform = PlatformClients.from_settings(settings.platform, self._platform_client)
         self.reservations = Reservations(
-            sidecar.pool,
             clock=trio.current_time,
             expiry_seconds=settings.fleet.heartbeat_interval_seconds * _HEARTBEATS_TO_EXPIRY,
         )
-        self.shares = AccountShares(sidecar.pool, self.configuration.weight_of)
+        self.shares = AccountShares(
+            sidecar.pool,
+            self.configuration.weight_of,
+            clock=trio.current_time,
+            idle_seconds=settings.fleet.totals_interval_seconds,
+        )
         self.window = AdmissionWindow(
             sidecar.slots,
             target_seconds=sidecar.first_token_target_milliseconds / _MILLISECONDS,
@@ -188,18 +193,18 @@
             The state of this sidecar.
         """
         self.heard_version = max(self.heard_version, heartbeat.config_version)
-        self.shares.merge_others(heartbeat.totals)
+        if heartbeat.totals is not None:
+            self.shares.merge_others(unpack_totals(heartbeat.totals, self.sidecar.pool))
         self.reservations.replace(heartbeat)
         self.scheduler.notify()
         refused = self.check_work()
         return HeartbeatReply(
             sidecar=self.incarnation,
             endpoint=self.sidecar.endpoint,
-            pool=self.sidecar.pool,
             config_version=self.configuration.version,
             free_slots=0 if refused else self.scheduler.free_slots,
             leaving=refused is not None and refused.kind is ErrorKind.sidecar_leaving,
-            totals=self.shares.report(),
+            totals=None if heartbeat.totals is None else pack_totals(self.shares.report()),
         )
 
     async def send_offer(self, address: str, offer: GrantOffer) -> GrantReply | None:
