Predict the service of other sidecars between reports; prove the fair share on real processes

Cause of the gap that grows with the report interval: all sidecars saw the same lagging account and each made up its whole lag alone, until the next report.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -1,6 +1,7 @@
 """The two deployments of today, on loopback."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+from typing import Any
 
 import attrs
 
@@ -61,31 +62,38 @@
     }
 
 
-def start(shape: Shape, way: str, *, step_milliseconds: float = STEP_MILLISECONDS) -> Deployment:
+def start(
+    shape: Shape,
+    way: str,
+    *,
+    step_milliseconds: float = STEP_MILLISECONDS,
+    fleet: Mapping[str, Any] | None = None,
+) -> Deployment:
     """Starts a deployment.
 
     Args:
         shape: Its sizes.
         way: `naive`, `chosen` or the name of a variant.
         step_milliseconds: Time of one token of a request.
+        fleet: Settings of the section [fleet] that replace the defaults.
     """
-    fleet = Fleet(
+    running = Fleet(
         variant='' if way in {'naive', 'chosen'} else way,
         settings={
             'sidecar': {'prompt_token_weight': 0},
-            'fleet': {'maximum_routers': shape.routers},
+            'fleet': {'maximum_routers': shape.routers, **(fleet or {})},
             'observability': {'trace_file': ''},
         },
     )
-    fleet.start_platform()
+    running.start_platform()
     weights = account_weights(shape.accounts)
-    fleet.add_contracts(
+    running.add_contracts(
         [{'account': name, 'pools': [POOL], 'weight': weight} for name, weight in weights.items()]
     )
     engines: list[str] = []
     per_process = 3
     for first in range(0, shape.engines, per_process):
-        engines += fleet.start_engines(
+        engines += running.start_engines(
             f'engines-{first}',
             min(per_process, shape.engines - first),
             slots=shape.slots,
@@ -93,12 +101,12 @@
         )
     if way == 'naive':
         routers = [
-            fleet.start_naive_router(f'router-{number}', engines)
+            running.start_naive_router(f'router-{number}', engines)
             for number in range(shape.routers)
         ]
-        return Deployment(shape, fleet, engines, routers, [], weights)
+        return Deployment(shape, running, engines, routers, [], weights)
     sidecars = [
-        fleet.start_sidecar(
+        running.start_sidecar(
             f'sidecar-{number}',
             endpoint_url=url,
             pool=POOL,
@@ -109,11 +117,11 @@
         for number, url in enumerate(engines)
     ]
     routers = [
-        fleet.start_router(f'router-{number}', failure_domain=f'domain-{number % shape.domains}')
+        running.start_router(f'router-{number}', failure_domain=f'domain-{number % shape.domains}')
         for number in range(shape.routers)
     ]
-    fleet.wait_ready()
-    return Deployment(shape, fleet, engines, routers, sidecars, weights)
+    running.wait_ready()
+    return Deployment(shape, running, engines, routers, sidecars, weights)
 
 
 def backlogged(
--- /dev/null
+++ b/features/steps/fair_share_steps.py
@@ -0,0 +1,181 @@
+"""Steps of the fair share."""
+
+import os
+import threading
+import time
+
+import trio
+from behave import given, then, when
+
+from bench.deployment import POOL, Shape, account_names, start
+from bench.fairness import bound
+from emulator.fleet import wait_until
+from emulator.load import AccountLoad, Load, fairness_gap, utilisation
+
+_STEP_SECONDS = 0.01
+_LARGEST_COST = 18
+_SMALLEST_COST = 2
+_TOTALS_SECONDS = 0.5
+_EXCHANGE_SECONDS = 0.05
+_WARM_UP_SECONDS = 2.0
+
+
+@given('a model fleet of {engines:d} engines with {slots:d} slots and {routers:d} routers')
+def start_fleet(context, engines, slots, routers):
+    context.shape = Shape(
+        name='test', routers=routers, domains=routers, engines=engines, accounts=4, slots=slots
+    )
+    context.deployment = start(
+        context.shape,
+        os.environ.get('FIREFLYMUX_VARIANT', 'chosen'),
+        step_milliseconds=_STEP_SECONDS * 1000,
+        fleet={'totals_interval_seconds': _TOTALS_SECONDS, 'heartbeat_interval_seconds': 0.25},
+    )
+    context.fleet = context.deployment.fleet
+    context.closers.append(context.fleet.close)
+
+
+def _loads(context, **replaced):
+    urls = [router.address for router in context.deployment.routers]
+    loads = {}
+    for number, (name, weight) in enumerate(context.deployment.weights.items()):
+        scale = 3 if number == 1 else 1
+        loads[name] = {
+            'account': name,
+            'weight': weight,
+            'routers': [urls[0]] if number == 2 else urls,
+            'open_requests': 14,
+            'tokens': (_SMALLEST_COST * scale, _LARGEST_COST // 3 * scale),
+        }
+    for name, terms in replaced.items():
+        loads[name].update(terms)
+    return [AccountLoad(**terms) for terms in loads.values()]
+
+
+def _run(context, seconds, loads, events=()):
+    """Applies the load while events happen at their seconds."""
+
+    def act():
+        began = time.monotonic()
+        for at, event in events:
+            time.sleep(max(0.0, began + at - time.monotonic()))
+            event()
+
+    thread = threading.Thread(target=act)
+    thread.start()
+    load = Load(loads, context.deployment.engines, seed=7, model=POOL)
+    context.result = trio.run(load.run, seconds)
+    thread.join()
+
+
+@when('every account is backlogged for {seconds:d} seconds')
+def run_backlog(context, seconds):
+    _run(context, seconds, _loads(context))
+
+
+@when('the largest account floods one router for {seconds:d} seconds')
+def run_flood(context, seconds):
+    router = context.deployment.routers[0].address
+    _run(context, seconds, _loads(context, a000={'open_requests': 120, 'routers': [router]}))
+
+
+@when('an account sleeps for {asleep:d} seconds and is backlogged for {awake:d} more')
+def run_sleeper(context, asleep, awake):
+    context.since = asleep + _EXCHANGE_SECONDS
+    _run(context, asleep + awake, _loads(context, a003={'start': asleep}))
+
+
+@when(
+    'a router is frozen from second {first:d} to second {last:d} of {seconds:d} seconds of backlog'
+)
+def run_frozen_router(context, first, last, seconds):
+    router = context.deployment.routers[1]
+    context.since = last + 2 * _TOTALS_SECONDS
+    _run(context, seconds, _loads(context), [(first, router.freeze), (last, router.thaw)])
+
+
+@when('a sidecar is killed and replaced at second {at:d} of {seconds:d} seconds of backlog')
+def run_replaced_sidecar(context, at, seconds):
+    def replace():
+        context.deployment.sidecars[0].kill()
+        context.fleet.drop_live('sidecar-0')
+        context.fleet.start_sidecar(
+            'sidecar-new',
+            endpoint_url=context.deployment.engines[0],
+            pool=POOL,
+            kind='engine',
+            slots=context.shape.slots,
+        )
+
+    _run(context, seconds, _loads(context), [(at, replace)])
+
+
+@when('an endpoint joins at second {at:d} of {seconds:d} seconds of backlog')
+def run_join(context, at, seconds):
+    url = context.fleet.start_engines(
+        'engines-new', 1, slots=context.shape.slots, step_milliseconds=_STEP_SECONDS * 1000
+    )[0]
+    context.joined = url
+    context.deployment.engines.append(url)
+
+    def join():
+        context.fleet.start_sidecar(
+            'sidecar-new', endpoint_url=url, pool=POOL, kind='engine', slots=context.shape.slots
+        )
+
+    _run(context, seconds, _loads(context), [(at, join)])
+
+
+def _bound(context):
+    rate = context.shape.engines * context.shape.slots / _STEP_SECONDS
+    return bound(context.shape, _LARGEST_COST, report_seconds=_TOTALS_SECONDS, rate=rate)
+
+
+def _check_gap(context, start_at):
+    gap = fairness_gap(context.result, context.deployment.weights, start=start_at)
+    limit = _bound(context)
+    print('gap {0:.0f}, bound {1:.0f}'.format(gap, limit))
+    assert gap <= limit, (gap, limit)
+
+
+@then('the fairness gap is within the bound')
+def check_gap(context):
+    _check_gap(context, _WARM_UP_SECONDS)
+
+
+@then('the fairness gap since it woke is within the bound')
+def check_gap_awake(context):
+    _check_gap(context, context.since)
+
+
+@then('the fairness gap since its return is within the bound')
+def check_gap_returned(context):
+    _check_gap(context, context.since)
+
+
+@then('the slots are used as far as one message exchange for each request allows')
+def check_utilisation(context):
+    mean_cost = (_SMALLEST_COST + _LARGEST_COST // 3) / 2
+    service = mean_cost * _STEP_SECONDS
+    least = service / (service + _EXCHANGE_SECONDS)
+    slots = context.shape.engines * context.shape.slots
+    used = utilisation(context.result, slots, start=_WARM_UP_SECONDS)
+    print('utilisation {0:.3f}, least {1:.3f}'.format(used, least))
+    assert used >= least, (used, least)
+
+
+@then('the smallest account got at least half of its share')
+def check_smallest(context):
+    samples = [item for item in context.result.samples if item[0] >= _WARM_UP_SECONDS]
+    first, last = samples[0][1], samples[-1][1]
+    got = {name: last.get(name, 0) - first.get(name, 0) for name in account_names(4)}
+    weights = context.deployment.weights
+    share = sum(got.values()) * weights['a003'] / sum(weights.values())
+    assert got['a003'] >= share / 2, (got, share)
+
+
+@then('the endpoint that joined served requests')
+def check_joined(context):
+    served = context.fleet.client.get(context.joined + '/served').json()['served']
+    assert sum(served.values()) > 0
+    wait_until(lambda: True, seconds=1, what='')
--- a/src/fireflymux/account_shares.py
+++ b/src/fireflymux/account_shares.py
@@ -15,6 +15,7 @@
 
 _ESTIMATE_GAIN = 0.2
 _NEVER = float('-inf')
+_RATIO_LIMIT = 1000.0
 #: Estimate for an account of which nothing is known, in cost units.
 DEFAULT_ESTIMATE = 50.0
 
@@ -45,6 +46,7 @@
 class _Share:
     settled: float = 0.0
     others_settled: float = 0.0
+    settled_at_report: float = 0.0
     others_outstanding: float = 0.0
     floor: float = 0.0
     estimate: float = DEFAULT_ESTIMATE
@@ -79,6 +81,7 @@
         self._charges: dict[str, set[int]] = {}
         self._open: dict[int, Charge] = {}
         self._latest = 0.0
+        self._others_ratio = 0.0
 
     def open_charge(self, account: str) -> Charge:
         """Charges the expected cost of a request at its grant.
@@ -126,13 +129,10 @@
         Args:
             totals: Sum over the other sidecars, as one router knows it.
         """
-        for total in totals:
-            if total.pool != self._pool:
-                continue
-            share = self._share(total.account)
-            share.others_settled = max(share.others_settled, total.settled)
-            share.others_outstanding = total.outstanding
-            share.floor = max(share.floor, total.floor)
+        listed = {total.account: total for total in totals if total.pool == self._pool}
+        for account in {*self._shares, *listed}:
+            self._merge_one(self._share(account), listed.get(account))
+        self._update_ratio()
 
     def update_active(self, waiting: Iterable[str]) -> None:
         """Lifts the accounts that were idle and have requests again.
@@ -165,7 +165,7 @@
         running = self._charges.get(account, ())
         outstanding = sum(self._open[key].outstanding for key in running)
         known = share.settled + share.others_settled + share.floor
-        return known + share.others_outstanding + outstanding
+        return known + self._predict_others(share) + share.others_outstanding + outstanding
 
     def report(self) -> list[ServiceTotal]:
         """Lists what this sidecar metered.
@@ -186,6 +186,29 @@
             for account, share in self._shares.items()
         ]
 
+    def _merge_one(self, share: _Share, total: ServiceTotal | None) -> None:
+        reported = total.settled if total else 0.0
+        # A report that knows less than an earlier one says nothing about the time since.
+        if reported >= share.others_settled:
+            share.others_settled = reported
+            share.settled_at_report = share.settled
+        if total is not None:
+            share.others_outstanding = total.outstanding
+            share.floor = max(share.floor, total.floor)
+
+    def _predict_others(self, share: _Share) -> float:
+        """Expects the others to have served since their report as this sidecar did.
+
+        They saw the same totals. Without this, every sidecar makes up the whole lag of an
+        account on its own, and the account is far ahead when the next report comes.
+        """
+        return (share.settled - share.settled_at_report) * self._others_ratio
+
+    def _update_ratio(self) -> None:
+        others = sum(share.others_settled for share in self._shares.values())
+        own = sum(share.settled for share in self._shares.values())
+        self._others_ratio = min(others / own, _RATIO_LIMIT) if own > 0 else 0.0
+
     def _running(self) -> frozenset[str]:
         here = frozenset(account for account, keys in self._charges.items() if keys)
         elsewhere = frozenset(
