--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -97,6 +97,7 @@
         self.client = httpx.Client(timeout=30, trust_env=False)
         self._settings = settings or {}
         self._platform = ''
+        self.listen_port: int | str = 0
 
     def __enter__(self) -> 'Fleet':
         """Returns the fleet."""
@@ -133,8 +134,7 @@
         """Starts services in one process and returns their URLs."""
         return self._start_endpoints('emulator.service', name, count, options)
 
-    @staticmethod
-    def together(*starts: Callable[[], Any]) -> list[Any]:
+    def together(self, *starts: Callable[[], Any]) -> list[Any]:
         """Starts several processes at the same time and returns what the calls return."""
         with ThreadPoolExecutor(max_workers=len(starts)) as pool:
             return [future.result() for future in [pool.submit(start) for start in starts]]
@@ -281,9 +281,10 @@
             )
         sidecars = [item for item in roles if self._is_sidecar(item)]
         routers = [item for item in roles if item not in sidecars]
+        fanout = self._settings.get('router', {}).get('reservation_fanout', len(sidecars))
         for router in routers:
             wait_until(
-                lambda item=router: self._count_up(item) >= len(sidecars),
+                lambda item=router: self._count_up(item) >= min(len(sidecars), fanout),
                 seconds=seconds,
                 what='{0} does not hear every sidecar'.format(router.name),
             )
@@ -317,7 +318,7 @@
                 'name': name,
                 'failure_domain': failure_domain,
                 'listen_host': '127.0.0.1',
-                'listen_port': 0,
+                'listen_port': self.listen_port,
             },
             'fleet': {'key': FLEET_KEY},
             'platform': self._platform_section(),
--- a/emulator/variants.py
+++ b/emulator/variants.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 
-from fireflymux import claims, cli, configuration, grants, sidecar
+from fireflymux import account_shares, claims, cli, configuration, grants, sidecar
 from fireflymux.account_shares import AccountShares, Charge
 
 
@@ -54,7 +54,8 @@
 
 def no_prediction() -> None:
     """Takes the reports of others as they are, however old."""
-    AccountShares._predict_others = lambda _shares, _share: 0.0
+    account_shares._REPORT_GAIN = 1.0
+    AccountShares._update_ratio = lambda _shares: None
 
 
 def no_floor() -> None:
--- /dev/null
+++ b/features/draining.feature
@@ -0,0 +1,39 @@
+Feature: What leaves gets no new work and cuts off nothing
+
+  Scenario: An endpoint is announced as leaving
+    Given a small fleet
+    And families stream chats all the time
+    When engine-0 is announced as leaving
+    Then engine-0 starts nothing from 5 seconds after the announcement on
+    And every answer was whole
+
+  Scenario: The sidecar is frozen while its endpoint is announced as leaving
+    Given a small fleet
+    And families stream chats all the time
+    When engine-0 is frozen while it is announced as leaving, and wakes 6 seconds later
+    Then engine-0 starts nothing from 5 seconds after the announcement on
+
+  Scenario: The live list lags and the endpoint is announced as leaving
+    Given a small fleet whose live list lags by 8 seconds
+    And families stream chats all the time
+    When engine-0 is announced as leaving
+    Then engine-0 starts nothing from 5 seconds after the announcement on
+
+  Scenario: Two operators race to announce the same endpoint
+    Given a small fleet
+    When two operators announce engine-0 as leaving and as joined from the same version
+    Then one is accepted and the other gets a conflict that names the winner's version
+
+  Scenario: A sidecar stops as planned
+    Given a small fleet
+    And families stream chats all the time
+    When engine-0 is told to stop
+    Then it exits with code 0
+    And every answer was whole
+
+  Scenario: A router stops as planned
+    Given a small fleet
+    And families stream chats through router-1
+    When router-0 finishes a stream of 300 tokens while it is told to stop
+    Then it exits with code 0
+    And every answer was whole
--- /dev/null
+++ b/features/steps/configuration_steps.py
@@ -0,0 +1,200 @@
+"""Steps of the configuration."""
+
+import time
+
+import orjson
+from behave import given, then, when
+from hypothesis import given as generate
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies
+
+from emulator.callers import chat
+from emulator.fleet import wait_until
+from fireflymux.configuration import Configuration
+from fireflymux.credentials import digest_key
+from fireflymux.messages import ConfigChange, Contract
+
+
+@when('an operator creates a contract for {account}')
+def create(context, account):
+    context.fleet.add_contract(account, 'farewell')
+
+
+@given('an operator created a contract for {account} that is in force')
+def create_in_force(context, account):
+    create(context, account)
+    check_served(context, account, 12)
+
+
+@when('an operator retires the contract of {account}')
+def retire(context, account):
+    done = context.fleet.operate('contract', 'retire', account)
+    assert done.returncode == 0, done
+
+
+def _routers(context):
+    return [
+        process
+        for name, process in context.fleet.processes.items()
+        if name.startswith('router-') and process.popen.poll() is None
+    ]
+
+
+def _ask(router, account):
+    return chat(router.address, account, tokens=1, model='farewell')
+
+
+@then('{account} are served by every router within {seconds:d} seconds')
+def check_served(context, account, seconds):
+    deadline = time.monotonic() + seconds
+    for router in _routers(context):
+        wait_until(
+            lambda router=router: _ask(router, account).status == 200,
+            seconds=deadline - time.monotonic(),
+            what='{0} does not serve {1}'.format(router.name, account),
+        )
+
+
+@then('{account} are served by {name} within {seconds:d} seconds')
+def check_served_by(context, account, name, seconds):
+    router = context.fleet.processes[name]
+    wait_until(lambda: _ask(router, account).status == 200, seconds=seconds, what='not served')
+
+
+@then('{account} are refused by every router within {seconds:d} seconds')
+def check_refused(context, account, seconds):
+    for router in _routers(context):
+        wait_until(
+            lambda router=router: _ask(router, account).problem.get('kind') == 'account_retired',
+            seconds=seconds,
+            what='{0} still serves {1}'.format(router.name, account),
+        )
+
+
+@then('families are served by every router')
+def check_families(context):
+    for router in _routers(context):
+        answer = _ask(router, 'families')
+        assert answer.status == 200, answer
+
+
+@when('{count:d} operators change the contract of {account} from the same version')
+def race(context, count, account):
+    listed = context.fleet.operate('contract', 'list', '--json')
+    version = {row['account']: row['version'] for row in orjson.loads(listed.stdout)}[account]
+
+    def change(weight):
+        return context.fleet.operate(
+            'contract', 'change', account, '--if-version', str(version), '--weight', str(weight)
+        )
+
+    starts = [lambda weight=weight: change(weight) for weight in range(1, count + 1)]
+    context.outcomes = context.fleet.together(*starts)
+
+
+@then("one is accepted and the others get a conflict that names the winner's version")
+def check_race(context):
+    codes = sorted(done.returncode for done in context.outcomes)
+    assert codes == [0] + [3] * (len(codes) - 1), context.outcomes
+    for done in context.outcomes:
+        assert done.returncode == 0 or 'is at version 3' in done.stderr, done
+
+
+@then('the configuration holds exactly one change for {account}')
+def check_one_change(context, account):
+    status = orjson.loads(context.fleet.operate('status', 'show', '--json').stdout)
+    assert status[0]['version'] == 3, status
+
+
+@given('the live list is down')
+def lose_live(context):
+    context.fleet.set_fault('live', 'down')
+
+
+@when('{seconds:d} seconds pass')
+def wait(context, seconds):
+    time.sleep(seconds)
+
+
+@when('router-0 is replaced by {name} that remembers nothing')
+def replace_router(context, name):
+    context.fleet.processes['router-0'].kill()
+    context.fleet.drop_live('router-0')
+    context.fleet.start_router(name)
+
+
+def _change(version, weight=1.0):
+    contract = Contract(
+        account='account-{0}'.format(version % 5),
+        weight=weight + version,
+        rate_per_second=1,
+        concurrency=1,
+        queue_length=1,
+        pools=['p'],
+        key_digest=digest_key('x'),
+    )
+    return ConfigChange(version=version, change_id=str(version), operator='o', contract=contract)
+
+
+@given('a replica at version {version:d}')
+def make_replica(context, version):
+    context.replica = Configuration()
+    context.replica.apply([_change(number) for number in range(1, version + 1)])
+    context.before = context.replica.to_snapshot()
+
+
+@when('a peer offers a snapshot of version {version:d} and the changes {first:d} to {last:d}')
+def offer_stale(context, version, first, last):
+    stale = Configuration()
+    stale.apply([_change(number) for number in range(1, version + 1)])
+    context.replica.replace(stale.to_snapshot())
+    context.replica.apply([_change(number, 99.0) for number in range(first, last + 1)])
+
+
+@then('the replica is at version {version:d} and its content did not change')
+def check_unchanged(context, version):
+    assert context.replica.version == version
+    assert context.replica.to_snapshot() == context.before
+
+
+@given('changes 1 to {last:d} of one configuration')
+def make_changes(context, last):
+    context.changes = [_change(number) for number in range(1, last + 1)]
+    # The naive version: the whole history, replayed from the start for every version.
+    context.naive = {0: {}}
+    for change in context.changes:
+        held = dict(context.naive[change.version - 1])
+        held[change.contract.account] = change.contract.weight
+        context.naive[change.version] = held
+
+
+@when('replicas receive them in any order, repeated, with gaps and with snapshots between')
+def deliver(context):
+    changes = context.changes
+    events = strategies.one_of(
+        strategies.lists(strategies.sampled_from(changes), max_size=12),
+        strategies.integers(0, len(changes)),
+    )
+
+    @hypothesis_settings(max_examples=300, derandomize=True, deadline=None, database=None)
+    @generate(strategies.lists(events, max_size=30))
+    def run(schedule):
+        replica = Configuration()
+        for event in schedule:
+            before = replica.version
+            if isinstance(event, list):
+                replica.apply(event)
+            else:
+                other = Configuration()
+                other.apply(changes[:event])
+                replica.replace(other.to_snapshot())
+            assert replica.version >= before
+            held = {name: item.weight for name, item in replica.contracts.items()}
+            assert held == context.naive[replica.version]
+
+    context.run = run
+
+
+@then('no version ever falls and equal versions hold equal content')
+def check_deliveries(context):
+    context.run()
--- /dev/null
+++ b/features/steps/draining_steps.py
@@ -0,0 +1,138 @@
+"""Steps of draining."""
+
+import threading
+import time
+
+import httpx
+from behave import given, then, when
+
+from emulator.callers import chat
+from emulator.small_fleet import start_small_fleet
+
+
+@given('a small fleet whose live list lags by {seconds:d} seconds')
+def start_lagging(context, seconds):
+    context.fleet = start_small_fleet(live_lag=0.2)
+    context.closers.append(context.fleet.close)
+    # Entries of the list are frozen from here on, which is the longest lag.
+    context.fleet.set_fault('live', 'down')
+
+
+def _stream_all_the_time(context, routers):
+    context.answers = []
+    context.stop = threading.Event()
+
+    def keep_asking(number):
+        address = context.fleet.processes[routers[number % len(routers)]].address
+        while not context.stop.is_set():
+            answer = chat(address, 'families', tokens=40, model='farewell')
+            context.answers.append(answer)
+
+    threads = [threading.Thread(target=keep_asking, args=(number,)) for number in range(12)]
+    for thread in threads:
+        thread.start()
+
+    def finish():
+        context.stop.set()
+        for thread in threads:
+            thread.join()
+
+    context.finish_streams = finish
+    context.closers.append(finish)
+    time.sleep(1)
+
+
+@given('families stream chats all the time')
+def stream_everywhere(context):
+    _stream_all_the_time(context, ('router-0', 'router-1'))
+
+
+@given('families stream chats through {name}')
+def stream_through(context, name):
+    _stream_all_the_time(context, (name,))
+
+
+def _announce(context, state):
+    done = context.fleet.operate('endpoint', 'announce', 'engine-0', state)
+    assert done.returncode == 0, done
+    context.announced = time.monotonic()
+
+
+@when('engine-0 is announced as leaving')
+def announce(context):
+    _announce(context, 'leaving')
+
+
+@when('engine-0 is frozen while it is announced as leaving, and wakes {seconds:d} seconds later')
+def announce_frozen(context, seconds):
+    process = context.fleet.processes['engine-0']
+    process.freeze()
+    _announce(context, 'leaving')
+    time.sleep(seconds)
+    context.started_before = _started(context)
+    process.thaw()
+
+
+def _started(context):
+    url = context.fleet.processes['engines'].addresses[0]
+    return len(httpx.get(url + '/stats').json()['history'])
+
+
+@then('engine-0 starts nothing from {seconds:d} seconds after the announcement on')
+def check_drained(context, seconds):
+    time.sleep(max(0, context.announced + seconds - time.monotonic()))
+    before = getattr(context, 'started_before', None)
+    if before is None:
+        before = _started(context)
+    time.sleep(4)
+    assert _started(context) == before, (before, _started(context))
+
+
+@then('every answer was whole')
+def check_all_whole(context):
+    context.finish_streams()
+    assert len(context.answers) > 12
+    for answer in context.answers:
+        assert answer.is_whole and answer.received == answer.expected, answer
+
+
+@when('engine-0 is told to stop')
+def stop_sidecar(context):
+    context.stopped = context.fleet.processes['engine-0']
+    context.stopped.terminate()
+
+
+@when('router-0 finishes a stream of {tokens:d} tokens while it is told to stop')
+def stop_router(context, tokens):
+    context.stopped = context.fleet.processes['router-0']
+    results = []
+    thread = threading.Thread(
+        target=lambda: results.append(
+            chat(context.stopped.address, 'families', tokens=tokens, model='farewell')
+        )
+    )
+    thread.start()
+    time.sleep(0.5)
+    context.stopped.terminate()
+    thread.join()
+    context.answers += results
+
+
+@then('it exits with code {code:d}')
+def check_exit(context, code):
+    assert context.stopped.popen.wait(20) == code
+
+
+@when('two operators announce engine-0 as leaving and as joined from the same version')
+def race(context):
+    context.outcomes = [
+        context.fleet.operate('endpoint', 'announce', 'engine-0', state, '--if-version', '0')
+        for state in ('leaving', 'joined')
+    ]
+
+
+@then("one is accepted and the other gets a conflict that names the winner's version")
+def check_race(context):
+    codes = [done.returncode for done in context.outcomes]
+    assert codes == [0, 3], context.outcomes
+    assert 'is at version 3' in context.outcomes[1].stderr, context.outcomes
--- /dev/null
+++ b/features/steps/limits_steps.py
@@ -0,0 +1,132 @@
+"""Steps of limits and retries."""
+
+import threading
+import time
+
+import httpx
+from behave import given, then, when
+
+from emulator.callers import at_once, chat
+
+_ROUTERS = ('router-0', 'router-1')
+
+
+@given('an operator created a contract for {account} with a {term} of {limit:d}')
+def create_limited(context, account, term, limit):
+    context.fleet.add_contract(account, 'farewell', **{term: limit})
+    time.sleep(2.5)
+
+
+@given('an operator created a contract for {account} with a rate of {limit:d} per second')
+def create_with_rate(context, account, limit):
+    create_limited(context, account, 'rate', limit)
+
+
+def _ask(context, number, account, tokens=2):
+    address = context.fleet.processes[_ROUTERS[number % 2]].address
+    return chat(address, account, tokens=tokens, model='farewell')
+
+
+@when('steady asks both routers as fast as it can for {seconds:d} seconds')
+def ask_fast(context, seconds):
+    context.seconds = seconds
+    deadline = time.monotonic() + seconds
+
+    def keep_asking(number):
+        served = 0
+        while time.monotonic() < deadline:
+            served += _ask(context, number, 'steady').status == 200
+        return served
+
+    context.served = sum(at_once(8, keep_asking))
+
+
+@then('no more than {rate:d} per second and one burst were served')
+def check_rate(context, rate):
+    print('served {0}'.format(context.served))
+    assert 0 < context.served <= rate * (context.seconds + 1), context.served
+
+
+@when('steady keeps {count:d} chats open through both routers for {seconds:d} seconds')
+def keep_open(context, count, seconds):
+    deadline = time.monotonic() + seconds
+    context.most = 0
+    stop = threading.Event()
+
+    def watch():
+        while not stop.wait(0.02):
+            urls = context.fleet.processes['engines'].addresses
+            loads = [httpx.get(url + '/v1/load').json() for url in urls]
+            running = sum(load.get('running', 0) + load.get('waiting', 0) for load in loads)
+            context.most = max(context.most, running)
+
+    def keep_asking(number):
+        while time.monotonic() < deadline:
+            _ask(context, number, 'steady', tokens=30)
+
+    thread = threading.Thread(target=watch)
+    thread.start()
+    at_once(count, keep_asking)
+    stop.set()
+    thread.join()
+
+
+@then('at no time more than {limit:d} ran')
+def check_concurrency(context, limit):
+    print('most at once: {0}'.format(context.most))
+    assert 0 < context.most <= limit, context.most
+
+
+@when("one engine's process is unreachable while {count:d} chats are sent")
+def send_with_gone_engine(context, count):
+    # A sidecar whose endpoint does not listen.
+    context.fleet.start_sidecar(
+        'engine-gone', endpoint_url='http://127.0.0.1:9', pool='farewell', kind='engine', slots=8
+    )
+    time.sleep(2)
+    context.count = count
+    context.answers = at_once(
+        8, lambda number: [_ask(context, number, 'families') for _ in range(count // 8)]
+    )
+    context.answers = [answer for answers in context.answers for answer in answers]
+
+
+@then('every other chat is answered and attempts stay within the retry budget')
+def check_budget(context):
+    routers = [context.fleet.processes[name] for name in _ROUTERS]
+    retries = sum(context.fleet.metric(router, 'retries_total') for router in routers)
+    whole = sum(answer.is_whole for answer in context.answers)
+    print('{0} of {1} whole, {2} retries'.format(whole, context.count, retries))
+    # A budget of ten retries for each router and account, and a fifth of the requests.
+    assert retries <= 2 * 10 + context.count * 0.2
+    for answer in context.answers:
+        assert answer.is_whole or answer.problem['ran'] == 'no', answer
+    assert whole >= context.count / 2
+
+
+@when('flooders send {flood:d} chats at once while families send {count:d}')
+def flood(context, flood, count):
+    def send(number):
+        account = 'flooders' if number < flood else 'families'
+        return account, _ask(context, number, account, tokens=60)
+
+    results = at_once(flood + count, send)
+    context.flooded = [answer for account, answer in results if account == 'flooders']
+    context.answers = [answer for account, answer in results if account == 'families']
+
+
+@then('flooders are refused as queue_full at once')
+def check_flood(context):
+    refused = [answer for answer in context.flooded if answer.status != 200]
+    assert refused
+    for answer in refused:
+        assert answer.problem['kind'] == 'queue_full', answer
+        assert int(answer.headers['retry-after']) > 0
+        # The queue's deadline is 60 s: an answer held back until near it would be far later.
+        assert answer.seconds < 60 / 10, answer
+
+
+@then('every chat of families is whole')
+def check_families_whole(context):
+    for answer in context.answers:
+        assert answer.is_whole, answer
--- /dev/null
+++ b/features/steps/whole_answer_steps.py
@@ -0,0 +1,169 @@
+"""Steps of whole answers."""
+
+import random
+import threading
+import time
+
+import httpx
+import orjson
+from behave import given, then, when
+
+from emulator.callers import CHAT, at_once, authorization, chat, check_history
+from emulator.fleet import wait_until
+from emulator.small_fleet import histories, start_engine_sidecar, start_small_fleet
+
+
+@given('a small fleet with fixed sidecar ports')
+def start_fixed(context):
+    context.fleet = start_small_fleet(engines=1)
+    context.closers.append(context.fleet.close)
+
+
+def _stream(context, tokens, disturb):
+    """Streams a chat and disturbs the sidecar that serves it after a few tokens."""
+    results = []
+
+    def ask():
+        results.append(
+            chat(
+                context.fleet.processes['router-0'].address,
+                'families',
+                tokens=tokens,
+                model='farewell',
+            )
+        )
+
+    thread = threading.Thread(target=ask)
+    thread.start()
+    names = [name for name in context.fleet.processes if name.startswith('engine-')]
+
+    def holder():
+        for name in names:
+            if context.fleet.metric(context.fleet.processes[name], 'running_requests'):
+                return name
+        return None
+
+    name = wait_until(holder, seconds=5, what='no sidecar runs the chat')
+    time.sleep(0.3)
+    disturb(name)
+    thread.join(60)
+    context.answer = results[0]
+
+
+@when('a family streams {tokens:d} tokens and the sidecar is frozen for {seconds:d} seconds')
+def freeze_streaming(context, tokens, seconds):
+    def disturb(name):
+        context.fleet.processes[name].freeze()
+        time.sleep(seconds)
+        context.fleet.processes[name].thaw()
+
+    _stream(context, tokens, disturb)
+
+
+@when('a family streams {tokens:d} tokens and the sidecar is killed and started again')
+def restart_streaming(context, tokens):
+    def disturb(name):
+        process = context.fleet.processes[name]
+        port = process.address.rpartition(':')[2]
+        process.kill()
+        number = int(name.rpartition('-')[2])
+        url = context.fleet.processes['engines'].addresses[number]
+        context.fleet.listen_port = port
+        start_engine_sidecar(context.fleet, number, url)
+        context.fleet.listen_port = 0
+
+    _stream(context, tokens, disturb)
+
+
+@when('a family streams {tokens:d} tokens and the engine crashes')
+def crash_streaming(context, tokens):
+    def disturb(name):
+        number = int(name.rpartition('-')[2])
+        url = context.fleet.processes['engines'].addresses[number]
+        httpx.post(url + '/crash')
+
+    _stream(context, tokens, disturb)
+
+
+@when('a family streams {tokens:d} tokens and the sidecar is killed')
+def kill_streaming(context, tokens):
+    _stream(context, tokens, lambda name: context.fleet.processes[name].kill())
+
+
+@then('the answer ends with an explicit error')
+def check_cut(context):
+    assert context.answer.status == 200, context.answer
+    assert not context.answer.is_whole, context.answer
+    assert 'event: error' in context.answer.text, context.answer
+    received = context.answer.received
+    assert received == context.answer.expected[: len(received)], context.answer
+
+
+@when('a family leaves after the first token of {tokens:d}')
+def leave(context, tokens):
+    body = {
+        'model': 'farewell',
+        'messages': [{'role': 'user', 'content': 'hello'}],
+        'stream': True,
+        'emulator': {'tokens': tokens, 'nonce': 'leaver'},
+    }
+    url = context.fleet.processes['router-0'].address + CHAT
+    with httpx.stream(
+        'POST', url, headers=authorization('families'), content=orjson.dumps(body)
+    ) as response:
+        next(response.iter_bytes())
+
+
+@then('no engine runs anything after {seconds:d} seconds')
+def check_idle(context, seconds):
+    def idle():
+        urls = context.fleet.processes['engines'].addresses
+        return not any(httpx.get(url + '/v1/load').json().get('running') for url in urls)
+
+    wait_until(idle, seconds=seconds, what='an engine still runs the request')
+
+
+@when('{count:d} chats run while sidecars freeze and engines crash')
+def run_disturbed(context, count):
+    rng = random.Random(5)
+    stop = threading.Event()
+
+    def disturb():
+        while not stop.wait(0.4):
+            number = rng.randrange(2)
+            if rng.random() < 0.7:
+                process = context.fleet.processes['engine-{0}'.format(number)]
+                process.freeze()
+                stop.wait(rng.choice((0.2, 1.0, 4.5)))
+                process.thaw()
+            else:
+                httpx.post(context.fleet.processes['engines'].addresses[number] + '/crash')
+
+    def ask(number):
+        time.sleep(number * 0.08)
+        name = 'router-{0}'.format(number % 2)
+        tokens = 20 + number * 2
+        return chat(
+            context.fleet.processes[name].address,
+            'families',
+            tokens=tokens,
+            stream=number % 3 > 0,
+            model='farewell',
+            timeout=90,
+        )
+
+    thread = threading.Thread(target=disturb)
+    thread.start()
+    context.answers = at_once(count, ask)
+    stop.set()
+    thread.join()
+
+
+@then('the history shows that every answer is its own, whole or marked as cut')
+def check_answers(context):
+    problems = check_history(context.answers, histories(context.fleet), [])
+    whole = [answer for answer in context.answers if answer.is_whole]
+    cut = [answer for answer in context.answers if 'event: error' in answer.text]
+    print('{0} answers, {1} whole, {2} cut'.format(len(context.answers), len(whole), len(cut)))
+    assert whole
+    assert not problems, problems
--- a/src/fireflymux/_messages_generated.py
+++ b/src/fireflymux/_messages_generated.py
@@ -188,15 +188,16 @@
 
 @define(frozen=True, kw_only=True)
 class ReporterTotals:
-    """Service totals reported by one sidecar incarnation."""
+    """Service totals of one pool reported by one sidecar incarnation."""
 
     reporter: str
-    totals: list[ServiceTotal] = field(factory=list)
+    pool: str
+    table: TotalsTable
 
 
 @define(frozen=True, kw_only=True)
 class TotalsSnapshot:
-    """All service totals that a router holds, sent to a router that starts."""
+    """All service totals that a router holds, sent to a router that asks."""
 
     reporters: list[ReporterTotals] = field(factory=list)
 
--- a/src/fireflymux/account_shares.py
+++ b/src/fireflymux/account_shares.py
@@ -16,6 +16,9 @@
 _ESTIMATE_GAIN = 0.2
 _NEVER = float('-inf')
 _RATIO_LIMIT = 1000.0
+_RATIO_GAIN = 0.1
+#: Part of the difference between report and expectation that one report corrects.
+_REPORT_GAIN = 0.25
 #: Estimate for an account of which nothing is known, in cost units.
 DEFAULT_ESTIMATE = 50.0
 
@@ -44,12 +47,25 @@
 
 @attrs.define
 class _Share:
+    """Service of one account, normalized.
+
+    Attributes:
+        settled: Metered here.
+        others: Expected to have been metered by the others.
+        reported: Largest report on the others.
+        others_outstanding: Charges in flight at the others.
+        floor: Lift of an account that was idle.
+        estimate: Expected cost of its next request in cost units.
+        others_known: Whether `others` started from a report.
+    """
+
     settled: float = 0.0
-    others_settled: float = 0.0
-    settled_at_report: float = 0.0
+    others: float = 0.0
+    reported: float = 0.0
     others_outstanding: float = 0.0
     floor: float = 0.0
     estimate: float = DEFAULT_ESTIMATE
+    others_known: bool = False
 
 
 class AccountShares:
@@ -82,6 +98,9 @@
         self._open: dict[int, Charge] = {}
         self._latest = 0.0
         self._others_ratio = 0.0
+        self._has_report = False
+        self._settled_before = 0.0
+        self._reported_before = 0.0
 
     def open_charge(self, account: str) -> Charge:
         """Charges the expected cost of a request at its grant.
@@ -107,7 +126,11 @@
             amount: Cost units since the last call.
         """
         charge.metered += amount
-        self._share(charge.account).settled += amount / charge.weight
+        service = amount / charge.weight
+        share = self._share(charge.account)
+        share.settled += service
+        # The others saw the same totals, so they are expected to serve alike.
+        share.others += service * self._others_ratio
 
     def close_charge(self, charge: Charge, *, learn: bool = True) -> None:
         """Settles a charge; what was not metered is given back.
@@ -130,7 +153,7 @@
             totals: Sum over the other sidecars, as one router knows it.
         """
         listed = {total.account: total for total in totals if total.pool == self._pool}
-        for account in {*self._shares, *listed}:
+        for account in sorted(set(self._shares) | set(listed)):
             self._merge_one(self._share(account), listed.get(account))
         self._update_ratio()
 
@@ -164,8 +187,8 @@
         share = self._share(account)
         running = self._charges.get(account, ())
         outstanding = sum(self._open[key].outstanding for key in running)
-        known = share.settled + share.others_settled + share.floor
-        return known + self._predict_others(share) + share.others_outstanding + outstanding
+        known = share.settled + share.others + share.floor
+        return known + outstanding * (1 + self._others_ratio)
 
     def report(self) -> list[ServiceTotal]:
         """Lists what this sidecar metered.
@@ -187,27 +210,31 @@
         ]
 
     def _merge_one(self, share: _Share, total: ServiceTotal | None) -> None:
-        reported = total.settled if total else 0.0
-        # A report that knows less than an earlier one says nothing about the time since.
-        if reported >= share.others_settled:
-            share.others_settled = reported
-            share.settled_at_report = share.settled
         if total is not None:
             share.others_outstanding = total.outstanding
             share.floor = max(share.floor, total.floor)
-
-    def _predict_others(self, share: _Share) -> float:
-        """Expects the others to have served since their report as this sidecar did.
-
-        They saw the same totals. Without this, every sidecar makes up the whole lag of an
-        account on its own, and the account is far ahead when the next report comes.
-        """
-        return (share.settled - share.settled_at_report) * self._others_ratio
+        reported = total.settled if total else 0.0
+        # A report that knows less than an earlier one says nothing new.
+        if reported < share.reported:
+            return
+        share.reported = reported
+        gain = _REPORT_GAIN if share.others_known else 1.0
+        share.others_known = self._has_report
+        share.others += gain * (reported - share.others)
 
     def _update_ratio(self) -> None:
-        others = sum(share.others_settled for share in self._shares.values())
-        own = sum(share.settled for share in self._shares.values())
-        self._others_ratio = min(others / own, _RATIO_LIMIT) if own > 0 else 0.0
+        reported = sum(share.reported for share in self._shares.values())
+        settled = sum(share.settled for share in self._shares.values())
+        served_here = settled - self._settled_before
+        served_elsewhere = reported - self._reported_before
+        if served_here <= 0 or served_elsewhere <= 0:
+            return
+        ratio = min(served_elsewhere / served_here, _RATIO_LIMIT)
+        gain = _RATIO_GAIN if self._has_report else 1.0
+        self._others_ratio += gain * (ratio - self._others_ratio)
+        self._settled_before = settled
+        self._reported_before = reported
+        self._has_report = True
 
     def _running(self) -> frozenset[str]:
         here = frozenset(account for account, keys in self._charges.items() if keys)
--- a/src/fireflymux/peers.py
+++ b/src/fireflymux/peers.py
@@ -1,5 +1,6 @@
 """Sidecars that a router talks to: one task and one heartbeat loop for each."""
 
+import hashlib
 import random
 
 import attrs
@@ -78,6 +79,7 @@
     heartbeat_seconds: float
     totals_seconds: float
     live_poll_seconds: float
+    fanout: int
 
 
 class Peers:
@@ -92,6 +94,7 @@
         self._parts = parts
         self._address = ''
         self._peers: dict[str, Peer] = {}
+        self._pools: set[str] = set()
         self._routers: dict[str, LiveInstance] = {}
 
     @property
@@ -102,7 +105,7 @@
     @property
     def pools(self) -> set[str]:
         """Pools that have a sidecar."""
-        return {peer.instance.pool for peer in self._peers.values()}
+        return self._pools | {peer.instance.pool for peer in self._peers.values()}
 
     def find(self, address: str) -> Peer | None:
         """Finds a sidecar by its URL."""
@@ -149,7 +152,9 @@
 
     def _update(self, entries: list[LiveInstance], nursery: trio.Nursery) -> None:
         self._routers = {item.address: item for item in entries if item.role == 'router'}
-        sidecars = {item.address: item for item in entries if item.role == 'sidecar'}
+        listed = [item for item in entries if item.role == 'sidecar']
+        self._pools = {item.pool for item in listed}
+        sidecars = {item.address: item for item in self._choose(listed)}
         for address, entry in sidecars.items():
             if address in self._peers:
                 self._peers[address].instance = entry
@@ -162,6 +167,17 @@
             if not self._peers[address].is_up:
                 self._peers.pop(address).task.cancel()
 
+    def _choose(self, listed: list[LiveInstance]) -> list[LiveInstance]:
+        """Chooses the sidecars to talk to by rendezvous hashing, so that few change."""
+        ranked = sorted(listed, key=lambda item: _rank(self._address, item.address))
+        counts: dict[str, int] = {}
+        chosen = []
+        for entry in ranked:
+            counts[entry.pool] = counts.get(entry.pool, 0) + 1
+            if counts[entry.pool] <= self._parts.fanout:
+                chosen.append(entry)
+        return chosen
+
     async def _follow(self, peer: Peer) -> None:
         with peer.task:
             while True:
@@ -241,3 +257,7 @@
         _log.warning('sidecar_down', address=peer.address, reason=reason)
         for scope in list(peer.scopes):
             scope.cancel()
+
+
+def _rank(router: str, sidecar: str) -> bytes:
+    return hashlib.sha256('{0} {1}'.format(router, sidecar).encode()).digest()
--- a/src/fireflymux/router.py
+++ b/src/fireflymux/router.py
@@ -34,6 +34,7 @@
 from .serving import Server, drain, wait_for_signal
 from .settings import ProcessSettings
 from .tracing import create_tracer, start_span, to_traceparent
+from .wire_size import received_bytes, sent_bytes
 
 _log = get_logger(__name__)
 _READINESS_DELAY_SECONDS = 1.0
@@ -91,6 +92,7 @@
                 rng=random.Random(),
                 totals_seconds=settings.fleet.totals_interval_seconds,
                 heartbeat_seconds=settings.fleet.heartbeat_interval_seconds,
+                fanout=router.reservation_fanout,
                 live_poll_seconds=settings.fleet.live_poll_interval_seconds,
             )
         )
@@ -139,7 +141,7 @@
         """
         nursery.start_soon(self._read_configuration)
         nursery.start_soon(self.peers.run, address)
-        nursery.start_soon(self._fetch_totals)
+        nursery.start_soon(self._exchange_totals)
 
     def admit(self, checked: CallerRequest) -> Refused | None:
         """Applies the limits of the contract to a request that arrives.
@@ -180,18 +182,29 @@
             read=self.reader.read_platform_first,
         )
 
-    async def _fetch_totals(self) -> None:
-        """Learns from another router what the fleet has served so far."""
-        for _ in range(10):
-            await trio.sleep(self.settings.fleet.live_poll_interval_seconds)
-            for address in self._list_routers():
-                try:
-                    response = await self._link.get('{0}/v1/totals'.format(address), timeout=1)
-                    snapshot = codec.decode(response.content, TotalsSnapshot)
-                except (httpx.HTTPError, codec.DecodeError):
-                    continue
-                self.totals.merge_snapshot(snapshot)
-                return
+    async def _exchange_totals(self) -> None:
+        """Learns from other routers what sidecars served that this one does not hear."""
+        interval = self.settings.fleet.totals_interval_seconds
+        await trio.sleep(self.settings.fleet.live_poll_interval_seconds)
+        while True:
+            addresses = self._list_routers()
+            random.shuffle(addresses)
+            for address in addresses:
+                if await self._fetch_totals(address):
+                    break
+            await trio.sleep(interval)
+
+    async def _fetch_totals(self, address: str) -> bool:
+        try:
+            response = await self._link.get('{0}/v1/totals'.format(address), timeout=1)
+            response.raise_for_status()
+            snapshot = codec.decode(response.content, TotalsSnapshot)
+        except (httpx.HTTPError, codec.DecodeError):
+            return False
+        self.metrics.control_bytes.add({'direction': 'sent'}, sent_bytes(response))
+        self.metrics.control_bytes.add({'direction': 'received'}, received_bytes(response))
+        self.totals.merge_snapshot(snapshot)
+        return True
 
 
 def create_app(router: Router) -> QuartTrio:
--- a/src/fireflymux/service_totals.py
+++ b/src/fireflymux/service_totals.py
@@ -11,6 +11,7 @@
 import attrs
 
 from .messages import ReporterTotals, ServiceTotal, TotalsSnapshot
+from .totals_table import pack_totals, unpack_totals
 
 #: Pool and client account.
 ShareKey = tuple[str, str]
@@ -95,8 +96,13 @@
         """
         return TotalsSnapshot(
             reporters=[
-                ReporterTotals(reporter=name, totals=self._list_report(report))
+                ReporterTotals(
+                    reporter=name,
+                    pool=pool,
+                    table=pack_totals(self._list_report(report, pool)),
+                )
                 for name, report in self._reports.items()
+                for pool in sorted({key[0] for key in report.settled})
             ]
         )
 
@@ -104,20 +110,22 @@
         """Merges the reports that another router holds.
 
         Args:
-            snapshot: Its snapshot; the charges in flight in it are dropped.
+            snapshot: Its snapshot.
         """
         for entry in snapshot.reporters:
-            self.merge(entry.reporter, entry.totals)
+            self.merge(entry.reporter, unpack_totals(entry.table, entry.pool))
 
-    def _list_report(self, report: _Report) -> list[ServiceTotal]:
+    def _list_report(self, report: _Report, pool: str) -> list[ServiceTotal]:
         return [
             ServiceTotal(
-                pool=key[0],
+                pool=pool,
                 account=key[1],
                 settled=settled,
+                outstanding=report.outstanding.get(key, 0.0),
                 floor=self._floors.get(key, 0.0),
             )
             for key, settled in report.settled.items()
+            if key[0] == pool
         ]
 
 
