Stop requests that crash every endpoint; pause endpoints that take no calls

A sidecar whose engine was gone drew the backlog of its pool: 19 of 20 budgeted retries for 40 chats.

--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -62,6 +62,7 @@
     fencing: int = 0
     busy_slot_seconds: float = 0.0
     crashed_until: float = 0.0
+    crashes: int = 0
     load: dict[str, int] = attrs.field(factory=dict)
     served: dict[str, int] = attrs.field(factory=dict)
 
@@ -82,6 +83,7 @@
         self.batch.clear()
         self.waiting.clear()
         self.kept.clear()
+        self.crashes += 1
         self.crashed_until = trio.current_time() + _CRASH_SECONDS
 
     def step(self) -> None:
@@ -245,6 +247,7 @@
                 'slots': engine.slots,
                 'history': engine.history,
                 'orders': engine.orders,
+                'crashes': engine.crashes,
             }
         )
 
--- a/emulator/variants.py
+++ b/emulator/variants.py
@@ -58,6 +58,16 @@
     AccountShares._update_ratio = lambda _shares: None
 
 
+def small_gain() -> None:
+    """Corrects a twentieth of the difference with each report."""
+    account_shares._REPORT_GAIN = 0.05
+
+
+def middle_gain() -> None:
+    """Corrects a tenth of the difference with each report."""
+    account_shares._REPORT_GAIN = 0.1
+
+
 def no_floor() -> None:
     """Lets an account that was idle keep its credit."""
     AccountShares.update_active = lambda _shares, _waiting: None
@@ -114,6 +124,8 @@
             charge_at_end,
             no_estimate,
             own_totals,
+            small_gain,
+            middle_gain,
             no_prediction,
             no_floor,
             first_come,
--- a/features/environment.py
+++ b/features/environment.py
@@ -8,7 +8,6 @@
 
 from emulator.fleet import Fleet  # noqa: E402
 
-
 logging.getLogger('httpx').setLevel(logging.WARNING)
 
 
--- /dev/null
+++ b/features/steps/crash_steps.py
@@ -0,0 +1,137 @@
+"""Steps of requests that crash endpoints."""
+
+import threading
+import time
+
+import httpx
+import orjson
+from behave import given, then, when
+from hypothesis import given as generate
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies
+
+from emulator.callers import CHAT, Answer, at_once, authorization, chat, send
+from emulator.small_fleet import start_small_fleet
+from fireflymux.crash_registry import GUILTY, CrashRegistry
+
+
+@given('a small fleet of {engines:d} engines')
+def start(context, engines):
+    context.fleet = start_small_fleet(engines=engines)
+    context.closers.append(context.fleet.close)
+
+
+_POISON = {
+    'model': 'farewell',
+    'messages': [{'role': 'user', 'content': 'poison'}],
+    'emulator': {'nonce': 'poison', 'crash': True},
+}
+
+
+def _send_poison(context, name):
+    url = context.fleet.processes[name].address + CHAT
+    return send(Answer('poison'), 'POST', url, authorization('families'), _POISON, 60)
+
+
+@when('{count:d} chats run and a request that crashes its engine is sent through {name}')
+def run_beside(context, count, name):
+    addresses = [context.fleet.processes[item].address for item in ('router-0', 'router-1')]
+    context.beside = []
+
+    def ask(number):
+        return chat(addresses[number % 2], 'vets', tokens=150, stream=False, model='farewell')
+
+    thread = threading.Thread(target=lambda: context.beside.extend(at_once(count, ask)))
+    thread.start()
+    time.sleep(0.5)
+    context.answer = _send_poison(context, name)
+    thread.join()
+
+
+@when('the same request is sent again through {name}')
+def send_again(context, name):
+    time.sleep(1.5)
+    context.answer = _send_poison(context, name)
+
+
+@then('it is refused as {kind}')
+def check_refused(context, kind):
+    assert context.answer.problem.get('kind') == kind, context.answer
+
+
+@then('at most {count:d} engines crashed')
+def check_crashes(context, count):
+    urls = context.fleet.processes['engines'].addresses
+    crashes = [httpx.get(url + '/stats').json()['crashes'] for url in urls]
+    assert sum(crashes) <= count, crashes
+
+
+@then('every chat beside it is whole')
+def check_beside(context):
+    for answer in context.beside:
+        assert answer.is_whole and answer.received == answer.expected, answer
+
+
+@when('the engine of a stream crashes and the caller sends the same stream again')
+def crash_stream(context):
+    body = {
+        'model': 'farewell',
+        'messages': [{'role': 'user', 'content': 'hello'}],
+        'stream': True,
+        'emulator': {'nonce': 'again', 'tokens': 100},
+    }
+    url = context.fleet.processes['router-0'].address + CHAT
+    headers = authorization('families')
+    with httpx.stream('POST', url, headers=headers, content=orjson.dumps(body)) as response:
+        parts = response.iter_bytes()
+        next(parts)
+        for engine in context.fleet.processes['engines'].addresses:
+            if httpx.get(engine + '/v1/load').json().get('running'):
+                httpx.post(engine + '/crash')
+        text = b''.join(parts).decode()
+    assert 'event: error' in text
+    answer = Answer('again', tokens=100, is_stream=True)
+    context.answer = send(answer, 'POST', url, headers, body, 60)
+
+
+@then('the second answer is whole')
+def check_second(context):
+    assert context.answer.is_whole, context.answer
+    assert context.answer.received == context.answer.expected, context.answer
+
+
+@given('crash registries of {count:d} processes')
+def make_registries(context, count):
+    context.count = count
+
+
+@when('they record crashes and exchange verdicts in any order')
+def exchange(context):
+    places = strategies.integers(0, context.count - 1)
+    names = strategies.sampled_from('abc')
+    crash = strategies.tuples(strategies.just('crash'), places, names, strategies.booleans())
+    merge = strategies.tuples(strategies.just('merge'), places, places)
+
+    @hypothesis_settings(max_examples=300, derandomize=True, deadline=None, database=None)
+    @generate(strategies.lists(strategies.one_of(crash, merge), max_size=30))
+    def run(schedule):
+        registries = [CrashRegistry(clock=lambda: 0.0) for _ in range(context.count)]
+        # The naive version: the set of guilty names that each process has heard of.
+        heard = [set() for _ in range(context.count)]
+        for event in schedule:
+            if event[0] == 'crash':
+                registries[event[1]].record_crash(event[2], alone=event[3])
+                if event[3]:
+                    heard[event[1]].add(event[2])
+                continue
+            registries[event[1]].merge(registries[event[2]].list_verdicts())
+            heard[event[1]] |= heard[event[2]]
+        for registry, guilty in zip(registries, heard, strict=True):
+            assert guilty == {name for name in 'abc' if registry.state_of(name) == GUILTY}
+
+    context.run = run
+
+
+@then('a guilty request is guilty at every process that heard of it')
+def check_verdicts(context):
+    context.run()
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -6,8 +6,8 @@
 import httpx
 import orjson
 from behave import given, then, when
-from emulator.callers import CHAT, Answer, at_once, authorization, call, chat, send
 
+from emulator.callers import CHAT, Answer, at_once, authorization, call, chat, send
 from emulator.fleet import wait_until
 
 _GOOD = {'model': 'stylist', 'messages': [{'role': 'user', 'content': 'hello'}]}
--- a/src/fireflymux/_messages_generated.py
+++ b/src/fireflymux/_messages_generated.py
@@ -35,27 +35,12 @@
 
 
 @define(frozen=True, kw_only=True)
-class Heartbeat:
-    """Sent by a router to a sidecar; replaces the router's earlier reservations there, which count the waiting requests by client account."""
-
-    router: str
-    address: str
-    config_version: int
-    sequence: int
-    reservations: dict[str, int] = field(factory=dict)
-    totals: TotalsTable | None = None
+class CrashVerdict:
+    """Verdict on a request that endpoints crashed on, one of suspect and guilty."""
 
-
-@define(frozen=True, kw_only=True)
-class HeartbeatReply:
-    """Answer of a sidecar to a heartbeat; it has totals where the heartbeat has some."""
-
-    sidecar: str
-    endpoint: str
-    config_version: int
-    free_slots: int
-    leaving: bool
-    totals: TotalsTable | None = None
+    fingerprint: str
+    state: str
+    seconds_left: float
 
 
 @define(frozen=True, kw_only=True)
@@ -215,3 +200,29 @@
     content_type: str = ''
     body: str = ''
     object_name: str = ''
+
+
+@define(frozen=True, kw_only=True)
+class Heartbeat:
+    """Sent by a router to a sidecar; replaces the router's earlier reservations there, which count the waiting requests by client account."""
+
+    router: str
+    address: str
+    config_version: int
+    sequence: int
+    reservations: dict[str, int] = field(factory=dict)
+    totals: TotalsTable | None = None
+    verdicts: list[CrashVerdict] = field(factory=list)
+
+
+@define(frozen=True, kw_only=True)
+class HeartbeatReply:
+    """Answer of a sidecar to a heartbeat; it has totals where the heartbeat has some."""
+
+    sidecar: str
+    endpoint: str
+    config_version: int
+    free_slots: int
+    leaving: bool
+    totals: TotalsTable | None = None
+    verdicts: list[CrashVerdict] = field(factory=list)
--- a/src/fireflymux/_settings_generated.py
+++ b/src/fireflymux/_settings_generated.py
@@ -75,7 +75,8 @@
     maximum_body_bytes: int = 8388608
     maximum_header_bytes: int = 16384
     queue_timeout_seconds: float = 60.0
-    reservation_fanout: int = 64
+    reservation_fanout: int = 16
+    routers_per_sidecar: int = 8
     retry_limit: int = 3
 
 
--- a/src/fireflymux/answer_buffer.py
+++ b/src/fireflymux/answer_buffer.py
@@ -106,6 +106,11 @@
         assert self._failure is not None, 'an answer without head is a failure'
         return self._failure
 
+    async def wait_content(self) -> None:
+        """Waits until the first byte arrived or the answer ended."""
+        while not self._content and not self._finished:
+            await self._changed.wait()
+
     async def wait_finished(self) -> None:
         """Waits until the answer ended."""
         while not self._finished:
--- a/src/fireflymux/dispatch.py
+++ b/src/fireflymux/dispatch.py
@@ -9,6 +9,7 @@
 
 from .backlog import Backlog, Placement, Ticket
 from .caller_requests import CallerRequest
+from .crash_registry import GUILTY, SUSPECT, CrashRegistry
 from .errors import ErrorKind, Ran, Refused
 from .messages import GrantOffer, RunOrder
 from .metrics import Metrics
@@ -25,7 +26,9 @@
     )
 )
 _RETRIED_REFUSALS = frozenset((ErrorKind.endpoint_unreachable,))
+_BROKEN = frozenset((ErrorKind.outcome_unknown, ErrorKind.answer_cut, ErrorKind.endpoint_crashed))
 _BUSY_LIMIT = 1000
+_ALONE_DELAY_SECONDS = 0.1
 
 
 @attrs.define(eq=False)
@@ -54,6 +57,7 @@
     router: str
     backlog: Backlog
     peers: Peers
+    crashes: CrashRegistry
     client: RunClient
     metrics: Metrics
     rng: random.Random
@@ -91,6 +95,10 @@
         self._budget(request.account).earn()
         first = False
         while True:
+            state = self._parts.crashes.state_of(dispatch.order.fingerprint)
+            if state == GUILTY:
+                return Refused(ErrorKind.crash_suspected)
+            dispatch.order = attrs.evolve(dispatch.order, isolated=state == SUSPECT)
             refused = await self._wait_for_place(dispatch, first=first)
             if refused is not None:
                 return refused
@@ -139,6 +147,19 @@
         ticket.place(placement)
         return ticket.account
 
+    def record_cut(self, stream: Stream) -> None:
+        """Records why an answer that was being delivered broke off.
+
+        Args:
+            stream: The stream that is not whole.
+        """
+        if stream.failure is not None and stream.failure.kind is ErrorKind.endpoint_crashed:
+            self._record_crash(stream.order)
+
+    def _record_crash(self, order: RunOrder) -> None:
+        self._parts.crashes.record_crash(order.fingerprint, alone=order.isolated)
+        self._parts.peers.notify_all()
+
     def _prepare(self, request: CallerRequest, traceparent: str) -> Dispatch:
         order = RunOrder(
             request=uuid.uuid4().hex,
@@ -164,6 +185,8 @@
         )
         dispatch.ticket = ticket
         self._forget_avoided(ticket)
+        if dispatch.order.isolated:
+            return await self._place_alone(dispatch)
         if self._place_directly(ticket):
             return None
         self._parts.backlog.add(ticket, first=first)
@@ -207,6 +230,24 @@
         ticket.place(Placement(peer.address, peer.sidecar))
         return True
 
+    async def _place_alone(self, dispatch: Dispatch) -> Refused | None:
+        """Places a suspect on an endpoint that it has not crashed, without a queue."""
+        ticket = dispatch.ticket
+        while trio.current_time() < dispatch.deadline:
+            workers = [
+                peer
+                for peer in self._parts.peers.of_pool(ticket.pool)
+                if self._parts.peers.may_work(peer) and peer.sidecar not in ticket.avoid
+            ]
+            if workers and self._parts.backlog.free_concurrency(ticket.account):
+                peer = max(workers, key=lambda item: item.free_slots)
+                self._parts.backlog.start(ticket.account)
+                ticket.place(Placement(peer.address, peer.sidecar))
+                return None
+            await trio.sleep(_ALONE_DELAY_SECONDS)
+            self._forget_avoided(ticket)
+        return Refused(ErrorKind.queue_timeout)
+
     def _choose_idle(self, ticket: Ticket) -> Peer | None:
         idle = [
             peer
@@ -251,6 +292,8 @@
             return self._judge_placement(dispatch, refused)
         if refused.kind is ErrorKind.call_in_progress:
             return self._judge_in_progress(refused)
+        if refused.kind is ErrorKind.endpoint_crashed:
+            self._record_crash(dispatch.order)
         if not self._may_retry(dispatch, refused):
             return refused
         dispatch.failures += 1
@@ -283,7 +326,7 @@
             return False
         if refused.outcome is Ran.no:
             return refused.kind in _RETRIED_REFUSALS
-        if refused.kind not in {ErrorKind.outcome_unknown, ErrorKind.answer_cut}:
+        if refused.kind not in _BROKEN:
             return False
         # A claimed call may be sent to any sidecar: the claim decides whether it runs.
         has_lost_transfer = refused.kind is ErrorKind.outcome_unknown and not refused.writer
--- a/src/fireflymux/endpoint_call.py
+++ b/src/fireflymux/endpoint_call.py
@@ -106,8 +106,9 @@
             headers=self._headers(call),
         )
         failure = await self._stream(call, request, started=trio.current_time())
-        if failure is not None and call.buffer.size > 0:
-            failure = await self.resume_engine(call, 0)
+        if failure is not None and failure.kind is not ErrorKind.endpoint_unreachable:
+            resumed = await self.resume_engine(call, 0)
+            failure = None if resumed is None else failure
         call.buffer.finish(failure)
 
     async def resume_engine(self, call: EndpointCall, base: int) -> Refused | None:
@@ -156,11 +157,11 @@
         try:
             response = await self._client.send(request, stream=True)
         except httpx.HTTPError as error:
-            return _classify(error, ErrorKind.answer_cut)
+            return _classify(error, ErrorKind.endpoint_crashed)
         try:
             return await self._receive(call, response, started=started)
         except httpx.HTTPError as error:
-            return Refused(ErrorKind.answer_cut, repr(error))
+            return Refused(ErrorKind.endpoint_crashed, repr(error))
         finally:
             await response.aclose()
 
@@ -178,6 +179,10 @@
             return Refused(ErrorKind.answer_cut, 'the engine answered another request')
         content_type = _content_type(response)
         is_stream = content_type.startswith(EVENT_STREAM)
+        if response.status_code == httpx.codes.SERVICE_UNAVAILABLE:
+            return Refused(ErrorKind.endpoint_unreachable, 'the engine takes no requests now')
+        if response.status_code >= httpx.codes.INTERNAL_SERVER_ERROR:
+            return Refused(ErrorKind.endpoint_crashed, 'status {0}'.format(response.status_code))
         call.buffer.start(AnswerHead(response.status_code, content_type))
         async for chunk in response.aiter_raw():
             if started is not None:
@@ -191,7 +196,7 @@
             return None
         if call.buffer.ends_with(STREAM_END):
             return None
-        return Refused(ErrorKind.answer_cut, 'the stream ended early')
+        return Refused(ErrorKind.endpoint_crashed, 'the stream ended early')
 
     def _headers(self, call: EndpointCall) -> dict[str, str]:
         headers = {
--- a/src/fireflymux/errors.py
+++ b/src/fireflymux/errors.py
@@ -39,6 +39,7 @@
     call_in_progress = 'call_in_progress'
     outcome_unknown = 'outcome_unknown'
     crash_suspected = 'crash_suspected'
+    endpoint_crashed = 'endpoint_crashed'
     answer_cut = 'answer_cut'
     answer_expired = 'answer_expired'
     retries_exhausted = 'retries_exhausted'
@@ -122,6 +123,12 @@
             60,
             'Endpoints crashed while they ran this request',
         ),
+        ErrorKind.endpoint_crashed: Answer(
+            502,
+            Ran.unknown,
+            1,
+            'The endpoint broke off while it ran the request',
+        ),
         ErrorKind.answer_cut: Answer(502, Ran.yes, 1, 'The answer broke off'),
         ErrorKind.answer_expired: Answer(410, Ran.unknown, 0, 'The answer is no longer kept'),
         ErrorKind.retries_exhausted: Answer(
--- a/src/fireflymux/grants.py
+++ b/src/fireflymux/grants.py
@@ -22,6 +22,9 @@
 
 #: Longest wait for the request after a router accepted a grant.
 GRANT_TIMEOUT_SECONDS = 2.0
+#: Longest time that an endpoint is kept free of other work for a suspect.
+_ISOLATION_TIMEOUT_SECONDS = 30.0
+_ISOLATION_POLL_SECONDS = 0.02
 
 #: Sends an offer to a router; None means that the router did not answer.
 OfferSender = Callable[[str, GrantOffer], Awaitable[GrantReply | None]]
@@ -80,10 +83,14 @@
         self._changed = trio.Event()
         self._is_searching = False
         self._is_search_due = False
+        self._is_isolated = False
+        self._alone: Slot | None = None
 
     @property
     def free_slots(self) -> int:
         """Slots that are neither in use nor on offer."""
+        if self._is_isolated:
+            return 0
         return max(self._window.limit - len(self._running) - len(self._pending), 0)
 
     @property
@@ -120,6 +127,31 @@
             return Refused(ErrorKind.sidecar_busy)
         return self._occupy(self._shares.open_charge(account))
 
+    async def admit_alone(self, account: str) -> Slot | Refused:
+        """Gives the whole endpoint to one request.
+
+        Args:
+            account: The client account.
+
+        Returns:
+            The slot once nothing else runs, or why the request may not run here now.
+        """
+        if self._is_isolated:
+            return Refused(ErrorKind.sidecar_busy, 'another suspect runs alone')
+        self._is_isolated = True
+        with trio.move_on_after(_ISOLATION_TIMEOUT_SECONDS):
+            while self._running or self._pending:
+                await trio.sleep(_ISOLATION_POLL_SECONDS)
+        refused = self._check_work()
+        if refused is None and (self._running or self._pending):
+            refused = Refused(ErrorKind.sidecar_busy, 'the endpoint did not become idle')
+        if refused is not None:
+            self._is_isolated = False
+            return refused
+        slot = self._occupy(self._shares.open_charge(account))
+        self._alone = slot
+        return slot
+
     def occupy_resumed(self, account: str) -> Slot:
         """Takes a slot for a request that already runs on the endpoint.
 
@@ -139,6 +171,9 @@
             learn: Whether the request ran to its end.
         """
         self._running.discard(slot)
+        if slot is self._alone:
+            self._alone = None
+            self._is_isolated = False
         self._shares.close_charge(slot.charge, learn=learn)
         self._metrics.running.set({}, len(self._running))
         self._is_search_due = True
--- a/src/fireflymux/peers.py
+++ b/src/fireflymux/peers.py
@@ -11,6 +11,7 @@
 from .backlog import Backlog
 from .config_reader import ConfigReader
 from .configuration import Configuration
+from .crash_registry import CrashRegistry
 from .links import LINK_TIMEOUT_SECONDS
 from .logs import get_logger
 from .messages import Heartbeat, HeartbeatReply, LiveInstance
@@ -73,6 +74,7 @@
     configuration: Configuration
     reader: ConfigReader
     totals: ServiceTotals
+    crashes: CrashRegistry
     backlog: Backlog
     metrics: Metrics
     rng: random.Random
@@ -80,6 +82,7 @@
     totals_seconds: float
     live_poll_seconds: float
     fanout: int
+    fanin: int
 
 
 class Peers:
@@ -135,6 +138,11 @@
         for peer in sample:
             peer.changed.set()
 
+    def notify_all(self) -> None:
+        """Sends a heartbeat to every sidecar soon."""
+        for peer in self._peers.values():
+            peer.changed.set()
+
     async def run(self, address: str) -> None:
         """Follows the live list until cancelled.
 
@@ -168,16 +176,26 @@
                 self._peers.pop(address).task.cancel()
 
     def _choose(self, listed: list[LiveInstance]) -> list[LiveInstance]:
-        """Chooses the sidecars to talk to by rendezvous hashing, so that few change."""
+        """Chooses the sidecars to talk to by rendezvous hashing, so that few change.
+
+        A router follows the first sidecars of each pool in its own ranking, so that it
+        reaches every pool, and each sidecar in whose ranking it is among the first routers,
+        so that no sidecar is left without routers.
+        """
         ranked = sorted(listed, key=lambda item: _rank(self._address, item.address))
         counts: dict[str, int] = {}
         chosen = []
         for entry in ranked:
             counts[entry.pool] = counts.get(entry.pool, 0) + 1
-            if counts[entry.pool] <= self._parts.fanout:
+            if counts[entry.pool] <= self._parts.fanout or self._is_among_first(entry.address):
                 chosen.append(entry)
         return chosen
 
+    def _is_among_first(self, sidecar: str) -> bool:
+        mine = _rank(self._address, sidecar)
+        ahead = sum(1 for url in self.router_addresses if _rank(url, sidecar) < mine)
+        return ahead < self._parts.fanin
+
     async def _follow(self, peer: Peer) -> None:
         with peer.task:
             while True:
@@ -228,6 +246,7 @@
             sequence=peer.sequence,
             reservations=self._parts.backlog.reservations(pool) if may_work else {},
             totals=totals,
+            verdicts=self._parts.crashes.list_verdicts(),
         )
 
     def _accept(self, peer: Peer, reply: HeartbeatReply) -> None:
@@ -242,6 +261,8 @@
         peer.endpoint = reply.endpoint
         peer.is_leaving = reply.leaving
         peer.free_slots = reply.free_slots
+        if self._parts.crashes.merge(reply.verdicts):
+            self.notify_all()
         if reply.totals is not None:
             totals = unpack_totals(reply.totals, peer.instance.pool)
             self._parts.totals.merge(reply.sidecar, totals)
--- a/src/fireflymux/router.py
+++ b/src/fireflymux/router.py
@@ -18,6 +18,7 @@
 from .caller_requests import CallerRequest, ReceivedRequest, authenticate, parse_request
 from .config_reader import ConfigReader, build_update
 from .configuration import Configuration
+from .crash_registry import CrashRegistry
 from .credentials import is_fleet_key
 from .dispatch import Dispatcher, DispatchParts
 from .errors import ErrorKind, Refused, to_problem
@@ -58,6 +59,7 @@
         self.metrics = Metrics()
         self.configuration = Configuration()
         self.totals = ServiceTotals()
+        self.crashes = CrashRegistry(clock=trio.current_time)
         self.tracer = create_tracer(
             settings.observability.trace_file,
             instance=settings.instance.name,
@@ -87,12 +89,14 @@
                 configuration=self.configuration,
                 reader=self.reader,
                 totals=self.totals,
+                crashes=self.crashes,
                 backlog=self.backlog,
                 metrics=self.metrics,
                 rng=random.Random(),
                 totals_seconds=settings.fleet.totals_interval_seconds,
                 heartbeat_seconds=settings.fleet.heartbeat_interval_seconds,
                 fanout=router.reservation_fanout,
+                fanin=router.routers_per_sidecar,
                 live_poll_seconds=settings.fleet.live_poll_interval_seconds,
             )
         )
@@ -102,6 +106,7 @@
                 router=self.incarnation,
                 backlog=self.backlog,
                 peers=self.peers,
+                crashes=self.crashes,
                 client=self.run_client,
                 metrics=self.metrics,
                 rng=random.Random(),
@@ -377,6 +382,7 @@
             yield chunk
         result = 'whole' if is_whole(stream) else 'cut'
         if result == 'cut':
+            router.dispatcher.record_cut(stream)
             yield _cut_event()
     finally:
         router.answering -= 1
--- a/src/fireflymux/run_client.py
+++ b/src/fireflymux/run_client.py
@@ -38,6 +38,8 @@
         placement: Where it runs.
         response: Transfer of the answer.
         offset: Bytes received so far.
+        tail: Last bytes received.
+        failure: Why it is not whole.
     """
 
     status: int
@@ -47,6 +49,7 @@
     response: httpx.Response
     offset: int = 0
     tail: bytes = b''
+    failure: Refused | None = None
 
 
 class RunClient:
@@ -107,6 +110,8 @@
                 stream.offset,
                 Refused(ErrorKind.answer_cut, 'the transfer broke off'),
             )
+            if isinstance(outcome, Refused):
+                stream.failure = outcome
             if not isinstance(outcome, Stream):
                 return
             stream.response = outcome.response
--- a/src/fireflymux/sidecar.py
+++ b/src/fireflymux/sidecar.py
@@ -17,8 +17,10 @@
 from .claims import ClaimBook
 from .config_reader import ConfigReader
 from .configuration import Configuration
+from .crash_registry import CrashRegistry
 from .credentials import is_fleet_key
 from .endpoint_call import EndpointClient
+from .endpoint_health import EndpointHealth
 from .errors import ErrorKind, Refused
 from .grants import GrantIdentity, GrantScheduler, Slot
 from .http_answers import answer_message, answer_problem, answer_stream, read_body
@@ -89,6 +91,8 @@
             target_seconds=sidecar.first_token_target_milliseconds / _MILLISECONDS,
             clock=trio.current_time,
         )
+        self.health = EndpointHealth(clock=trio.current_time)
+        self.crashes = CrashRegistry(clock=trio.current_time)
         self.batch = TableBatch(self.platform.table, self.metrics)
         self.claims = ClaimBook(self.incarnation, self.platform, self.batch, self.metrics)
         self.reader = ConfigReader(
@@ -148,6 +152,8 @@
                     cost_per_second=self.sidecar.cost_per_second,
                 ),
                 metrics=self.metrics,
+                crashes=self.crashes,
+                health=self.health,
                 is_engine=self.sidecar.kind == 'engine',
                 keep_seconds=self.sidecar.resume_seconds,
                 maximum_answer_bytes=self.sidecar.maximum_answer_bytes,
@@ -177,6 +183,8 @@
             return Refused(ErrorKind.sidecar_leaving, 'the endpoint is announced as leaving')
         if self.configuration.version == 0:
             return Refused(ErrorKind.sidecar_unconfirmed, 'no configuration')
+        if self.health.is_paused:
+            return Refused(ErrorKind.sidecar_unconfirmed, 'the endpoint takes no calls')
         if self.configuration.version < self.heard_version:
             return Refused(ErrorKind.sidecar_unconfirmed, 'a newer configuration exists')
         if self.reader.confirmed_seconds_ago > CONFIRM_LIMIT_SECONDS:
@@ -196,6 +204,7 @@
         if heartbeat.totals is not None:
             self.shares.merge_others(unpack_totals(heartbeat.totals, self.sidecar.pool))
         self.reservations.replace(heartbeat)
+        self.crashes.merge(heartbeat.verdicts)
         self.scheduler.notify()
         refused = self.check_work()
         return HeartbeatReply(
@@ -205,6 +214,7 @@
             free_slots=0 if refused else self.scheduler.free_slots,
             leaving=refused is not None and refused.kind is ErrorKind.sidecar_leaving,
             totals=None if heartbeat.totals is None else pack_totals(self.shares.report()),
+            verdicts=self.crashes.list_verdicts(),
         )
 
     async def send_offer(self, address: str, offer: GrantOffer) -> GrantReply | None:
@@ -360,7 +370,10 @@
         joined = sidecar.runs.find_call(order)
         if joined is not None:
             return await _answer_run(sidecar, joined, order.request)
-    slot = sidecar.scheduler.admit(order.account, order.grant)
+    if order.isolated:
+        slot = await sidecar.scheduler.admit_alone(order.account)
+    else:
+        slot = sidecar.scheduler.admit(order.account, order.grant)
     if isinstance(slot, Refused):
         return answer_problem(slot)
     run = sidecar.runs.create(order, body, slot)
@@ -403,6 +416,11 @@
     request_name: str,
     offset: int,
 ) -> Response:
+    await run.buffer.wait_content()
+    failure = run.buffer.failure
+    # Nothing is left to send: tell why the answer is not whole.
+    if failure is not None and offset >= run.buffer.size:
+        return answer_problem(failure)
     head = await run.buffer.wait_head()
     if isinstance(head, Refused):
         return answer_problem(head)
--- a/src/fireflymux/sidecar_runs.py
+++ b/src/fireflymux/sidecar_runs.py
@@ -9,7 +9,9 @@
 from .admission_window import AdmissionWindow
 from .answer_buffer import AnswerBuffer
 from .claims import ClaimBook, Claimed, Replay
+from .crash_registry import CrashRegistry
 from .endpoint_call import EndpointCall, EndpointClient
+from .endpoint_health import EndpointHealth
 from .errors import ErrorKind, Ran, Refused
 from .grants import GrantScheduler, Slot
 from .messages import RunOrder
@@ -51,6 +53,8 @@
     claims: ClaimBook
     endpoint: EndpointClient
     metrics: Metrics
+    crashes: CrashRegistry
+    health: EndpointHealth
     is_engine: bool
     keep_seconds: float
     maximum_answer_bytes: int
@@ -219,10 +223,24 @@
             if self._parts.is_engine:
                 await self._parts.endpoint.cancel_engine(run.call)
         run.left_at = max(run.left_at, trio.current_time())
+        self._judge_endpoint(run)
         self._parts.scheduler.release(run.slot, learn=whole)
         result = 'whole' if whole else 'failed'
         self._parts.metrics.attempts.inc({'pool': run.order.pool, 'result': result})
 
+    def _judge_endpoint(self, run: Run) -> None:
+        failure = run.buffer.failure
+        if failure is not None and failure.kind is ErrorKind.endpoint_unreachable:
+            self._parts.health.record_failure()
+            return
+        self._parts.health.record_success()
+        if failure is None:
+            if run.order.isolated:
+                self._parts.crashes.clear(run.order.fingerprint)
+            return
+        if failure.kind is ErrorKind.endpoint_crashed:
+            self._parts.crashes.record_crash(run.order.fingerprint, alone=run.order.isolated)
+
     def _create_meter(self, slot: Slot, buffer: AnswerBuffer) -> Callable[[float], None]:
         shares = self._parts.shares
         metrics = self._parts.metrics
