--- /dev/null
+++ b/features/steps/order_steps.py
@@ -0,0 +1,156 @@
+"""Steps of admission and orders to engines."""
+
+import socket
+import time
+
+import httpx
+from behave import given, then, when
+
+from emulator.callers import chat
+from emulator.fleet import Fleet, wait_until
+from emulator.small_fleet import ACCOUNTS
+from fireflymux.admission_window import AdmissionWindow
+
+
+@given('an admission window of {slots:d} slots with a target of {target:d} second')
+def make_window(context, slots, target):
+    context.now = 0.0
+    context.slots = slots
+    context.window = AdmissionWindow(slots, target_seconds=target, clock=lambda: context.now)
+
+
+@when('first tokens take {seconds:d} seconds for {duration:d} seconds')
+def observe_late(context, seconds, duration):
+    for _ in range(duration * 10):
+        context.window.observe(seconds)
+        context.now += 0.1
+
+
+@then('the window is at most what ten decreases by a fifth leave')
+def check_small(context):
+    assert 1 <= context.window.limit <= max(1, context.slots * 0.8**10), context.window.limit
+
+
+@when('first tokens take {seconds:g} seconds for {count:d} requests')
+def observe_prompt(context, seconds, count):
+    for _ in range(count):
+        context.window.observe(seconds)
+
+
+@then('the window is fully open')
+def check_open(context):
+    assert context.window.limit == context.slots
+
+
+def _announce(context, model):
+    done = context.fleet.operate('endpoint', 'announce', 'engine-0', 'joined', '--model', model)
+    assert done.returncode == 0, done
+
+
+def _orders(context):
+    url = context.fleet.processes['engines'].address
+    return httpx.get(url + '/stats').json()['orders']
+
+
+@when('the operator announces that engine-0 must load the model {model}')
+def announce_model(context, model):
+    _announce(context, model)
+
+
+@then('the engine has loaded {model} with a rising fencing token')
+def check_loaded(context, model):
+    orders = wait_until(lambda: _orders(context), seconds=12, what='no order')
+    assert orders[-1]['model'] == model
+    tokens = [order['fencing_token'] for order in orders]
+    assert tokens == sorted(set(tokens)), tokens
+
+
+@then('a chat is answered whole again')
+def check_chat(context):
+    address = context.fleet.processes['router-0'].address
+    answer = chat(address, 'families', tokens=5, model='farewell')
+    assert answer.is_whole, answer
+
+
+def _start(context, *, checks):
+    fleet = Fleet()
+    context.fleet = fleet
+    context.closers.append(fleet.close)
+    fleet.start_platform()
+    fleet.add_contracts(ACCOUNTS)
+    url = fleet.start_engines('engines', 1, checks_fencing=checks)[0]
+    port = 0
+    if not checks:
+        with socket.socket() as probe:
+            probe.bind(('127.0.0.1', 0))
+            port = probe.getsockname()[1]
+
+    def start_sidecar(name):
+        return fleet.start_sidecar(
+            name,
+            endpoint_url=url,
+            pool='farewell',
+            kind='engine',
+            slots=8,
+            settings={'endpoint': 'engine-0', 'order_lock_port': port},
+        )
+
+    context.start_sidecar = start_sidecar
+    context.first = start_sidecar('engine-0')
+    _announce(context, 'one')
+    wait_until(lambda: _orders(context), seconds=12, what='no first order')
+
+
+@given('an engine that checks fencing tokens and its sidecar')
+def start_checking(context):
+    _start(context, checks=True)
+
+
+@given('an engine that ignores fencing tokens and its sidecar')
+def start_ignoring(context):
+    _start(context, checks=False)
+
+
+@when('its sidecar is frozen, a successor takes over and loads another model')
+def take_over(context):
+    context.old_token = _orders(context)[-1]['fencing_token']
+    freeze_and_succeed(context)
+    wait_until(lambda: _orders(context)[-1]['model'] == 'two', seconds=12, what='no second order')
+
+
+@when('the frozen sidecar wakes and an order is sent with its old token')
+def send_old(context):
+    context.first.thaw()
+    url = context.fleet.processes['engines'].address
+    message = {'model': 'one', 'fencing_token': context.old_token}
+    context.response = httpx.post(url + '/v1/orders', json=message)
+
+
+@then('the engine refuses the old token')
+def check_fenced(context):
+    assert context.response.status_code == 409
+    assert _orders(context)[-1]['model'] == 'two'
+
+
+@when('its sidecar is frozen and a successor is told to load another model')
+def freeze_and_succeed(context):
+    context.first.freeze()
+    context.count = len(_orders(context))
+    context.start_sidecar('engine-successor')
+    _announce(context, 'two')
+
+
+@then('the successor sends no order while the frozen one can wake')
+def check_silent(context):
+    time.sleep(5)
+    assert len(_orders(context)) == context.count, _orders(context)
+
+
+@when('the frozen sidecar is gone')
+def kill_first(context):
+    context.first.kill()
+
+
+@then('the successor sends its order')
+def check_order(context):
+    wait_until(lambda: _orders(context)[-1]['model'] == 'two', seconds=12, what='no second order')
--- a/src/fireflymux/_messages_generated.py
+++ b/src/fireflymux/_messages_generated.py
@@ -114,10 +114,11 @@
 
 @define(frozen=True, kw_only=True)
 class EndpointAnnouncement:
-    """Announced state of one endpoint, one of joined, leaving and maintenance."""
+    """Announced state of one endpoint, one of joined, leaving and maintenance, and the model that its engine must load; an empty model leaves the engine as it is."""
 
     endpoint: str
     state: str
+    model: str = ''
     version: int = 0
 
 
@@ -187,6 +188,21 @@
     reporters: list[ReporterTotals] = field(factory=list)
 
 
+@define(frozen=True, kw_only=True)
+class EngineOrder:
+    """Order to an engine; engines that check refuse a token below one they have seen."""
+
+    model: str
+    fencing_token: int
+
+
+@define(frozen=True, kw_only=True)
+class OrderRow:
+    """Row whose version is the newest fencing token of one endpoint."""
+
+    holder: str
+
+
 @define(frozen=True, kw_only=True)
 class ClaimRow:
     """Row that records the one writer that may run an idempotent call, and its outcome."""
--- a/src/fireflymux/_settings_generated.py
+++ b/src/fireflymux/_settings_generated.py
@@ -93,5 +93,6 @@
     first_token_target_milliseconds: int = 1000
     prompt_token_weight: float = 0.1
     cost_per_second: float = 100.0
+    order_lock_port: int = 0
     resume_seconds: float = 30.0
     maximum_answer_bytes: int = 33554432
--- a/src/fireflymux/cli.py
+++ b/src/fireflymux/cli.py
@@ -240,17 +240,22 @@
 class EndpointCommands(_OperatorCommands):
     """Announces and lists endpoints."""
 
-    def announce(self, endpoint: str, state: str, if_version: int = CURRENT) -> None:
+    def announce(
+        self, endpoint: str, state: str, model: str = '', if_version: int = CURRENT
+    ) -> None:
         """Announces that an endpoint joins, leaves or stops for maintenance.
 
         Args:
             endpoint: Name of the endpoint.
             state: One of joined, leaving and maintenance.
+            model: Model that the engine must load before it takes new work.
             if_version: Version of the announcement that you saw; by default the newest one.
         """
         self._report(
             self._run(
-                lambda session: session.announce(str(endpoint), state, if_version=if_version),
+                lambda session: session.announce(
+                    str(endpoint), state, model=str(model), if_version=if_version
+                ),
             )
         )
 
--- a/src/fireflymux/operator.py
+++ b/src/fireflymux/operator.py
@@ -87,16 +87,14 @@
 
 def build_announcement(
     operator: str,
-    endpoint: str,
-    state: str,
+    announcement: EndpointAnnouncement,
     expected_version: int,
 ) -> ChangeBuilder:
     """Builds the announcement of an endpoint.
 
     Args:
         operator: Who makes the change.
-        endpoint: Name of the endpoint.
-        state: One of `ENDPOINT_STATES`.
+        announcement: The announcement; an empty model keeps the one announced before.
         expected_version: Version of the announcement that the operator saw; zero if none.
 
     Returns:
@@ -105,7 +103,8 @@
     Raises:
         InvalidChange: There is no such state.
     """
-    if state not in ENDPOINT_STATES:
+    endpoint = announcement.endpoint
+    if announcement.state not in ENDPOINT_STATES:
         raise InvalidChange('state: one of {0}'.format(', '.join(sorted(ENDPOINT_STATES))))
 
     def build(current: Configuration) -> ConfigChange | Conflict:
@@ -113,11 +112,12 @@
         version = found.version if found else 0
         if version != expected_version:
             return Conflict(version, 'endpoint {0} is at version {1}'.format(endpoint, version))
+        kept = found.model if found else ''
         return ConfigChange(
             version=0,
             change_id=uuid.uuid4().hex,
             operator=operator,
-            endpoint=EndpointAnnouncement(endpoint=endpoint, state=state),
+            endpoint=attrs.evolve(announcement, model=announcement.model or kept),
         )
 
     return build
@@ -177,6 +177,7 @@
         endpoint: str,
         state: str,
         *,
+        model: str = '',
         if_version: int = CURRENT,
     ) -> Accepted | Conflict | CommitUnknown:
         """Announces the state of an endpoint.
@@ -184,6 +185,7 @@
         Args:
             endpoint: Name of the endpoint.
             state: One of `ENDPOINT_STATES`.
+            model: Model that the engine must load; empty keeps the one announced before.
             if_version: Version that the operator saw; the newest one by default.
 
         Returns:
@@ -193,7 +195,8 @@
         def make(current: Configuration) -> ChangeBuilder:
             found = current.endpoints.get(endpoint)
             expected = _choose_version(found, if_version)
-            return build_announcement(self.operator, endpoint, state, expected)
+            announcement = EndpointAnnouncement(endpoint=endpoint, state=state, model=model)
+            return build_announcement(self.operator, announcement, expected)
 
         return trio.run(self._commit, make)
 
--- a/src/fireflymux/sidecar.py
+++ b/src/fireflymux/sidecar.py
@@ -21,6 +21,7 @@
 from .credentials import is_fleet_key
 from .endpoint_call import EndpointClient
 from .endpoint_health import EndpointHealth
+from .engine_orders import OrderDriver, OrderTarget, PortLock
 from .errors import ErrorKind, Refused
 from .grants import GrantIdentity, GrantScheduler, Slot
 from .http_answers import answer_message, answer_problem, answer_stream, read_body
@@ -139,6 +140,14 @@
             send_offer=self.send_offer,
             metrics=self.metrics,
         )
+        self.orders = OrderDriver(
+            OrderTarget(self.sidecar.endpoint, self.sidecar.endpoint_url, self.incarnation),
+            table=self.platform.table,
+            client=self._endpoint_client,
+            lock=PortLock(self.sidecar.order_lock_port),
+            wanted_model=self._wanted_model,
+            is_idle=lambda: self.scheduler.running == 0,
+        )
         self.runs = SidecarRuns(
             RunParts(
                 scheduler=self.scheduler,
@@ -183,6 +192,8 @@
             return Refused(ErrorKind.sidecar_leaving, 'the endpoint is announced as leaving')
         if self.configuration.version == 0:
             return Refused(ErrorKind.sidecar_unconfirmed, 'no configuration')
+        if self.orders.is_busy:
+            return Refused(ErrorKind.sidecar_unconfirmed, 'an order to the engine is pending')
         if self.health.is_paused:
             return Refused(ErrorKind.sidecar_unconfirmed, 'the endpoint takes no calls')
         if self.configuration.version < self.heard_version:
@@ -249,9 +260,14 @@
         nursery.start_soon(self.scheduler.run)
         nursery.start_soon(self.runs.watch)
         nursery.start_soon(self.batch.run)
+        nursery.start_soon(self.orders.run)
         nursery.start_soon(self.claims.run)
         nursery.start_soon(self._read_configuration)
 
+    def _wanted_model(self) -> str:
+        announcement = self.configuration.endpoints.get(self.sidecar.endpoint)
+        return announcement.model if announcement else ''
+
     async def _read_configuration(self) -> None:
         async def read() -> None:
             await self.reader.read_routers_first()
