--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,262 @@
+"""Measures the slopes that docs/CAPACITY.md works with, each over at least three sizes.
+
+Run as `python -m bench.slopes`. Prints one JSON object; `fit` holds base, slope and the
+largest residual relative to the largest value.
+"""
+
+import gc
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+from functools import partial
+from typing import Any
+
+import fire
+import httpx
+import orjson
+
+from bench.deployment import POOL, Shape, start
+from bench.path import measure as measure_path
+from bench.probe import cpu_seconds, fit_line, resident_megabytes
+from emulator.callers import at_once, call
+from emulator.small_fleet import start_small_fleet
+from fireflymux import codec
+from fireflymux.account_choice import choose_account
+from fireflymux.account_shares import AccountShares
+from fireflymux.configuration import Configuration
+from fireflymux.credentials import digest_key
+from fireflymux.messages import (
+    ConfigChange,
+    Contract,
+    Heartbeat,
+    ServiceTotal,
+)
+from fireflymux.service_totals import ServiceTotals
+from fireflymux.totals_table import pack_totals
+
+_REPEATS = 5
+
+
+def fit(points: Sequence[tuple[float, float]]) -> dict[str, Any]:
+    """Fits a line and keeps the points."""
+    base, slope, residual = fit_line(points)
+    return {
+        'points': [[x, float(f'{y:.4g}')] for x, y in points],
+        'base': float(f'{base:.4g}'),
+        'slope': float(f'{slope:.4g}'),
+        'residual': round(residual, 3),
+    }
+
+
+def _microseconds(act: Callable[[], object], *, repeats: int = _REPEATS) -> float:
+    """Returns the median processor time of a call in microseconds."""
+    times = []
+    for _ in range(repeats):
+        began = time.process_time_ns()
+        act()
+        times.append((time.process_time_ns() - began) / 1000)
+    return sorted(times)[len(times) // 2]
+
+
+def _megabytes(build: Callable[[], object]) -> float:
+    gc.collect()
+    tracemalloc.start()
+    kept = build()
+    size = tracemalloc.get_traced_memory()[0] / 1e6
+    tracemalloc.stop()
+    del kept
+    return size
+
+
+def _change(version: int) -> ConfigChange:
+    contract = Contract(
+        account=f'account-{version}',
+        weight=1.0,
+        rate_per_second=10.0,
+        concurrency=10,
+        queue_length=100,
+        pools=['a-model', 'another-model'],
+        key_digest=digest_key('x'),
+    )
+    return ConfigChange(
+        version=version, change_id=f'{version:032x}', operator='ops', contract=contract
+    )
+
+
+def _configuration(count: int) -> Configuration:
+    configuration = Configuration()
+    configuration.apply([_change(version) for version in range(1, count + 1)])
+    return configuration
+
+
+def _report(accounts: int) -> list[ServiceTotal]:
+    return [
+        ServiceTotal(
+            pool=POOL, account=f'account-{at}', settled=123456.0 + at, outstanding=50, floor=1000
+        )
+        for at in range(accounts)
+    ]
+
+
+def _totals(reporters: int, accounts: int) -> ServiceTotals:
+    totals = ServiceTotals()
+    report = _report(accounts)
+    for reporter in range(reporters):
+        totals.merge(f'{reporter:032x}', report)
+    return totals
+
+
+def _shares(accounts: int) -> AccountShares:
+    shares = AccountShares(POOL, lambda _: 1.0, clock=lambda: 0.0, idle_seconds=5)
+    shares.merge_others(_report(accounts))
+    for at in range(accounts):
+        shares.open_charge(f'account-{at}')
+    return shares
+
+
+def measure_state() -> dict[str, Any]:
+    """Measures memory and processor time of the state by its size, in this process."""
+    contracts = (300, 1000, 3300)
+    accounts = (30, 100, 330)
+    reporters = (10, 40, 160)
+    heartbeats = {
+        size: codec.encode(
+            Heartbeat(
+                router='r' * 32,
+                address='http://127.0.0.1:65535',
+                config_version=1,
+                sequence=1,
+                totals=pack_totals(_report(size)),
+            )
+        )
+        for size in accounts
+    }
+    grown = {size: _totals(size, 330) for size in reporters}
+    shares = {size: _shares(size) for size in accounts}
+    return {
+        'configuration_mb_by_contracts': fit(
+            [(size, _megabytes(partial(_configuration, size))) for size in contracts]
+        ),
+        'configuration_snapshot_bytes_by_contracts': fit(
+            [(size, len(codec.encode(_configuration(size).to_snapshot()))) for size in contracts]
+        ),
+        'change_bytes': len(codec.encode(_change(1))),
+        'apply_change_us_by_contracts': fit(
+            [
+                (size, _microseconds(partial(_configuration(size).apply, [_change(size + 1)])))
+                for size in contracts
+            ]
+        ),
+        'totals_mb_by_reporters_of_330_accounts': fit(
+            [(size, _megabytes(partial(_totals, size, 330))) for size in reporters]
+        ),
+        'sum_totals_us_by_reporters_of_330_accounts': fit(
+            [
+                (size, _microseconds(partial(grown[size].sum_without, 'none', POOL)))
+                for size in reporters
+            ]
+        ),
+        'heartbeat_with_totals_bytes_by_accounts': fit(
+            [(size, len(content)) for size, content in heartbeats.items()]
+        ),
+        'decode_heartbeat_us_by_accounts': fit(
+            [
+                (size, _microseconds(partial(codec.decode, content, Heartbeat)))
+                for size, content in heartbeats.items()
+            ]
+        ),
+        'choose_account_us_by_accounts': fit(
+            [
+                (
+                    size,
+                    _microseconds(
+                        partial(
+                            choose_account,
+                            [f'account-{at}' for at in range(size)],
+                            shares[size].virtual_time,
+                        )
+                    ),
+                )
+                for size in accounts
+            ]
+        ),
+    }
+
+
+def measure_idle(seconds: float) -> dict[str, Any]:
+    """Measures what a router and a sidecar spend on control without load, by peers."""
+    router_cpu, router_bytes, sidecar_cpu, router_memory = [], [], [], []
+    for engines, routers in ((3, 1), (6, 2), (12, 4)):
+        shape = Shape(name='idle', routers=routers, domains=1, engines=engines)
+        deployment = start(shape, 'chosen')
+        with deployment.fleet:
+            time.sleep(3)
+            before = _read(deployment)
+            time.sleep(seconds)
+            after = _read(deployment)
+            change = [b - a for a, b in zip(before, after, strict=True)]
+            router_cpu.append((engines, change[0] / routers / seconds * 100))
+            router_bytes.append((engines, change[1] / routers / seconds))
+            sidecar_cpu.append((routers, change[2] / engines / seconds * 100))
+            router_memory.append((engines, resident_megabytes(deployment.routers[0])))
+    return {
+        'router_core_percent_by_sidecars': fit(router_cpu),
+        'router_control_bytes_per_second_by_sidecars': fit(router_bytes),
+        'sidecar_core_percent_by_routers': fit(sidecar_cpu),
+        'router_mb_by_sidecars': fit(router_memory),
+    }
+
+
+def _read(deployment: Any) -> tuple[float, float, float]:
+    control = sum(
+        deployment.fleet.metric(router, 'control_bytes_total') for router in deployment.routers
+    )
+    return cpu_seconds(deployment.routers), control, cpu_seconds(deployment.sidecars)
+
+
+def measure_claims() -> dict[str, Any]:
+    """Measures transactions and rows of the table for each call that may not repeat."""
+    points = []
+    with start_small_fleet(services=1) as fleet:
+        address = fleet.processes['router-0'].address
+        for open_calls in (1, 8, 32):
+            counts = httpx.get(f'{fleet.platform}/counts').json()
+            calls = max(open_calls * 4, 16)
+
+            def send(number: int, every: int = calls // open_calls) -> None:
+                for at in range(every):
+                    key = f'{open_calls}-{number}-{at}'
+                    answer = call(
+                        address, 'families', key=key, path='/services/bookings/reservations'
+                    )
+                    assert answer.status == 200, answer
+
+            at_once(open_calls, send)
+            time.sleep(1)
+            now = httpx.get(f'{fleet.platform}/counts').json()
+            points.append(
+                {
+                    'open_calls': open_calls,
+                    'transactions_per_call': (now['transactions'] - counts['transactions'])
+                    / calls,
+                    'rows_per_call': (now['rows_written'] - counts['rows_written']) / calls,
+                }
+            )
+    return {'claims': points}
+
+
+def main(idle_seconds: float = 15.0) -> None:
+    """Measures every slope and prints them.
+
+    Args:
+        idle_seconds: Length of each idle measurement.
+    """
+    result: dict[str, Any] = {'state': measure_state()}
+    result['claims'] = measure_claims()['claims']
+    result['idle'] = measure_idle(idle_seconds)
+    result['path'] = measure_path()
+    print(orjson.dumps(result, option=2).decode())
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- /dev/null
+++ b/features/steps/shares_steps.py
@@ -0,0 +1,127 @@
+"""Differential tests of the fair share's decisions against naive versions."""
+
+from behave import given, then, when
+from hypothesis import given as generate
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies
+
+from fireflymux.account_choice import choose_account
+from fireflymux.account_shares import AccountShares
+from fireflymux.messages import ServiceTotal
+from fireflymux.service_totals import ServiceTotals
+
+_FIXED = hypothesis_settings(max_examples=300, derandomize=True, deadline=None, database=None)
+_COSTS = strategies.integers(0, 500)
+
+
+@given('routers that hear the reports of sidecars')
+@given('a sidecar alone that grants, meters and settles requests')
+@given('two accounts of any weights that are always backlogged on one slot')
+def nothing(context):
+    """The When step generates the traffic."""
+
+
+@when('reports arrive in any order, repeated, and relayed by other routers')
+def merge_reports(context):
+    places = strategies.integers(0, 2)
+    names = strategies.sampled_from('ab')
+    report = strategies.tuples(strategies.just('report'), places, names, names, _COSTS)
+    relay = strategies.tuples(strategies.just('relay'), places, places)
+
+    @_FIXED
+    @generate(strategies.lists(strategies.one_of(report, relay), max_size=40))
+    def run(schedule):
+        routers = [ServiceTotals() for _ in range(3)]
+        # The naive version: every report ever heard, and the largest for each.
+        heard = [set() for _ in range(3)]
+        for event in schedule:
+            if event[0] == 'relay':
+                routers[event[1]].merge_snapshot(routers[event[2]].to_snapshot())
+                heard[event[1]] |= heard[event[2]]
+                continue
+            _, router, sidecar, account, cost = event
+            total = ServiceTotal(pool='p', account=account, settled=cost)
+            routers[router].merge(sidecar, [total])
+            heard[router].add((sidecar, account, cost))
+        for router, reports in zip(routers, heard, strict=True):
+            for left_out in 'abc':
+                check_sum(router, reports, left_out)
+
+    context.run = run
+
+
+def check_sum(router, reports, left_out):
+    largest = {}
+    for sidecar, account, cost in reports:
+        if sidecar != left_out:
+            key = (sidecar, account)
+            largest[key] = max(largest.get(key, 0), cost)
+    naive = {}
+    for (_, account), cost in largest.items():
+        naive[account] = naive.get(account, 0) + cost
+    found = {total.account: total.settled for total in router.sum_without(left_out, 'p')}
+    assert {name: cost for name, cost in found.items() if cost} == {
+        name: cost for name, cost in naive.items() if cost
+    }
+
+
+@then('the sum without one sidecar equals that of the naive version')
+@then('every virtual time equals the served cost and the open estimates over the weight')
+@then('their normalized service differs by at most the largest normalized cost twice')
+def run_generated(context):
+    context.run()
+
+
+def _shares(weights):
+    return AccountShares('p', weights.__getitem__, clock=lambda: 0.0, idle_seconds=5)
+
+
+@when('requests of any cost are granted, metered and settled')
+def meter_requests(context):
+    names = strategies.sampled_from('ab')
+    events = strategies.tuples(strategies.sampled_from(('open', 'meter', 'close')), names, _COSTS)
+
+    @_FIXED
+    @generate(strategies.lists(events, max_size=40))
+    def run(schedule):
+        weights = {'a': 1.0, 'b': 4.0}
+        shares = _shares(weights)
+        charges = {'a': [], 'b': []}
+        served = {'a': 0.0, 'b': 0.0}
+        for act, name, cost in schedule:
+            if act == 'open':
+                charges[name].append(shares.open_charge(name))
+            elif charges[name] and act == 'meter':
+                shares.meter(charges[name][-1], cost)
+                served[name] += cost
+            elif charges[name]:
+                shares.close_charge(charges[name].pop())
+        for name, weight in weights.items():
+            expected = sum(max(item.estimate - item.metered, 0) for item in charges[name])
+            naive = (served[name] + expected) / weight
+            assert abs(shares.virtual_time(name) - naive) < 1e-6
+
+    context.run = run
+
+
+@when('requests of any cost run to their end')
+def run_one_slot(context):
+    costs = strategies.lists(strategies.integers(1, 500), min_size=20, max_size=200)
+    weights = strategies.integers(1, 8)
+
+    @_FIXED
+    @generate(costs, weights, weights)
+    def run(schedule, first, second):
+        limits = {'a': float(first), 'b': float(second)}
+        shares = _shares(limits)
+        served = {'a': 0.0, 'b': 0.0}
+        largest = max(schedule) / min(first, second)
+        for cost in schedule:
+            name = choose_account('ab', shares.virtual_time)
+            charge = shares.open_charge(name)
+            shares.meter(charge, cost)
+            shares.close_charge(charge)
+            served[name] += cost / limits[name]
+            assert abs(served['a'] - served['b']) <= 2 * largest
+
+    context.run = run
--- a/src/fireflymux/service_totals.py
+++ b/src/fireflymux/service_totals.py
@@ -6,49 +6,60 @@
 was incurred.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
 import attrs
 
-from .messages import ReporterTotals, ServiceTotal, TotalsSnapshot
+from .messages import ReporterTotals, ServiceTotal, TotalsSnapshot, TotalsTable
 from .totals_table import pack_totals, unpack_totals
 
-#: Pool and client account.
-ShareKey = tuple[str, str]
-
 
 @attrs.define
-class _Report:
-    settled: dict[ShareKey, float] = attrs.field(factory=dict)
-    outstanding: dict[ShareKey, float] = attrs.field(factory=dict)
+class _Column:
+    """Totals of one pool by account."""
+
+    settled: dict[str, float] = attrs.field(factory=dict)
+    outstanding: dict[str, float] = attrs.field(factory=dict)
 
 
 class ServiceTotals:
-    """Reports of all sidecar incarnations that a router has heard of."""
+    """Reports of all sidecar incarnations that a router has heard of.
+
+    The sum over all reports is kept as they arrive, so that a heartbeat costs as much as its
+    own accounts, however many sidecars there are.
+    """
 
     def __init__(self) -> None:
         """Starts without reports."""
-        self._reports: dict[str, _Report] = {}
-        self._floors: dict[ShareKey, float] = {}
+        self._reports: dict[str, dict[str, _Column]] = {}
+        self._sums: dict[str, _Column] = {}
+        self._floors: dict[str, dict[str, float]] = {}
 
     @property
     def reporters(self) -> frozenset[str]:
         """Sidecar incarnations that have reported."""
         return frozenset(self._reports)
 
-    def merge(self, reporter: str, totals: Iterable[ServiceTotal]) -> None:
+    def merge(
+        self, reporter: str, totals: Iterable[ServiceTotal], *, is_relayed: bool = False
+    ) -> None:
         """Merges a report of one sidecar incarnation.
 
         Args:
             reporter: The sidecar incarnation.
             totals: Its totals; the outstanding ones replace the earlier ones.
+            is_relayed: Whether it came through another router, so that the outstanding ones
+                may be older than those that are held.
         """
-        report = self._reports.setdefault(reporter, _Report())
         for total in totals:
-            key = (total.pool, total.account)
-            report.settled[key] = max(report.settled.get(key, 0.0), total.settled)
-            self._floors[key] = max(self._floors.get(key, 0.0), total.floor)
-            report.outstanding[key] = total.outstanding
+            column = self._reports.setdefault(reporter, {}).setdefault(total.pool, _Column())
+            sums = self._sums.setdefault(total.pool, _Column())
+            known = column.settled.get(total.account, 0.0)
+            _replace(column.settled, sums.settled, total.account, max(known, total.settled))
+            if not is_relayed:
+                _replace(column.outstanding, sums.outstanding, total.account, total.outstanding)
+            floors = self._floors.setdefault(total.pool, {})
+            floors[total.account] = max(floors.get(total.account, 0.0), total.floor)
 
     def forget_outstanding(self, reporter: str) -> None:
         """Drops the charges in flight of a sidecar that is gone; what it served stays.
@@ -56,8 +67,9 @@
         Args:
             reporter: The sidecar incarnation.
         """
-        if reporter in self._reports:
-            self._reports[reporter].outstanding.clear()
+        for pool, column in self._reports.get(reporter, {}).items():
+            for account in column.outstanding:
+                _replace(column.outstanding, self._sums[pool].outstanding, account, 0.0)
 
     def sum_without(self, reporter: str, pool: str) -> list[ServiceTotal]:
         """Sums all reports on a pool but one.
@@ -69,23 +81,20 @@
         Returns:
             One total for each account of the pool.
         """
-        settled: dict[ShareKey, float] = {}
-        outstanding: dict[ShareKey, float] = {}
-        for name, report in self._reports.items():
-            if name == reporter:
-                continue
-            _add_pool(settled, report.settled, pool)
-            _add_pool(outstanding, report.outstanding, pool)
-        keys = {key for key in self._floors if key[0] == pool} | set(settled)
+        sums = self._sums.get(pool, _Column())
+        own = self._reports.get(reporter, {}).get(pool, _Column())
+        floors = self._floors.get(pool, {})
         return [
             ServiceTotal(
                 pool=pool,
-                account=key[1],
-                settled=settled.get(key, 0.0),
-                outstanding=outstanding.get(key, 0.0),
-                floor=self._floors.get(key, 0.0),
+                account=account,
+                settled=settled - own.settled.get(account, 0.0),
+                outstanding=max(
+                    sums.outstanding.get(account, 0.0) - own.outstanding.get(account, 0.0), 0.0
+                ),
+                floor=floors.get(account, 0.0),
             )
-            for key in sorted(keys)
+            for account, settled in sums.settled.items()
         ]
 
     def to_snapshot(self) -> TotalsSnapshot:
@@ -96,13 +105,9 @@
         """
         return TotalsSnapshot(
             reporters=[
-                ReporterTotals(
-                    reporter=name,
-                    pool=pool,
-                    table=pack_totals(self._list_report(report, pool)),
-                )
-                for name, report in self._reports.items()
-                for pool in sorted({key[0] for key in report.settled})
+                ReporterTotals(reporter=name, pool=pool, table=self._pack(pool, column))
+                for name, columns in self._reports.items()
+                for pool, column in columns.items()
             ]
         )
 
@@ -113,27 +118,21 @@
             snapshot: Its snapshot.
         """
         for entry in snapshot.reporters:
-            self.merge(entry.reporter, unpack_totals(entry.table, entry.pool))
+            totals = unpack_totals(entry.table, entry.pool)
+            self.merge(entry.reporter, totals, is_relayed=True)
 
-    def _list_report(self, report: _Report, pool: str) -> list[ServiceTotal]:
-        return [
+    def _pack(self, pool: str, column: _Column) -> TotalsTable:
+        floors = self._floors.get(pool, {})
+        return pack_totals(
             ServiceTotal(
-                pool=pool,
-                account=key[1],
-                settled=settled,
-                outstanding=report.outstanding.get(key, 0.0),
-                floor=self._floors.get(key, 0.0),
+                pool=pool, account=account, settled=settled, floor=floors.get(account, 0.0)
             )
-            for key, settled in report.settled.items()
-            if key[0] == pool
-        ]
+            for account, settled in column.settled.items()
+        )
 
 
-def _add_pool(
-    target: dict[ShareKey, float],
-    source: Mapping[ShareKey, float],
-    pool: str,
+def _replace(
+    column: dict[str, float], sums: dict[str, float], account: str, amount: float
 ) -> None:
-    for key, amount in source.items():
-        if key[0] == pool:
-            target[key] = target.get(key, 0.0) + amount
+    sums[account] = sums.get(account, 0.0) + amount - column.get(account, 0.0)
+    column[account] = amount
