Show each proof red with its mechanism left out; catch stop signals before listening

A process told to stop between its listening line and its wait for signals ended with -15 (seen in the binary's second start); the signals are now caught first. A relayed proof of the confirmation was green without it, since a heartbeat with a newer version refuses work too: the variant now leaves out both.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 export PYTHONPATH = $(CURDIR)
 
-.PHONY: demo test lint generate bench bench-fairness slopes binary clean
+.PHONY: demo test red lint generate bench bench-fairness slopes binary clean
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -16,6 +16,9 @@
 test: $(VENV)/.installed  ## Runs every feature; closes with `N passed, N failed`.
 	$(BIN)/python tools/run_features.py
 
+red: $(VENV)/.installed  ## Shows that each proof fails when its mechanism is left out.
+	$(BIN)/python tools/show_red.py
+
 lint: $(VENV)/.installed  ## Checks format, style, types and that generated code is current.
 	$(BIN)/ruff format --check --quiet src emulator tools features bench
 	$(BIN)/flake8 src emulator tools features bench
--- a/emulator/variants.py
+++ b/emulator/variants.py
@@ -8,7 +8,23 @@
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 
-from fireflymux import account_shares, claims, cli, configuration, grants, sidecar
+import attrs
+
+from fireflymux import (
+    account_shares,
+    claims,
+    cli,
+    config_reader,
+    configuration,
+    crash_registry,
+    endpoint_health,
+    engine_orders,
+    grants,
+    limits,
+    router,
+    run_client,
+    sidecar,
+)
 from fireflymux.account_shares import AccountShares, Charge
 
 
@@ -100,9 +116,20 @@
     claims.ClaimBook.record_unknown = forget
 
 
+def no_read_back() -> None:
+    """Takes every row that exists for another sidecar's."""
+    original = claims.ClaimBook._judge
+
+    async def judge(book: claims.ClaimBook, row: object, mine: object) -> object:
+        return await original(book, row, attrs.evolve(mine, attempt=-1))
+
+    claims.ClaimBook._judge = judge
+
+
 def no_confirmation() -> None:
     """Lets a sidecar work on a configuration that it has not confirmed."""
     sidecar.CONFIRM_LIMIT_SECONDS = float('inf')
+    sidecar.Sidecar.heard_version = property(lambda _self: 0, lambda _self, _version: None)
 
 
 def any_version() -> None:
@@ -117,6 +144,67 @@
     configuration.Configuration.replace = replace
 
 
+def no_resume() -> None:
+    """Gives a transfer up when it breaks, instead of resuming it."""
+
+    async def reopen(*arguments: object) -> object:
+        return arguments[-1]
+
+    run_client.RunClient._reopen = reopen
+
+
+def no_end_marker() -> None:
+    """Takes any stream that ended for whole."""
+    router.is_whole = lambda _stream: True
+    run_client.is_whole = lambda _stream: True
+
+
+def no_limits() -> None:
+    """Lets every router spend the whole rate and concurrency of a contract."""
+    limits.share_of = lambda limit, _routers: limit
+    router.share_of = lambda limit, _routers: limit
+    original = limits.RateLimiter.__init__
+
+    def create(limiter: limits.RateLimiter, **options: object) -> None:
+        original(limiter, **{**options, 'maximum_routers': 1})
+
+    limits.RateLimiter.__init__ = create
+
+
+def no_verdicts() -> None:
+    """Forgets which requests endpoints crashed on."""
+    crash_registry.CrashRegistry.record_crash = lambda _registry, _fingerprint, *, alone: None
+
+
+def no_pause() -> None:
+    """Goes on sending to an endpoint that takes no calls."""
+    endpoint_health.EndpointHealth.record_failure = lambda _health: None
+
+
+def no_lock() -> None:
+    """Lets a sidecar give orders without the lock on the instance."""
+    engine_orders.PortLock.try_acquire = lambda _lock: True
+
+
+def no_drain() -> None:
+    """Stops at once when told to."""
+
+    async def drain(*_arguments: object, **_options: object) -> bool:
+        return True
+
+    router.drain = drain
+    sidecar.drain = drain
+
+
+def no_peers() -> None:
+    """Never asks another process for the configuration."""
+
+    async def read(_reader: config_reader.ConfigReader) -> bool:
+        return False
+
+    config_reader.ConfigReader._read_routers = read
+
+
 VARIANTS: Mapping[str, Callable[[], None]] = MappingProxyType(
     {
         item.__name__: item
@@ -130,8 +218,17 @@
             no_floor,
             first_come,
             no_claim,
+            no_read_back,
             no_confirmation,
             any_version,
+            no_resume,
+            no_end_marker,
+            no_limits,
+            no_verdicts,
+            no_pause,
+            no_lock,
+            no_drain,
+            no_peers,
         )
     }
 )
--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -29,7 +29,7 @@
   Scenario: The family repeats the call while it runs
     Given a small fleet
     When a family starts a reservation that takes 2 seconds through router-0
-    And the family repeats the reservation through router-1
+    And the family repeats the reservation 6 times at once through router-1
     And the first answer has arrived
     Then no answer says that the call was not run
     And it took effect once
--- a/features/draining.feature
+++ b/features/draining.feature
@@ -13,6 +13,12 @@
     When engine-0 is frozen while it is announced as leaving, and wakes 6 seconds later
     Then engine-0 starts nothing from 5 seconds after the announcement on
 
+  Scenario: A run order waits in the socket of a frozen sidecar whose endpoint leaves
+    Given a small fleet
+    When a run order reaches the frozen sidecar of engine-0, which leaves, and wakes 6 seconds later
+    Then the order is refused as not run
+    And engine-0 never saw it
+
   Scenario: The live list lags and the endpoint is announced as leaving
     Given a small fleet whose live list lags by 8 seconds
     And families stream chats all the time
@@ -37,3 +43,8 @@
     When router-0 finishes a stream of 300 tokens while it is told to stop
     Then it exits with code 0
     And every answer was whole
+
+  Scenario: A process is told to stop in the moment it listens
+    Given a small fleet
+    When 5 routers are each told to stop as soon as they listen
+    Then each exits with code 0
--- a/features/environment.py
+++ b/features/environment.py
@@ -1,12 +1,14 @@
 """Starts the fleets that scenarios use and ends them."""
 
 import logging
+import os
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from emulator.fleet import Fleet  # noqa: E402
+from emulator.variants import VARIANTS  # noqa: E402
 
 logging.getLogger('httpx').setLevel(logging.WARNING)
 
@@ -39,6 +41,12 @@
     fleet.wait_ready()
 
 
+def before_all(context):
+    variant = os.environ.get('FIREFLYMUX_VARIANT', '')
+    if variant in VARIANTS:
+        VARIANTS[variant]()
+
+
 def before_feature(context, feature):
     if 'shared_fleet' in feature.tags and not hasattr(context, 'shared_fleet'):
         _start_shared(context)
--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -73,6 +73,11 @@
     context.answer = _reserve(context, name)
 
 
+@when('the family repeats the reservation {count:d} times at once through {name}')
+def repeat_at_once(context, count, name):
+    at_once(count, lambda _: _reserve(context, name))
+
+
 @when('the family repeats the reservation until it is answered')
 def repeat_until(context):
     wait_until(
--- a/features/steps/draining_steps.py
+++ b/features/steps/draining_steps.py
@@ -6,8 +6,12 @@
 import httpx
 from behave import given, then, when
 
-from emulator.callers import chat
+from emulator.callers import CHAT, Answer, chat, send
+from emulator.fleet import FLEET_KEY
 from emulator.small_fleet import start_small_fleet
+from fireflymux import codec
+from fireflymux.headers import ORDER
+from fireflymux.messages import RunOrder
 
 
 @given('a small fleet whose live list lags by {seconds:d} seconds')
@@ -136,3 +140,61 @@
     codes = [done.returncode for done in context.outcomes]
     assert codes == [0, 3], context.outcomes
     assert 'is at version 3' in context.outcomes[1].stderr, context.outcomes
+
+
+@when('{count:d} routers are each told to stop as soon as they listen')
+def stop_at_once(context, count):
+    context.codes = []
+    for number in range(count):
+        process = context.fleet.start_router('router-brief-{0}'.format(number))
+        process.terminate()
+        context.codes.append(process.popen.wait(20))
+
+
+@then('each exits with code {code:d}')
+def check_codes(context, code):
+    assert set(context.codes) == {code}, context.codes
+
+
+@when(
+    'a run order reaches the frozen sidecar of engine-0, which leaves, and wakes {seconds:d} '
+    'seconds later'
+)
+def send_to_frozen(context, seconds):
+    process = context.fleet.processes['engine-0']
+    order = RunOrder(
+        request='late',
+        attempt=1,
+        router='test',
+        account='families',
+        pool='farewell',
+        method='POST',
+        path=CHAT,
+        fingerprint='late',
+    )
+    headers = {
+        'Authorization': 'Bearer ' + FLEET_KEY,
+        ORDER: codec.encode(order).decode(),
+    }
+    body = {'model': 'farewell', 'messages': [{'role': 'user', 'content': 'hello'}]}
+    process.freeze()
+    context.answer = Answer('late')
+    url = process.address + '/v1/run'
+    thread = threading.Thread(target=lambda: send(context.answer, 'POST', url, headers, body, 60))
+    thread.start()
+    _announce(context, 'leaving')
+    time.sleep(seconds)
+    process.thaw()
+    thread.join()
+
+
+@then('the order is refused as not run')
+def check_refused_order(context):
+    print('refused as', context.answer.problem.get('kind'), context.answer.problem.get('detail'))
+    assert context.answer.problem.get('ran') == 'no', context.answer
+
+
+@then('engine-0 never saw it')
+def check_unseen(context):
+    url = context.fleet.processes['engines'].addresses[0]
+    assert 'late' not in httpx.get(url + '/stats').text
--- /dev/null
+++ b/features/steps/operator_steps.py
@@ -0,0 +1,128 @@
+"""Steps of the operator's commands."""
+
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import orjson
+from behave import given, then, when
+
+from emulator.callers import chat
+from emulator.fleet import FLEET_KEY
+
+_VALID = """[instance]
+name = r
+failure_domain = a
+listen_host = 127.0.0.1
+listen_port = 0
+[fleet]
+key = a-secret-of-the-fleet
+[platform]
+table_url = http://127.0.0.1:1
+object_url = http://127.0.0.1:1
+live_url = http://127.0.0.1:1
+[router]
+"""
+_BAD = (
+    _VALID.replace('listen_port = 0', 'listen_port = 70000')
+    .replace('name = r\n', '')
+    .replace('key = a-secret-of-the-fleet', 'key = short')
+    .replace('[router]', '[router]\nqueue_length = 3\n[balancer]\n')
+)
+
+
+def _write(context, text):
+    folder = tempfile.TemporaryDirectory()
+    context.closers.append(folder.cleanup)
+    context.path = Path(folder.name) / 'router.ini'
+    context.path.write_text(text)
+
+
+@given('a settings file with an unknown section, an unknown key, a missing key and a bad port')
+def write_bad(context):
+    _write(context, _BAD)
+
+
+@given('a valid settings file')
+def write_valid(context):
+    _write(context, _VALID)
+
+
+@when('the operator checks it')
+def check(context):
+    context.done = subprocess.run(
+        [sys.executable, '-m', 'fireflymux', 'check-settings', str(context.path)],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+
+
+@then('the exit code is {code:d}')
+def check_code(context, code):
+    assert context.done.returncode == code, context.done
+
+
+@then('each problem is named with file, section, key, what was found and what is allowed')
+def check_problems(context):
+    lines = context.done.stderr.splitlines()
+    expected = ('[balancer]', '[router] queue_length', '[instance] name', '[instance] listen_port')
+    for name in (*expected, '[fleet] key'):
+        found = [line for line in lines if name in line]
+        assert found, (name, lines)
+        assert str(context.path) in found[0], found
+        assert 'found' in found[0] and 'allowed' in found[0], found
+
+
+@then('no secret is printed')
+def check_secret(context):
+    assert 'short' not in context.done.stderr, context.done.stderr
+
+
+@when('the operator lists the contracts as a table and as JSON')
+def list_both(context):
+    context.listed = context.fleet.operate('contract', 'list').stdout
+    context.listed_json = context.fleet.operate('contract', 'list', '--json').stdout
+
+
+@then('both name families and vets and show no digest')
+def check_lists(context):
+    names = {row['account'] for row in orjson.loads(context.listed_json)}
+    assert names == {'families', 'vets'}
+    assert 'families' in context.listed and 'vets' in context.listed
+    assert 'key_digest' not in context.listed + context.listed_json
+
+
+@when('the operator creates a contract with weight 0')
+def create_bad(context):
+    context.done = context.fleet.operate(
+        'contract', 'create', 'zero', 'secret', 'farewell', '--weight', '0'
+    )
+
+
+@when('the operator lists the contracts')
+def list_contracts(context):
+    context.done = context.fleet.operate('contract', 'list')
+
+
+@when('a family streams a chat through {name}')
+def stream(context, name):
+    address = context.fleet.processes[name].address
+    assert chat(address, 'families', tokens=3, model='farewell').is_whole
+
+
+@then('each log line of {name} is JSON and none holds a secret')
+def check_log(context, name):
+    lines = context.fleet.processes[name].log.read_text().splitlines()
+    for line in lines:
+        assert {'time', 'level', 'module', 'event', 'instance'} <= set(orjson.loads(line)), line
+        assert FLEET_KEY not in line and '.secret' not in line, line
+
+
+@then('the metrics of {router} and {sidecar} count requests, heartbeats and control bytes')
+def check_metrics(context, router, sidecar):
+    processes = context.fleet.processes
+    for metric in ('requests_total', 'heartbeats_total', 'control_bytes_total'):
+        assert context.fleet.metric(processes[router], metric) > 0, metric
+    assert context.fleet.metric(processes[sidecar], 'control_bytes_total') > 0
--- a/src/fireflymux/router.py
+++ b/src/fireflymux/router.py
@@ -32,7 +32,7 @@
 from .platform_client import PlatformClients
 from .run_client import RunClient, Stream, Whole, is_whole
 from .service_totals import ServiceTotals
-from .serving import Server, drain, wait_for_signal
+from .serving import Server, drain, catch_stop_signals
 from .settings import ProcessSettings
 from .tracing import create_tracer, start_span, to_traceparent
 from .wire_size import received_bytes, sent_bytes
@@ -422,25 +422,26 @@
         settings: Settings with a section [router].
     """
     router = Router.from_settings(settings)
-    async with trio.open_nursery() as nursery:
-        server = Server(
-            create_app(router),
-            settings.instance,
-            settings.tls,
-            maximum_header_bytes=router.router.maximum_header_bytes * _LISTENER_SLACK,
-        )
-        address = await server.start(nursery)
-        await router.run_tasks(nursery, address)
-        _log.info('listening', address=address, role='router', router=router.incarnation)
-        await wait_for_signal()
-        router.is_stopping = True
-        _log.info('draining')
-        # The balancer needs a moment to see that this router is not ready any more.
-        await trio.sleep(_READINESS_DELAY_SECONDS)
-        is_clean = await drain(
-            lambda: router.answering == 0,
-            timeout_seconds=settings.instance.shutdown_timeout_seconds,
-        )
-        _log.info('stopped', clean=is_clean)
-        server.stop()
-        nursery.cancel_scope.cancel()
+    with catch_stop_signals() as wait_for_stop:
+        async with trio.open_nursery() as nursery:
+            server = Server(
+                create_app(router),
+                settings.instance,
+                settings.tls,
+                maximum_header_bytes=router.router.maximum_header_bytes * _LISTENER_SLACK,
+            )
+            address = await server.start(nursery)
+            await router.run_tasks(nursery, address)
+            _log.info('listening', address=address, role='router', router=router.incarnation)
+            await wait_for_stop()
+            router.is_stopping = True
+            _log.info('draining')
+            # The balancer needs a moment to see that this router is not ready any more.
+            await trio.sleep(_READINESS_DELAY_SECONDS)
+            is_clean = await drain(
+                lambda: router.answering == 0,
+                timeout_seconds=settings.instance.shutdown_timeout_seconds,
+            )
+            _log.info('stopped', clean=is_clean)
+            server.stop()
+            nursery.cancel_scope.cancel()
--- a/src/fireflymux/serving.py
+++ b/src/fireflymux/serving.py
@@ -1,7 +1,8 @@
 """Serves an application with hypercorn and shuts it down gracefully."""
 
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from urllib.parse import urlsplit
 
 import trio
@@ -91,10 +92,15 @@
         )
 
 
-async def wait_for_signal() -> None:
-    """Waits for SIGTERM or SIGINT."""
+@contextmanager
+def catch_stop_signals() -> Iterator[Callable[[], Awaitable[object]]]:
+    """Catches SIGTERM and SIGINT from here on, also before anybody waits for them.
+
+    Yields:
+        A function that waits for the first of them.
+    """
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        await anext(signals)
+        yield signals.__anext__
 
 
 async def drain(
--- a/src/fireflymux/sidecar.py
+++ b/src/fireflymux/sidecar.py
@@ -36,7 +36,7 @@
 from .metrics import Metrics
 from .platform_client import PlatformClients
 from .reservations import Reservations
-from .serving import Server, drain, wait_for_signal
+from .serving import Server, drain, catch_stop_signals
 from .settings import ProcessSettings
 from .sidecar_runs import Run, RunParts, SidecarRuns
 from .table_batch import TableBatch
@@ -472,25 +472,26 @@
         settings: Settings with a section [sidecar].
     """
     sidecar = Sidecar.from_settings(settings)
-    async with trio.open_nursery() as nursery:
-        app = create_app(sidecar, nursery)
-        server = Server(
-            app,
-            settings.instance,
-            settings.tls,
-            maximum_header_bytes=_MAXIMUM_HEADER_BYTES,
-        )
-        address = await server.start(nursery)
-        sidecar.connect(address)
-        await sidecar.run_tasks(nursery)
-        _log.info('listening', address=address, role='sidecar', sidecar=sidecar.incarnation)
-        await wait_for_signal()
-        sidecar.is_stopping = True
-        _log.info('draining')
-        is_clean = await drain(
-            lambda: sidecar.runs.is_idle,
-            timeout_seconds=settings.instance.shutdown_timeout_seconds,
-        )
-        _log.info('stopped', clean=is_clean)
-        server.stop()
-        nursery.cancel_scope.cancel()
+    with catch_stop_signals() as wait_for_stop:
+        async with trio.open_nursery() as nursery:
+            app = create_app(sidecar, nursery)
+            server = Server(
+                app,
+                settings.instance,
+                settings.tls,
+                maximum_header_bytes=_MAXIMUM_HEADER_BYTES,
+            )
+            address = await server.start(nursery)
+            sidecar.connect(address)
+            await sidecar.run_tasks(nursery)
+            _log.info('listening', address=address, role='sidecar', sidecar=sidecar.incarnation)
+            await wait_for_stop()
+            sidecar.is_stopping = True
+            _log.info('draining')
+            is_clean = await drain(
+                lambda: sidecar.runs.is_idle,
+                timeout_seconds=settings.instance.shutdown_timeout_seconds,
+            )
+            _log.info('stopped', clean=is_clean)
+            server.stop()
+            nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tools/build_binary.py
@@ -0,0 +1,93 @@
+"""Builds dist/fireflymux, one executable file, and proves that it runs as one process.
+
+The file is a zip application: at its first start it unpacks its libraries below the folder
+named by SHIV_ROOT, which must be memory-backed on instances without disks, and then runs in
+the same process.
+"""
+
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+_ROOT = Path(__file__).resolve().parent.parent
+_TARGET = _ROOT / 'dist' / 'fireflymux'
+
+
+def build() -> None:
+    """Builds the file."""
+    _TARGET.parent.mkdir(exist_ok=True)
+    subprocess.run(
+        [
+            str(Path(sys.executable).parent / 'shiv'),
+            '--console-script',
+            'fireflymux',
+            '--output-file',
+            str(_TARGET),
+            '--python',
+            '/usr/bin/env python3.11',
+            '--no-modify',
+            '--quiet',
+            str(_ROOT),
+        ],
+        check=True,
+        stdout=subprocess.DEVNULL,
+    )
+
+
+def _settings(folder: Path) -> Path:
+    path = folder / 'router.ini'
+    path.write_text(
+        '[instance]\nname=proof\nfailure_domain=a\nlisten_host=127.0.0.1\nlisten_port=0\n'
+        '[fleet]\nkey=a-key-for-this-proof\n'
+        '[platform]\ntable_url=http://127.0.0.1:9\nobject_url=http://127.0.0.1:9\n'
+        'live_url=http://127.0.0.1:9\n[router]\n'
+    )
+    return path
+
+
+def _descendants(pid: int) -> list[int]:
+    children = Path(f'/proc/{pid}/task/{pid}/children').read_text().split()
+    return [int(child) for child in children]
+
+
+def _start(folder: Path) -> tuple[float, float, int, int]:
+    """Starts the file; returns seconds to listen, resident MB, children and the exit code."""
+    began = time.monotonic()
+    process = subprocess.Popen(
+        [str(_TARGET), 'router', str(_settings(folder))],
+        stdout=subprocess.PIPE,
+        env={**os.environ, 'SHIV_ROOT': str(folder), 'PYTHONPATH': '', 'PYTHONUNBUFFERED': '1'},
+    )
+    assert process.stdout is not None
+    line = process.stdout.readline()
+    assert b'listening' in line, line
+    seconds = time.monotonic() - began
+    children = len(_descendants(process.pid))
+    status = Path(f'/proc/{process.pid}/status').read_text()
+    resident = int(status.partition('VmRSS:')[2].split()[0]) / 1024
+    process.terminate()
+    return seconds, resident, children, process.wait(20)
+
+
+def main() -> int:
+    """Builds, starts twice and prints what was seen; returns the exit code."""
+    build()
+    print('size: {0:.1f} MB'.format(_TARGET.stat().st_size / 1e6))
+    with tempfile.TemporaryDirectory() as folder:
+        for name in ('first', 'second'):
+            seconds, resident, children, code = _start(Path(folder))
+            print(
+                '{0} start: {1:.2f} s, {2:.0f} MB resident, {3} child processes, exit {4}'.format(
+                    name, seconds, resident, children, code
+                )
+            )
+            if children or code:
+                return 1
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tools/show_red.py
@@ -0,0 +1,94 @@
+"""Shows that each proof fails when its mechanism is left out.
+
+Runs one scenario with each variant and prints a row: the scenario must fail. In-process
+scenarios load the variant through `features/environment.py`.
+"""
+
+import os
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+_ROOT = Path(__file__).resolve().parent.parent
+_ROWS = (
+    ('naive', 'Backlogged accounts stay within the bound and no slot idles'),
+    ('first_come', 'The smallest contract progresses at its share beside a flood'),
+    ('no_floor', 'An account that slept wakes without saved-up credit'),
+    ('no_read_back', "The claim's answer is lost after the write took effect"),
+    ('no_claim', 'The table is down'),
+    ('no_claim', 'The family repeats the call while it runs'),
+    ('no_claim', 'Router and sidecar die together while the call runs'),
+    ('no_claim', 'Many callers repeat their calls under kills, freezes and outages'),
+    ('no_resume', 'The sidecar dies while it streams and another takes its address'),
+    ('no_end_marker', 'The engine crashes while it streams'),
+    ('no_end_marker', 'Many chats under freezes and crashes stay apart'),
+    (
+        'no_confirmation',
+        'A run order waits in the socket of a frozen sidecar whose endpoint leaves',
+    ),
+    ('no_drain', 'A sidecar stops as planned'),
+    ('no_drain', 'A router stops as planned'),
+    ('no_peers', 'The table is down and a router restarts with no memory'),
+    ('any_version', 'A stale peer offers an older version'),
+    ('any_version', 'Changes that arrive late, twice and out of order'),
+    ('no_limits', 'The rate holds in sum over all routers, whoever sees whom'),
+    ('no_limits', 'The concurrency holds in sum over all routers'),
+    ('no_pause', 'An endpoint that is gone is avoided without a storm of retries'),
+    ('no_verdicts', 'A request crashes each endpoint that runs it and its caller sends it again'),
+    ('no_lock', 'A frozen holder is not overtaken on an engine that ignores tokens'),
+)
+
+
+def run(variant: str, scenario: str) -> tuple[bool, str]:
+    """Runs a scenario with a variant; returns whether it failed, and why."""
+    done = subprocess.run(
+        [
+            sys.executable,
+            '-m',
+            'behave',
+            '--no-capture',
+            '--format',
+            'plain',
+            '--name',
+            f'^{re.escape(scenario)}$',
+            'features',
+        ],
+        cwd=_ROOT,
+        env={**os.environ, 'FIREFLYMUX_VARIANT': variant},
+        capture_output=True,
+        text=True,
+        timeout=300,
+    )
+    lines = [
+        line.strip()[:150]
+        for line in done.stdout.splitlines()
+        if 'ASSERT FAILED' in line or 'Error:' in line or line.startswith('gap ')
+    ]
+    summary = done.stdout.rpartition('scenario')[2]
+    failed = done.returncode != 0 and ('1 failed' in summary or '1 error' in summary)
+    return failed, '; '.join(lines[:2])
+
+
+def main() -> int:
+    """Prints a row for each proof and returns the exit code."""
+    green = []
+    for variant, scenario in _ROWS:
+        failed, why = run(variant, scenario)
+        print(
+            '{0} | {1} | {2} | {3}'.format(
+                'red' if failed else 'GREEN',
+                variant,
+                scenario,
+                why,
+            ),
+            flush=True,
+        )
+        if not failed:
+            green.append(scenario)
+    print('{0} red, {1} not red'.format(len(_ROWS) - len(green), len(green)))
+    return 1 if green else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
