--- a/emulator/service.py
+++ b/emulator/service.py
@@ -47,9 +47,11 @@
             service.effects.append(effect)
         await trio.sleep(delay)
         service.busy_seconds += delay
-        return jsonify(
-            {**effect, 'number': len(service.effects), 'pad': 'x' * message.get('pad', 0)}
-        )
+        number = len(service.effects)
+        answer = jsonify({**effect, 'number': number, 'pad': 'x' * message.get('pad', 0)})
+        answer.headers['Location'] = f'/receipts/{number}'
+        answer.headers['X-Echo'] = request.headers.get('X-Caller-Note', '')
+        return answer
 
     return app
 
