Never call a request not run of which an earlier attempt may have run

The history check found it: an attempt ran and broke off, the next was refused before it ran, and the caller was told the second one's outcome.

--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -63,6 +63,7 @@
     busy_slot_seconds: float = 0.0
     crashed_until: float = 0.0
     crashes: int = 0
+    crosses_next: bool = False
     load: dict[str, int] = attrs.field(factory=dict)
     served: dict[str, int] = attrs.field(factory=dict)
 
@@ -188,6 +189,12 @@
         if not message.get('stream'):
             return await _collect(generation)
         headers = {'Content-Type': 'text/event-stream', 'X-Request-Id': name}
+        if engine.crosses_next:
+            engine.crosses_next = False
+            headers['X-Request-Id'] = 'another-request.1'
+            generation = Generation('another-request.1', 'another', tokens=3, model='', produced=3)
+            generation.content += b'data: [DONE]\n\n'
+            generation.finished = True
         answer = Response(_read(generation, 0), headers=headers)
         answer.timeout = None
         return answer
@@ -230,6 +237,11 @@
         engine.orders.append(order)
         return jsonify({})
 
+    @app.post('/cross')
+    async def cross() -> Response:
+        engine.crosses_next = True
+        return jsonify({})
+
     @app.post('/crash')
     async def crash() -> Response:
         engine.crash()
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -7,6 +7,7 @@
 import configparser
 import os
 import signal
+import ssl
 import subprocess
 import sys
 import tempfile
@@ -94,7 +95,9 @@
         self._variant = variant
         self.folder = Path(tempfile.mkdtemp(prefix='fireflymux-'))
         self.processes: dict[str, Process] = {}
-        self.client = httpx.Client(timeout=30, trust_env=False)
+        ca_file = (settings or {}).get('tls', {}).get('ca_file')
+        verify = ssl.create_default_context(cafile=ca_file) if ca_file else True
+        self.client = httpx.Client(timeout=30, trust_env=False, verify=verify)
         self._settings = settings or {}
         self._platform = ''
         self.listen_port: int | str = 0
@@ -322,6 +325,7 @@
             },
             'fleet': {'key': FLEET_KEY},
             'platform': self._platform_section(),
+            'tls': {},
             'observability': {'trace_file': str(self.folder / 'traces.jsonl')},
         }
         for section, items in self._settings.items():
--- /dev/null
+++ b/features/steps/tls_steps.py
@@ -0,0 +1,71 @@
+"""Steps of encrypted links."""
+
+import ssl
+import tempfile
+from pathlib import Path
+
+import httpx
+import orjson
+import trustme
+from behave import given, then, when
+
+from emulator.callers import CHAT, Answer, authorization
+from emulator.small_fleet import start_small_fleet
+
+
+@given('a small fleet with TLS on every listener')
+def start(context):
+    folder = tempfile.TemporaryDirectory()
+    context.closers.append(folder.cleanup)
+    files = {
+        name: str(Path(folder.name) / name) for name in ('ca_file', 'certificate_file', 'key_file')
+    }
+    authority = trustme.CA()
+    issued = authority.issue_cert('127.0.0.1')
+    authority.cert_pem.write_to_path(files['ca_file'])
+    issued.private_key_pem.write_to_path(files['key_file'])
+    for part in issued.cert_chain_pems:
+        part.write_to_path(files['certificate_file'], append=True)
+    context.ca_file = files['ca_file']
+    context.fleet = start_small_fleet(settings={'tls': files})
+    context.closers.append(context.fleet.close)
+
+
+@when('a family streams a chat over TLS through {name}')
+def stream(context, name):
+    context.answer = Answer('tls', tokens=20, is_stream=True)
+    body = {
+        'model': 'farewell',
+        'messages': [{'role': 'user', 'content': 'hello'}],
+        'stream': True,
+        'emulator': {'tokens': 20, 'nonce': 'tls'},
+    }
+    url = context.fleet.processes[name].address + CHAT
+    assert url.startswith('https://'), url
+    response = context.fleet.client.post(
+        url, headers=authorization('families'), content=orjson.dumps(body)
+    )
+    context.answer.status = response.status_code
+    context.answer.text = response.text
+
+
+@then('the listeners refuse plain HTTP')
+def check_plain(context):
+    for name in ('router-0', 'engine-0'):
+        url = context.fleet.processes[name].address.replace('https', 'http')
+        try:
+            httpx.get(url + '/live', timeout=5)
+        except httpx.HTTPError:
+            continue
+        raise AssertionError('{0} answered plain HTTP'.format(name))
+
+
+@then('a client that does not know the authority refuses {name}')
+def check_authority(context, name):
+    context_without = ssl.create_default_context()
+    try:
+        httpx.get(context.fleet.processes[name].address + '/live', verify=context_without)
+    except httpx.ConnectError as error:
+        assert 'CERTIFICATE' in str(error).upper(), error
+        return
+    raise AssertionError('the certificate was accepted')
--- a/features/steps/whole_answer_steps.py
+++ b/features/steps/whole_answer_steps.py
@@ -8,7 +8,7 @@
 import orjson
 from behave import given, then, when
 
-from emulator.callers import CHAT, at_once, authorization, chat, check_history
+from emulator.callers import CHAT, Answer, at_once, authorization, chat, check_history, send
 from emulator.fleet import wait_until
 from emulator.small_fleet import histories, start_engine_sidecar, start_small_fleet
 
@@ -167,3 +167,39 @@
     print('{0} answers, {1} whole, {2} cut'.format(len(context.answers), len(whole), len(cut)))
     assert whole
     assert not problems, problems
+
+
+@when('each engine crosses its next answer and a family streams {tokens:d} tokens')
+def cross(context, tokens):
+    for url in context.fleet.processes['engines'].addresses:
+        httpx.post(url + '/cross')
+    address = context.fleet.processes['router-0'].address
+    context.answer = chat(address, 'families', tokens=tokens, model='farewell')
+
+
+@when(
+    'a family asks for {tokens:d} tokens within {seconds:d} seconds and the engine dies while it runs'
+)
+def kill_engine(context, tokens, seconds):
+    context.answer = Answer('dies')
+    url = context.fleet.processes['router-0'].address + CHAT
+    headers = {**authorization('families'), 'X-Request-Timeout-Seconds': str(seconds)}
+    body = {
+        'model': 'farewell',
+        'messages': [{'role': 'user', 'content': 'hello'}],
+        'emulator': {'tokens': tokens, 'nonce': 'dies'},
+    }
+    thread = threading.Thread(target=lambda: send(context.answer, 'POST', url, headers, body, 60))
+    thread.start()
+    engines = context.fleet.processes['engines']
+    wait_until(
+        lambda: 'dies' in httpx.get(engines.address + '/stats').text, seconds=5, what='not started'
+    )
+    engines.kill()
+    thread.join()
+
+
+@then('the answer says that it is unknown whether the request ran')
+def check_unknown(context):
+    assert context.answer.status >= 500, context.answer
+    assert context.answer.problem['ran'] == 'unknown', context.answer
--- a/features/whole_answers.feature
+++ b/features/whole_answers.feature
@@ -25,6 +25,16 @@
     When a family leaves after the first token of 2000
     Then no engine runs anything after 5 seconds
 
+  Scenario: A request whose first attempt ran is never called not run
+    Given a small fleet of 1 engines
+    When a family asks for 300 tokens within 6 seconds and the engine dies while it runs
+    Then the answer says that it is unknown whether the request ran
+
+  Scenario: An engine answers with the answer of another request
+    Given a small fleet
+    When each engine crosses its next answer and a family streams 30 tokens
+    Then the answer is whole and its own
+
   Scenario: Many chats under freezes and crashes stay apart
     Given a small fleet
     When 80 chats run while sidecars freeze and engines crash
--- a/src/fireflymux/dispatch.py
+++ b/src/fireflymux/dispatch.py
@@ -41,6 +41,7 @@
         ticket: Its place in the queue.
         deadline: Time at which it is given up on while it waits.
         failures: Attempts that failed.
+        may_have_run: Whether an earlier attempt may have run.
     """
 
     request: CallerRequest
@@ -48,6 +49,7 @@
     ticket: Ticket
     deadline: float
     failures: int = 0
+    may_have_run: bool = False
 
 
 @attrs.define(frozen=True, kw_only=True)
@@ -97,17 +99,18 @@
         while True:
             state = self._parts.crashes.state_of(dispatch.order.fingerprint)
             if state == GUILTY:
-                return Refused(ErrorKind.crash_suspected)
+                return _qualify(dispatch, Refused(ErrorKind.crash_suspected))
             dispatch.order = attrs.evolve(dispatch.order, isolated=state == SUSPECT)
             refused = await self._wait_for_place(dispatch, first=first)
             if refused is not None:
-                return refused
+                return _qualify(dispatch, refused)
             outcome = await self._attempt(dispatch)
             if not isinstance(outcome, Refused):
                 return outcome
+            dispatch.may_have_run = dispatch.may_have_run or outcome.outcome is not Ran.no
             verdict = self._judge(dispatch, outcome)
             if verdict is not None:
-                return verdict
+                return _qualify(dispatch, verdict)
             first = True
             await self._pause(dispatch, outcome)
 
@@ -341,3 +344,10 @@
 
     def _budget(self, account: str) -> RetryBudget:
         return self._budgets.setdefault(account, RetryBudget())
+
+
+def _qualify(dispatch: Dispatch, refused: Refused) -> Refused:
+    """Never calls a request not run of which an earlier attempt may have run."""
+    if dispatch.may_have_run and refused.outcome is Ran.no:
+        return Refused(refused.kind, refused.detail, Ran.unknown, refused.writer)
+    return refused
