Shrink the admission window before the target is missed

Cause: the window shrank only once a first token had missed the target, and what was admitted before still had to come in.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 export PYTHONPATH = $(CURDIR)
 
-.PHONY: demo test red lint generate bench bench-fairness slopes binary clean
+.PHONY: demo test red lint generate bench bench-fairness bench-admission slopes binary clean
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -34,6 +34,9 @@
 bench-fairness: $(VENV)/.installed  ## Measures gap, utilisation and control traffic.
 	$(BIN)/python -m bench.fairness
 
+bench-admission: $(VENV)/.installed  ## Measures the time to the first token on a small engine.
+	$(BIN)/python -m bench.admission
+
 slopes: $(VENV)/.installed  ## Measures the slopes that docs/CAPACITY.md uses.
 	$(BIN)/python -m bench.slopes
 
--- /dev/null
+++ b/bench/admission.py
@@ -0,0 +1,60 @@
+"""Measures the time to the first token on an engine whose batch is smaller than expected.
+
+Run as `python -m bench.admission`. The sidecar is told of 32 slots, the engine batches 4, and
+40 requests are kept open: the admission window has to find the engine's size by itself.
+"""
+
+import fire
+import httpx
+import orjson
+import trio
+
+from bench.deployment import POOL, Shape, start
+from emulator.load import AccountLoad, Load, utilisation
+
+_SLOTS = 32
+_BATCH = 4
+_WARM_UP_SECONDS = 15.0
+_TARGET_SECONDS = 1.0
+
+
+def measure(way: str, seconds: float) -> dict[str, object]:
+    """Measures one way."""
+    shape = Shape(name='overload', routers=1, domains=1, engines=1, accounts=2, slots=_SLOTS)
+    deployment = start(shape, way, batch=_BATCH)
+    with deployment.fleet:
+        loads = [
+            AccountLoad(
+                account=name,
+                weight=weight,
+                routers=[deployment.routers[0].address],
+                open_requests=20,
+                tokens=(10, 30),
+            )
+            for name, weight in deployment.weights.items()
+        ]
+        result = trio.run(Load(loads, deployment.engines, seed=1, model=POOL).run, seconds)
+        stats = httpx.get(deployment.engines[0] + '/stats').json()
+    waits = stats['first_tokens']
+    settled = sorted(waits[len(waits) // 2 :])
+    return {
+        'way': way,
+        'first_token_p50_s': round(settled[len(settled) // 2], 3),
+        'first_token_p95_s': round(settled[int(len(settled) * 0.95)], 3),
+        'within_target': round(sum(item <= _TARGET_SECONDS for item in settled) / len(settled), 3),
+        'utilisation_of_batch': round(utilisation(result, _BATCH, start=_WARM_UP_SECONDS), 3),
+    }
+
+
+def main(seconds: float = 40.0) -> None:
+    """Prints chosen and fixed window side by side.
+
+    Args:
+        seconds: Length of each run; the second half of the requests counts.
+    """
+    for way in ('no_window', 'chosen'):
+        print(orjson.dumps(measure(way, seconds)).decode(), flush=True)
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -68,6 +68,7 @@
     *,
     step_milliseconds: float = STEP_MILLISECONDS,
     fleet: Mapping[str, Any] | None = None,
+    batch: int = 0,
 ) -> Deployment:
     """Starts a deployment.
 
@@ -76,6 +77,7 @@
         way: `naive`, `chosen` or the name of a variant.
         step_milliseconds: Time of one token of a request.
         fleet: Settings of the section [fleet] that replace the defaults.
+        batch: Requests that an engine batches; zero stands for its slots.
     """
     running = Fleet(
         variant='' if way in {'naive', 'chosen'} else way,
@@ -96,7 +98,7 @@
         engines += running.start_engines(
             f'engines-{first}',
             min(per_process, shape.engines - first),
-            slots=shape.slots,
+            slots=batch or shape.slots,
             step_milliseconds=step_milliseconds,
         )
     if way == 'naive':
--- a/bench/fairness.py
+++ b/bench/fairness.py
@@ -14,6 +14,11 @@
 from bench.deployment import NEW_ENGLAND, NZ_NORTH, Deployment, Shape, backlogged, start
 from emulator.load import Load, fairness_gap, utilisation
 
+GROWTH = (
+    Shape(name='small', routers=2, domains=2, engines=3, accounts=8),
+    Shape(name='middle', routers=4, domains=4, engines=6, accounts=16),
+    Shape(name='large', routers=6, domains=6, engines=12, accounts=32),
+)
 WAYS = (
     'naive',
     'chosen',
@@ -101,7 +106,11 @@
 
 
 def main(
-    ways: str | tuple[str, ...] = WAYS, seconds: float = 30.0, seed: int = 1, json: bool = False
+    ways: str | tuple[str, ...] = WAYS,
+    seconds: float = 30.0,
+    seed: int = 1,
+    json: bool = False,
+    grow: bool = False,
 ) -> None:
     """Measures every way on both deployments.
 
@@ -110,10 +119,11 @@
         seconds: Length of each run.
         seed: Seed of the costs.
         json: Whether to print JSON too.
+        grow: Whether to measure growing deployments in place of today's two.
     """
     names = ways.split(',') if isinstance(ways, str) else ways
     rows = []
-    for shape in (NEW_ENGLAND, NZ_NORTH):
+    for shape in GROWTH if grow else (NEW_ENGLAND, NZ_NORTH):
         for way in names:
             rows.append(measure(shape, way, seconds=seconds, seed=seed))
             show(rows[-1:])
--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -6,7 +6,7 @@
 crossed or spliced answer is seen.
 """
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -21,6 +21,8 @@
 
 _KEPT_REQUESTS = 2000
 _CRASH_SECONDS = 1.0
+#: Steps by which the load report lags.
+_LOAD_LAG_STEPS = 3
 
 
 @attrs.define(eq=False)
@@ -34,6 +36,7 @@
     prefill_steps: int = 0
     produced: int = 0
     content: bytearray = attrs.field(factory=bytearray)
+    submitted: float = 0.0
     finished: bool = False
     broken: bool = False
     changed: trio.Event = attrs.field(factory=trio.Event)
@@ -64,7 +67,9 @@
     crashed_until: float = 0.0
     crashes: int = 0
     crosses_next: bool = False
+    first_tokens: list[float] = attrs.field(factory=list)
     load: dict[str, int] = attrs.field(factory=dict)
+    reports: deque[dict[str, int]] = attrs.field(factory=lambda: deque(maxlen=_LOAD_LAG_STEPS))
     served: dict[str, int] = attrs.field(factory=dict)
 
     def submit(self, generation: Generation) -> None:
@@ -72,6 +77,7 @@
         self.kept[generation.request] = generation
         while len(self.kept) > _KEPT_REQUESTS:
             self.kept.popitem(last=False)
+        generation.submitted = trio.current_time()
         self.waiting.append(generation)
         self.history.append({'request': generation.request, 'nonce': generation.nonce})
 
@@ -96,12 +102,15 @@
             self._advance(generation)
             if generation.finished and generation in self.batch:
                 self.batch.remove(generation)
-        self.load = {'running': len(self.batch), 'waiting': len(self.waiting)}
+        self.reports.append({'running': len(self.batch), 'waiting': len(self.waiting)})
+        self.load = self.reports[0]
 
     def _advance(self, generation: Generation) -> None:
         if generation.prefill_steps > 0:
             generation.prefill_steps -= 1
             return
+        if generation.produced == 0:
+            self.first_tokens.append(trio.current_time() - generation.submitted)
         account = generation.nonce.partition('-')[0]
         count = min(self.tokens_per_step, generation.tokens - generation.produced)
         self.served[account] = self.served.get(account, 0) + count
@@ -260,6 +269,7 @@
                 'history': engine.history,
                 'orders': engine.orders,
                 'crashes': engine.crashes,
+                'first_tokens': engine.first_tokens,
             }
         )
 
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -22,6 +22,7 @@
 import orjson
 
 FLEET_KEY = 'development-fleet-key'
+PLATFORM_CREDENTIAL = 'development-platform-credential'
 _START_SECONDS = 30.0
 _STOP_SECONDS = 10.0
 
@@ -126,7 +127,12 @@
 
     def start_platform(self, *, live_lag: float = 0.2) -> None:
         """Starts the platform's stand-in."""
-        arguments = ['-m', 'emulator.platform', '--live-lag={0}'.format(live_lag)]
+        arguments = [
+            '-m',
+            'emulator.platform',
+            '--live-lag={0}'.format(live_lag),
+            '--credential={0}'.format(PLATFORM_CREDENTIAL),
+        ]
         self._platform = self._start('platform', arguments).address
 
     def start_engines(self, name: str, count: int, **options: Any) -> list[str]:
@@ -246,6 +252,7 @@
             self.client.post(
                 self._platform + '/table/transactions',
                 content=orjson.dumps({'puts': puts[start : start + 100]}),
+                headers={'Authorization': 'Bearer ' + PLATFORM_CREDENTIAL},
             ).raise_for_status()
 
     def set_fault(self, service: str, mode: str, **options: Any) -> None:
@@ -338,6 +345,7 @@
             'table_url': self._platform + '/table',
             'object_url': self._platform + '/objects',
             'live_url': self._platform + '/live',
+            'credential': PLATFORM_CREDENTIAL,
         }
 
     def _write_settings(self, name: str, sections: Mapping[str, Mapping[str, Any]]) -> Path:
--- a/emulator/platform.py
+++ b/emulator/platform.py
@@ -5,6 +5,7 @@
 """
 
 import bisect
+import hmac
 from typing import Any
 
 import attrs
@@ -17,7 +18,7 @@
 
 _TRANSACTION_LIMIT = 100
 _WEIGHT_RATE_PER_SECOND = 2.0
-_SERVICES = ('table', 'objects', 'live')
+_SERVICES = ('table', 'objects', 'live', 'weights')
 
 
 @attrs.define
@@ -50,6 +51,7 @@
     counts: dict[str, int] = attrs.field(factory=dict)
     live_lag: float = 0.5
     weights_next: float = 0.0
+    credential: str = ''
 
     def count(self, name: str, amount: int = 1) -> None:
         """Counts an operation."""
@@ -89,6 +91,15 @@
     _add_objects(app, state)
     _add_live(app, state)
 
+    @app.before_request
+    async def check_credential() -> Response | None:
+        expected = 'Bearer {0}'.format(state.credential).encode()
+        given = request.headers.get('Authorization', '').encode()
+        is_guarded = request.path.startswith(('/table', '/objects'))
+        if not state.credential or not is_guarded or hmac.compare_digest(given, expected):
+            return None
+        return Response(b'', status=401)
+
     @app.post('/faults')
     async def faults() -> Response:
         message = await request.get_json()
@@ -173,6 +184,8 @@
 
     @app.get('/weights/<path:_name>')
     async def weights(_name: str) -> Response:
+        if await _meet_fault(state, 'weights') == 'down':
+            return Response(b'', status=503)
         now = trio.current_time()
         if now < state.weights_next:
             return Response(b'', status=429, headers={'Retry-After': '1'})
@@ -204,21 +217,22 @@
         state.shown = [entry for _, entry in state.live.values()]
 
 
-async def _main(port: int, live_lag: float) -> None:
-    state = PlatformState(live_lag=live_lag)
+async def _main(port: int, live_lag: float, credential: str) -> None:
+    state = PlatformState(live_lag=live_lag, credential=credential)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_refresh_live, state)
         await host([(create_app(state), port)])
 
 
-def main(port: int = 0, live_lag: float = 0.3) -> None:
+def main(port: int = 0, live_lag: float = 0.3, credential: str = '') -> None:
     """Runs the platform's stand-in.
 
     Args:
         port: TCP port; zero lets the kernel choose.
         live_lag: Time after which a change of the live list is seen, in seconds.
+        credential: Bearer credential that table and objects demand; empty for none.
     """
-    trio.run(_main, port, live_lag)
+    trio.run(_main, port, live_lag, str(credential))
 
 
 if __name__ == '__main__':
--- a/emulator/variants.py
+++ b/emulator/variants.py
@@ -12,6 +12,7 @@
 
 from fireflymux import (
     account_shares,
+    admission_window,
     claims,
     cli,
     config_reader,
@@ -144,6 +145,11 @@
     configuration.Configuration.replace = replace
 
 
+def no_window() -> None:
+    """Admits as many requests as there are slots in the settings, however late tokens come."""
+    admission_window.AdmissionWindow.observe = lambda _window, _seconds: None
+
+
 def no_resume() -> None:
     """Gives a transfer up when it breaks, instead of resuming it."""
 
@@ -221,6 +227,7 @@
             no_read_back,
             no_confirmation,
             any_version,
+            no_window,
             no_resume,
             no_end_marker,
             no_limits,
--- a/features/operators.feature
+++ b/features/operators.feature
@@ -28,6 +28,11 @@
     When the operator lists the contracts
     Then the exit code is 1
 
+  Scenario: An operator without the platform's credential changes nothing
+    Given a small fleet
+    When an operator with another credential creates a contract
+    Then the exit code is 1
+
   Scenario: Logs are one JSON line for each change of state and metrics are scraped
     Given a small fleet
     When a family streams a chat through router-0
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -126,3 +126,19 @@
     for metric in ('requests_total', 'heartbeats_total', 'control_bytes_total'):
         assert context.fleet.metric(processes[router], metric) > 0, metric
     assert context.fleet.metric(processes[sidecar], 'control_bytes_total') > 0
+
+
+@when('an operator with another credential creates a contract')
+def create_unauthorized(context):
+    _write(
+        context,
+        '[platform]\ntable_url = {0}/table\nobject_url = {0}/objects\nlive_url = {0}/live\n'
+        'credential = guessed\n'.format(context.fleet.platform),
+    )
+    command = ['contract', 'create', 'intruder', 'secret', 'farewell']
+    context.done = subprocess.run(
+        [sys.executable, '-m', 'fireflymux', *command, '--settings', str(context.path)],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
--- a/src/fireflymux/admission_window.py
+++ b/src/fireflymux/admission_window.py
@@ -9,7 +9,10 @@
 
 _DECREASE_FACTOR = 0.8
 _DECREASE_INTERVAL_SECONDS = 1.0
-_SAFE_FRACTION = 0.5
+#: Parts of the target: above the first the window shrinks, below the second it grows. The
+#: requests admitted before a decrease still have to come in within the target.
+_LATE_FRACTION = 0.75
+_SAFE_FRACTION = 0.4
 
 
 class AdmissionWindow:
@@ -26,7 +29,7 @@
 
         Args:
             slots: Largest window.
-            target_seconds: Time to the first token above which the window shrinks.
+            target_seconds: Time that the first token should come within.
             clock: Returns the time in seconds.
         """
         self._slots = slots
@@ -46,7 +49,7 @@
         Args:
             first_token_seconds: Time from the call to the first token.
         """
-        if first_token_seconds > self._target:
+        if first_token_seconds > self._target * _LATE_FRACTION:
             self._shrink()
         elif first_token_seconds < self._target * _SAFE_FRACTION:
             self._size = min(self._size + 1 / self._size, float(self._slots))
