--- a/src/fireflymux/grants.py
+++ b/src/fireflymux/grants.py
@@ -47,13 +47,19 @@
     claimed: trio.Event = attrs.field(factory=trio.Event)
 
 
-@attrs.define(frozen=True, kw_only=True)
+@attrs.define(kw_only=True)
 class GrantIdentity:
-    """What an offer says about its sender."""
+    """What an offer says about its sender.
+
+    Attributes:
+        sidecar: The sidecar incarnation.
+        pool: Pool of its endpoint.
+        address: URL of the sidecar, known once it listens.
+    """
 
     sidecar: str
-    address: str
     pool: str
+    address: str = ''
 
 
 class GrantScheduler:
--- a/src/fireflymux/sidecar.py
+++ b/src/fireflymux/sidecar.py
@@ -94,8 +94,8 @@
         )
         self.health = EndpointHealth(clock=trio.current_time)
         self.crashes = CrashRegistry(clock=trio.current_time)
-        self.batch = TableBatch(self.platform.table, self.metrics)
-        self.claims = ClaimBook(self.incarnation, self.platform, self.batch, self.metrics)
+        self._batch = TableBatch(self.platform.table, self.metrics)
+        self._claims = ClaimBook(self.incarnation, self.platform, self._batch, self.metrics)
         self.reader = ConfigReader(
             self.configuration,
             platform=self.platform,
@@ -103,6 +103,10 @@
             routers=self.list_routers,
             metrics=self.metrics,
         )
+        self.identity = GrantIdentity(sidecar=self.incarnation, pool=sidecar.pool)
+        self.scheduler = self._build_scheduler()
+        self.orders = self._build_orders()
+        self.runs = self._build_runs()
 
     @classmethod
     def from_settings(cls, settings: ProcessSettings) -> 'Sidecar':
@@ -121,55 +125,6 @@
             raise ValueError('the settings have no section [sidecar]')
         return cls(settings, settings.sidecar)
 
-    def connect(self, address: str) -> None:
-        """Builds the parts that need the address of this process.
-
-        Args:
-            address: URL that routers reach this process at.
-        """
-        self.scheduler = GrantScheduler(
-            GrantIdentity(
-                sidecar=self.incarnation,
-                address=address,
-                pool=self.sidecar.pool,
-            ),
-            shares=self.shares,
-            reservations=self.reservations,
-            window=self.window,
-            check_work=self.check_work,
-            send_offer=self.send_offer,
-            metrics=self.metrics,
-        )
-        self.orders = OrderDriver(
-            OrderTarget(self.sidecar.endpoint, self.sidecar.endpoint_url, self.incarnation),
-            table=self.platform.table,
-            client=self._endpoint_client,
-            lock=PortLock(self.sidecar.order_lock_port),
-            wanted_model=self._wanted_model,
-            is_idle=lambda: self.scheduler.running == 0,
-        )
-        self.runs = SidecarRuns(
-            RunParts(
-                scheduler=self.scheduler,
-                shares=self.shares,
-                window=self.window,
-                claims=self.claims,
-                endpoint=EndpointClient(
-                    self._endpoint_client,
-                    self.sidecar.endpoint_url,
-                    prompt_weight=self.sidecar.prompt_token_weight,
-                    cost_per_second=self.sidecar.cost_per_second,
-                ),
-                metrics=self.metrics,
-                tracer=self.tracer,
-                crashes=self.crashes,
-                health=self.health,
-                is_engine=self.sidecar.kind == 'engine',
-                keep_seconds=self.sidecar.resume_seconds,
-                maximum_answer_bytes=self.sidecar.maximum_answer_bytes,
-            )
-        )
-
     def list_routers(self) -> Iterable[str]:
         """Lists the routers to ask for the configuration.
 
@@ -260,11 +215,55 @@
         """
         nursery.start_soon(self.scheduler.run)
         nursery.start_soon(self.runs.watch)
-        nursery.start_soon(self.batch.run)
+        nursery.start_soon(self._batch.run)
         nursery.start_soon(self.orders.run)
-        nursery.start_soon(self.claims.run)
+        nursery.start_soon(self._claims.run)
         nursery.start_soon(self._read_configuration)
 
+    def _build_scheduler(self) -> GrantScheduler:
+        return GrantScheduler(
+            self.identity,
+            shares=self.shares,
+            reservations=self.reservations,
+            window=self.window,
+            check_work=self.check_work,
+            send_offer=self.send_offer,
+            metrics=self.metrics,
+        )
+
+    def _build_orders(self) -> OrderDriver:
+        return OrderDriver(
+            OrderTarget(self.sidecar.endpoint, self.sidecar.endpoint_url, self.incarnation),
+            table=self.platform.table,
+            client=self._endpoint_client,
+            lock=PortLock(self.sidecar.order_lock_port),
+            wanted_model=self._wanted_model,
+            is_idle=lambda: self.scheduler.running == 0,
+        )
+
+    def _build_runs(self) -> SidecarRuns:
+        return SidecarRuns(
+            RunParts(
+                scheduler=self.scheduler,
+                shares=self.shares,
+                window=self.window,
+                claims=self._claims,
+                endpoint=EndpointClient(
+                    self._endpoint_client,
+                    self.sidecar.endpoint_url,
+                    prompt_weight=self.sidecar.prompt_token_weight,
+                    cost_per_second=self.sidecar.cost_per_second,
+                ),
+                metrics=self.metrics,
+                tracer=self.tracer,
+                crashes=self.crashes,
+                health=self.health,
+                is_engine=self.sidecar.kind == 'engine',
+                keep_seconds=self.sidecar.resume_seconds,
+                maximum_answer_bytes=self.sidecar.maximum_answer_bytes,
+            )
+        )
+
     def _wanted_model(self) -> str:
         announcement = self.configuration.endpoints.get(self.sidecar.endpoint)
         return announcement.model if announcement else ''
@@ -487,7 +486,7 @@
                 maximum_header_bytes=_MAXIMUM_HEADER_BYTES,
             )
             address = await server.start(nursery)
-            sidecar.connect(address)
+            sidecar.identity.address = address
             await sidecar.run_tasks(nursery)
             _log.info('listening', address=address, role='sidecar', sidecar=sidecar.incarnation)
             await wait_for_stop()
