Go on while a newer configuration is fetched, and fetch it at once

Cause: a sidecar that heard of a newer version refused all work until its next read, up to 1 s. At the target's rate of changes that idles capacity all the time. Ruled out: the change itself (applying costs microseconds). The confirmation still refuses what waited through a freeze.

--- a/src/fireflymux/backlog.py
+++ b/src/fireflymux/backlog.py
@@ -1,14 +1,12 @@
 """Requests that wait at one router, in one queue for each pool and client account."""
 
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import attrs
 import trio
 
-from .errors import Refused
-
 #: Pool and client account.
 QueueKey = tuple[str, str]
 
@@ -36,8 +34,7 @@
         pool: The pool it is for.
         account: Its client account.
         placement: Where it may run, once known.
-        decided: Set when the placement is known or the request is given up on.
-        refused: Why it was given up on.
+        decided: Set when the placement is known.
         avoid: Sidecar incarnations that failed it.
         number: Place in the order of arrival at this router.
     """
@@ -46,7 +43,6 @@
     account: str
     placement: Placement | None = None
     decided: trio.Event = attrs.field(factory=trio.Event)
-    refused: Refused | None = None
     avoid: set[str] = attrs.field(factory=set)
     number: int = 0
 
@@ -55,11 +51,6 @@
         self.placement = placement
         self.decided.set()
 
-    def give_up(self, refused: Refused) -> None:
-        """Decides that the request will not run."""
-        self.refused = refused
-        self.decided.set()
-
 
 class Backlog:
     """Queues of one router."""
@@ -161,15 +152,6 @@
         ]
         return min(heads)[1] if heads else None
 
-    def give_up_all(self, refused: Refused) -> None:
-        """Gives up on every waiting request."""
-        for ticket in list(self._tickets()):
-            self.remove(ticket)
-            ticket.give_up(refused)
-
-    def _tickets(self) -> Iterable[Ticket]:
-        return [ticket for queue in self._queues.values() for ticket in queue]
-
     def _count_down(self, ticket: Ticket) -> None:
         self._waiting[ticket.account] -= 1
         if self._waiting[ticket.account] == 0:
--- a/src/fireflymux/config_reader.py
+++ b/src/fireflymux/config_reader.py
@@ -57,6 +57,8 @@
         self._metrics = metrics
         self._read_at = _NEVER
         self._confirmed_at = _NEVER
+        self._wanted = trio.Event()
+        self._preferred = ''
 
     @property
     def age_seconds(self) -> float:
@@ -86,7 +88,18 @@
             if self._configuration.version != before:
                 self._metrics.config_version.set({}, self._configuration.version)
                 _log.info('config_applied', version=self._configuration.version)
-            await trio.sleep(interval_seconds)
+            with trio.move_on_after(interval_seconds):
+                await self._wanted.wait()
+            self._wanted = trio.Event()
+
+    def read_soon(self, address: str) -> None:
+        """Ends the wait for the next read, since a router has a newer version.
+
+        Args:
+            address: URL of that router; it is asked first.
+        """
+        self._preferred = address
+        self._wanted.set()
 
     async def read_platform_first(self) -> None:
         """Reads from the platform, or from routers if it does not answer."""
@@ -113,7 +126,7 @@
         return True
 
     async def _read_routers(self) -> bool:
-        for address in self._routers():
+        for address in self._list_routers():
             asked_at = trio.current_time()
             update = await self._ask(address)
             if update is None:
@@ -126,6 +139,12 @@
                 return True
         return False
 
+    def _list_routers(self) -> list[str]:
+        addresses = list(self._routers())
+        preferred = self._preferred
+        self._preferred = ''
+        return [preferred, *addresses] if preferred else addresses
+
     async def _ask(self, address: str) -> ConfigUpdate | None:
         url = '{0}/v1/config?after={1}'.format(address, self._configuration.version)
         try:
--- a/src/fireflymux/dispatch.py
+++ b/src/fireflymux/dispatch.py
@@ -78,7 +78,6 @@
         """
         self._parts = parts
         self._budgets: dict[str, RetryBudget] = {}
-        self.in_progress = 0
 
     async def send(self, request: CallerRequest, traceparent: str) -> Whole | Stream | Refused:
         """Queues a request and runs it.
@@ -205,7 +204,7 @@
         if ticket.placement is not None:
             return None
         self._parts.backlog.remove(ticket)
-        return ticket.refused or Refused(ErrorKind.queue_timeout)
+        return Refused(ErrorKind.queue_timeout)
 
     def _forget_avoided(self, ticket: Ticket) -> None:
         workers = [
@@ -339,7 +338,7 @@
         )
 
     async def _pause(self, dispatch: Dispatch, refused: Refused) -> None:
-        if refused.kind not in _PLACEMENT_REFUSALS:
+        if refused.kind not in _PLACEMENT_REFUSALS or dispatch.order.isolated:
             await trio.sleep(backoff_seconds(dispatch.failures, self._parts.rng))
 
     def _budget(self, account: str) -> RetryBudget:
--- a/src/fireflymux/peers.py
+++ b/src/fireflymux/peers.py
@@ -9,7 +9,6 @@
 
 from . import codec, headers
 from .backlog import Backlog
-from .config_reader import ConfigReader
 from .configuration import Configuration
 from .crash_registry import CrashRegistry
 from .links import LINK_TIMEOUT_SECONDS, LinkClients
@@ -77,7 +76,6 @@
     links: LinkClients
     live: LiveListClient
     configuration: Configuration
-    reader: ConfigReader
     totals: ServiceTotals
     crashes: CrashRegistry
     backlog: Backlog
--- a/src/fireflymux/router.py
+++ b/src/fireflymux/router.py
@@ -87,7 +87,6 @@
                 links=self._links,
                 live=self.platform.live,
                 configuration=self.configuration,
-                reader=self.reader,
                 totals=self.totals,
                 crashes=self.crashes,
                 backlog=self.backlog,
--- a/src/fireflymux/sidecar.py
+++ b/src/fireflymux/sidecar.py
@@ -46,6 +46,8 @@
 _log = get_logger(__name__)
 _MAXIMUM_HEADER_BYTES = 65536
 _CONFIRM_INTERVAL_SECONDS = 1.0
+#: Time for which work goes on while a newer version is fetched, so that changes cost none.
+_CATCH_UP_SECONDS = 0.5
 #: Age of the last confirmation above which no work is accepted.
 CONFIRM_LIMIT_SECONDS = 2.5
 _HEARTBEATS_TO_EXPIRY = 5
@@ -73,6 +75,7 @@
         )
         self.is_stopping = False
         self.heard_version = 0
+        self._heard_at = float('-inf')
         self._links = LinkClients(settings.fleet, settings.tls)
         self._platform_client = create_platform_client(settings.platform, settings.tls)
         self._endpoint_client = create_endpoint_client(settings.tls)
@@ -152,7 +155,7 @@
             return Refused(ErrorKind.sidecar_unconfirmed, 'an order to the engine is pending')
         if self.health.is_paused:
             return Refused(ErrorKind.sidecar_unconfirmed, 'the endpoint takes no calls')
-        if self.configuration.version < self.heard_version:
+        if self._is_behind():
             return Refused(ErrorKind.sidecar_unconfirmed, 'a newer configuration exists')
         if self.reader.confirmed_seconds_ago > CONFIRM_LIMIT_SECONDS:
             return Refused(ErrorKind.sidecar_unconfirmed, 'the confirmation is too old')
@@ -167,7 +170,7 @@
         Returns:
             The state of this sidecar.
         """
-        self.heard_version = max(self.heard_version, heartbeat.config_version)
+        self._hear_version(heartbeat)
         if heartbeat.totals is not None:
             self.shares.merge_others(unpack_totals(heartbeat.totals, self.sidecar.pool))
         self.reservations.replace(heartbeat)
@@ -264,6 +267,19 @@
             )
         )
 
+    def _hear_version(self, heartbeat: Heartbeat) -> None:
+        if heartbeat.config_version > self.heard_version:
+            self.heard_version = heartbeat.config_version
+            self._heard_at = trio.current_time()
+        if heartbeat.config_version > self.configuration.version:
+            self.reader.read_soon(heartbeat.address)
+
+    def _is_behind(self) -> bool:
+        """Tells whether a newer version was not caught up with in time."""
+        if self.configuration.version >= self.heard_version:
+            return False
+        return trio.current_time() - self._heard_at > _CATCH_UP_SECONDS
+
     def _wanted_model(self) -> str:
         announcement = self.configuration.endpoints.get(self.sidecar.endpoint)
         return announcement.model if announcement else ''
