--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -155,7 +155,7 @@
             CONTROL_BYTES,
             'B/s',
         ),
-        _row('sidecar', 'memory, after 1,280 streams', path['sidecar_mb'], MEMORY_MB, 'MB'),
+        _row('sidecar', 'memory after the load of the path', path['sidecar_mb'], MEMORY_MB, 'MB'),
     ]
 
 
