--- a/features/steps/fair_share_steps.py
+++ b/features/steps/fair_share_steps.py
@@ -9,7 +9,6 @@
 
 from bench.deployment import POOL, Shape, account_names, start
 from bench.fairness import bound
-from emulator.fleet import wait_until
 from emulator.load import AccountLoad, Load, fairness_gap, utilisation
 
 _STEP_SECONDS = 0.01
@@ -178,4 +177,3 @@
 def check_joined(context):
     served = context.fleet.client.get(context.joined + '/served').json()['served']
     assert sum(served.values()) > 0
-    wait_until(lambda: True, seconds=1, what='')
--- a/features/steps/whole_answer_steps.py
+++ b/features/steps/whole_answer_steps.py
@@ -203,3 +203,21 @@
 def check_unknown(context):
     assert context.answer.status >= 500, context.answer
     assert context.answer.problem['ran'] == 'unknown', context.answer
+
+
+@given('a small fleet whose sidecars keep {limit:d} bytes of an answer')
+def start_keeping(context, limit):
+    context.fleet = start_small_fleet(settings={'sidecar': {'maximum_answer_bytes': limit}})
+    context.closers.append(context.fleet.close)
+
+
+@when('a family asks for {tokens:d} tokens without streaming')
+def ask_whole(context, tokens):
+    address = context.fleet.processes['router-0'].address
+    context.answer = chat(address, 'families', tokens=tokens, stream=False, model='farewell')
+
+
+@then('the answer is an error that says it broke off')
+def check_broke_off(context):
+    assert context.answer.problem.get('kind') == 'answer_cut', context.answer
+    assert context.answer.problem['ran'] == 'yes', context.answer
--- a/features/whole_answers.feature
+++ b/features/whole_answers.feature
@@ -30,6 +30,11 @@
     When a family asks for 300 tokens within 6 seconds and the engine dies while it runs
     Then the answer says that it is unknown whether the request ran
 
+  Scenario: An answer larger than a sidecar keeps is never cut without saying so
+    Given a small fleet whose sidecars keep 1024 bytes of an answer
+    When a family asks for 200 tokens without streaming
+    Then the answer is an error that says it broke off
+
   Scenario: An engine answers with the answer of another request
     Given a small fleet
     When each engine crosses its next answer and a family streams 30 tokens
--- a/src/fireflymux/answer_buffer.py
+++ b/src/fireflymux/answer_buffer.py
@@ -52,11 +52,6 @@
         """Offset after the newest byte."""
         return self._start + len(self._content)
 
-    @property
-    def is_empty(self) -> bool:
-        """Whether no byte arrived."""
-        return not self._content
-
     @property
     def failure(self) -> Refused | None:
         """Why the answer ended without being whole."""
--- a/src/fireflymux/reservations.py
+++ b/src/fireflymux/reservations.py
@@ -46,11 +46,6 @@
         self._routers: dict[str, RouterReservations] = {}
         self._turn = 0
 
-    @property
-    def newest_contact(self) -> float:
-        """Time of the newest heartbeat of any router; minus infinity if there was none."""
-        return max((entry.seen_at for entry in self._routers.values()), default=float('-inf'))
-
     def replace(self, heartbeat: Heartbeat) -> None:
         """Replaces the reservations of the sending router.
 
--- a/src/fireflymux/service_totals.py
+++ b/src/fireflymux/service_totals.py
@@ -46,11 +46,6 @@
         self._sums: dict[str, _Column] = {}
         self._floors: dict[str, dict[str, float]] = {}
 
-    @property
-    def reporters(self) -> frozenset[str]:
-        """Sidecar incarnations that have reported."""
-        return frozenset(self._reports)
-
     def merge(
         self, reporter: str, totals: Iterable[ServiceTotal], *, is_relayed: bool = False
     ) -> None:
--- a/src/fireflymux/sidecar.py
+++ b/src/fireflymux/sidecar.py
@@ -466,7 +466,9 @@
     await run.buffer.wait_finished()
     if run.buffer.failure is not None:
         return answer_problem(run.buffer.failure)
-    content = run.buffer.content[max(offset - run.buffer.start_offset, 0) :]
+    if offset < run.buffer.start_offset:
+        return answer_problem(Refused(ErrorKind.answer_cut, 'larger than this sidecar keeps'))
+    content = run.buffer.content[offset - run.buffer.start_offset :]
     return Response(content, status=head.status, headers=fields)
 
 
