--- a/src/fireflymux/_messages_generated.py
+++ b/src/fireflymux/_messages_generated.py
@@ -222,6 +222,31 @@
     headers: dict[str, str] = field(factory=dict)
 
 
+@define(frozen=True, kw_only=True)
+class PeerReport:
+    """What an entry instance tells the others in one datagram."""
+
+    instance: str
+    incarnation: int
+    config_version: int
+    members_version: int
+    loads: list[int]
+    placements: list[list[int]]
+    usage: dict[str, float]
+    crashes: dict[str, int]
+
+
+@define(frozen=True, kw_only=True)
+class EntrySnapshot:
+    """What an entry instance knows of the store, for another that cannot reach it."""
+
+    config_row: str
+    config_version: int
+    members: dict[str, str]
+    members_version: int
+    instances: dict[str, str]
+
+
 @define(frozen=True, kw_only=True)
 class Heartbeat:
     """Sent by a router to a sidecar; replaces the router's earlier reservations there, which count the waiting requests by client account."""
--- a/src/fireflymux/_settings_generated.py
+++ b/src/fireflymux/_settings_generated.py
@@ -51,6 +51,26 @@
     timeout_seconds: float = 1.0
 
 
+@define(frozen=True, kw_only=True)
+class EntrySettings:
+    """Section [entry]: an entry instance that serves without sidecars."""
+
+    name: str
+    failure_domain: str
+    caller_address: str
+    readiness_address: str
+    peer_host: str
+    peer_port: int
+    store_address: str
+    seeds: str = ''
+    shutdown_timeout_seconds: float = 8.0
+    config_apply_milliseconds: int = 2000
+    retry_ratio: float = 0.2
+    retry_window_seconds: float = 10.0
+    retry_constant: float = 10.0
+    share_window_seconds: float = 4.0
+
+
 @define(frozen=True, kw_only=True)
 class TlsSettings:
     """Section [tls]: certificates; empty values mean plain HTTP."""
--- /dev/null
+++ b/src/fireflymux/decisions/account_usage.py
@@ -0,0 +1,86 @@
+"""Tokens that each client account was given lately, over all entry instances."""
+
+import math
+from collections.abc import Mapping
+
+#: Usage smaller than this is forgotten.
+_NEGLIGIBLE_TOKENS = 1.0
+
+
+class AccountUsage:
+    """Tokens by account, decaying over the window of the fair share.
+
+    Answers an account that asks for many times its share: requests of accounts that were
+    given less go first, so that nobody else waits for its flood.
+    """
+
+    def __init__(self, window_seconds: float) -> None:
+        """Starts with no usage.
+
+        Args:
+            window_seconds: Time in which usage decays to a third.
+        """
+        self._window = window_seconds
+        self._own: dict[str, float] = {}
+        self._updated = 0.0
+        self._others: dict[str, tuple[float, Mapping[str, float]]] = {}
+
+    def charge(self, account: str, tokens: float, now: float) -> None:
+        """Counts tokens given to an account by this instance.
+
+        Args:
+            account: Client account.
+            tokens: Tokens, estimated where they aren't known yet.
+            now: Time in seconds.
+        """
+        self._decay(now)
+        self._own[account] = self._own.get(account, 0.0) + tokens
+
+    def merge(self, instance: str, usage: Mapping[str, float], now: float) -> None:
+        """Takes over the usage that another instance gave.
+
+        Args:
+            instance: Name of the instance.
+            usage: Tokens by account.
+            now: Time in seconds.
+        """
+        self._others[instance] = (now, usage)
+
+    def report(self, now: float) -> dict[str, float]:
+        """Lists what this instance gave.
+
+        Args:
+            now: Time in seconds.
+
+        Returns:
+            Tokens by account.
+        """
+        self._decay(now)
+        return dict(self._own)
+
+    def total(self, account: str, now: float) -> float:
+        """Returns what all instances gave to an account.
+
+        Args:
+            account: Client account.
+            now: Time in seconds.
+
+        Returns:
+            Tokens.
+        """
+        given = self._own.get(account, 0.0) * self._factor(now - self._updated)
+        for heard, usage in self._others.values():
+            given += usage.get(account, 0.0) * self._factor(now - heard)
+        return given
+
+    def _factor(self, seconds: float) -> float:
+        return math.exp(-max(seconds, 0.0) / self._window)
+
+    def _decay(self, now: float) -> None:
+        factor = self._factor(now - self._updated)
+        self._updated = now
+        self._own = {
+            account: tokens * factor
+            for account, tokens in self._own.items()
+            if tokens * factor > _NEGLIGIBLE_TOKENS
+        }
--- /dev/null
+++ b/src/fireflymux/decisions/ejection.py
@@ -0,0 +1,69 @@
+"""Holds work back from endpoints that do not accept connections or fail what they run."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from ..endpoint_health import EndpointHealth
+
+#: Weight of the newest result in the failure rate.
+_RATE_WEIGHT = 0.12
+#: Failure rate from which an endpoint is ejected, if others do better.
+_EJECT_RATE = 0.35
+#: An ejected endpoint fails at least this many times as often as the others.
+_EJECT_RATIO = 2.5
+_EJECT_SECONDS = 3.0
+#: Part of a service's endpoints that may be ejected at once.
+_EJECTABLE_PART = 0.5
+
+
+@attrs.define
+class EndpointRecord:
+    """Results of one endpoint.
+
+    Attributes:
+        reachability: Pauses after connections that it did not accept.
+        failure_rate: Recent part of its requests that failed, 0 to 1.
+        ejected_until: Time until which it gets no work, in seconds.
+    """
+
+    reachability: EndpointHealth
+    failure_rate: float = 0.0
+    ejected_until: float = float('-inf')
+
+    def record(self, *, failed: bool) -> None:
+        """Counts a result.
+
+        Args:
+            failed: Whether the request failed on the endpoint.
+        """
+        self.failure_rate += _RATE_WEIGHT * (float(failed) - self.failure_rate)
+
+
+def eject_outliers(records: Iterable[EndpointRecord], now: float) -> list[EndpointRecord]:
+    """Ejects the endpoints of a service that fail far more often than the others.
+
+    Args:
+        records: Records of the service's endpoints.
+        now: Time in seconds.
+
+    Returns:
+        The records that were ejected by this call.
+    """
+    known = list(records)
+    ejected = sum(record.ejected_until > now for record in known)
+    added = []
+    for record in sorted(known, key=lambda entry: -entry.failure_rate):
+        if record.failure_rate < _EJECT_RATE or record.ejected_until > now:
+            continue
+        if ejected + 1 > _EJECTABLE_PART * len(known):
+            break
+        others = [entry.failure_rate for entry in known if entry is not record]
+        if record.failure_rate < _EJECT_RATIO * sum(others) / len(others):
+            continue
+        record.ejected_until = now + _EJECT_SECONDS
+        # A probation: the next few requests decide.
+        record.failure_rate = _EJECT_RATE / 2
+        ejected += 1
+        added.append(record)
+    return added
--- /dev/null
+++ b/src/fireflymux/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry role: takes callers' requests and sends them to endpoints, with no sidecar."""
--- /dev/null
+++ b/src/fireflymux/entry/attempt.py
@@ -0,0 +1,234 @@
+"""One attempt of a request on one endpoint."""
+
+from dataclasses import dataclass
+
+import attrs
+import trio
+
+from ..decisions.engine_choice import Placement
+from ..http.client_connection import ClientConnection, ConnectFailed, ConnectionBroken
+from ..http.messages import AnswerHead, Fields, Request
+from ..http.response_parser import Answer
+from ..platform.call_headers import (
+    AnswerTerms,
+    CallTerms,
+    decode_answer,
+    encode_call,
+    keep_answer_fields,
+)
+from .event_relay import EventRelay
+from .state import EntryState, LiveEndpoint
+
+_MAXIMUM_ANSWER_BYTES = 8388608
+_FIRST_SUCCESS = 200
+_FIRST_REDIRECT = 300
+_FIRST_SERVER_ERROR = 500
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """The endpoint took no connection: it knows nothing of the request."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """The endpoint said that it did not run the request."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """No whole answer came: the request can have run."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """A whole answer of the endpoint."""
+
+    status: int
+    fields: Fields
+    content: bytes
+
+    @property
+    def is_failure(self) -> bool:
+        """Whether the endpoint failed the request."""
+        return self.status >= _FIRST_SERVER_ERROR
+
+
+@dataclass(frozen=True, slots=True)
+class Relayed:
+    """A stream was passed on to its end."""
+
+
+Outcome = NotSent | Rejected | Broken | Whole | Relayed
+
+
+@attrs.define(eq=False, kw_only=True)
+class Attempt:
+    """What one attempt needs.
+
+    Attributes:
+        request: The caller's request.
+        terms: Its header fields.
+        account: Client account; empty for requests without a key.
+        live: The endpoint.
+        placement: Load that it counts for on the endpoint.
+        ends_at: Time at which the caller's patience or the route's timeout ends, in seconds.
+        relay: Takes the events, if the answer is a stream.
+        is_reading: Whether the endpoint still reads the prompt.
+        pending_tokens: Prompt tokens that the endpoint had to read until this prompt's end.
+        sent_at: Time at which the request was sent, in seconds.
+    """
+
+    request: Request
+    terms: CallTerms
+    account: str
+    live: LiveEndpoint
+    placement: Placement
+    ends_at: float
+    relay: EventRelay | None
+    is_reading: bool = True
+    pending_tokens: int = 0
+    sent_at: float = 0.0
+
+
+async def run_attempt(state: EntryState, attempt: Attempt) -> Outcome:
+    """Sends a request to an endpoint and takes its answer.
+
+    Args:
+        state: Beliefs of the instance.
+        attempt: The attempt; its load is taken off the endpoint when it ends.
+
+    Returns:
+        How it ended.
+    """
+    live = attempt.live
+    attempt.pending_tokens = state.loads.total(live.number).pending_tokens
+    try:
+        outcome = await _connect_and_exchange(state, attempt)
+    finally:
+        _end_reading(state, attempt)
+        state.loads.end(live.number)
+        state.notify()
+    if isinstance(outcome, NotSent):
+        live.record.reachability.record_failure()
+        return outcome
+    failed = isinstance(outcome, Broken | Rejected)
+    state.record_result(live, failed=failed or (isinstance(outcome, Whole) and outcome.is_failure))
+    return outcome
+
+
+async def _connect_and_exchange(state: EntryState, attempt: Attempt) -> Outcome:
+    live = attempt.live
+    try:
+        connection = await live.pool.take()
+    except ConnectFailed as error:
+        return NotSent(str(error))
+    idle_seconds = None
+    is_whole = False
+    try:
+        await _send(attempt, connection)
+        answer, terms = await _match_answer(connection, attempt.terms.attempt)
+        outcome = await _take_answer(state, attempt, connection, answer, terms)
+        connection.drop(answer)
+        idle_seconds = terms.idle_seconds
+        is_whole = True
+    except ConnectionBroken as error:
+        return Broken(str(error))
+    finally:
+        if not is_whole:
+            connection.close()
+    live.pool.give_back(connection, idle_seconds)
+    return outcome
+
+
+async def _send(attempt: Attempt, connection: ClientConnection) -> None:
+    request = attempt.request
+    resume_after = -1 if attempt.relay is None else attempt.relay.last_event
+    fields = encode_call(
+        request,
+        endpoint=attempt.live.endpoint.identifier,
+        account=attempt.account,
+        remaining_seconds=attempt.ends_at - trio.current_time(),
+        resume_after=resume_after,
+    )
+    start_line = b'%b %b HTTP/1.1' % (request.method, request.target)
+    attempt.sent_at = trio.current_time()
+    await connection.send(start_line, fields, request.content)
+
+
+async def _match_answer(
+    connection: ClientConnection, attempt_id: bytes
+) -> tuple[Answer, AnswerTerms]:
+    """Skips answers to other requests that arrive late on the connection."""
+    while True:
+        answer = await connection.next_answer()
+        terms = decode_answer(answer.head)
+        if terms.attempt == attempt_id:
+            return answer, terms
+        await connection.read_whole(answer, _MAXIMUM_ANSWER_BYTES)
+        connection.drop(answer)
+
+
+async def _take_answer(
+    state: EntryState,
+    attempt: Attempt,
+    connection: ClientConnection,
+    answer: Answer,
+    terms: AnswerTerms,
+) -> Outcome:
+    head = answer.head
+    is_success = _FIRST_SUCCESS <= head.status < _FIRST_REDIRECT
+    if is_success and not terms.is_signed:
+        raise ConnectionBroken('the answer is not signed')
+    if is_success and attempt.relay is not None:
+        return await _relay_events(state, attempt, connection, answer)
+    content = await connection.read_whole(answer, _MAXIMUM_ANSWER_BYTES)
+    if terms.did_not_run:
+        return Rejected(head.status)
+    if not terms.is_signed:
+        raise ConnectionBroken('the answer is not signed')
+    return Whole(head.status, keep_answer_fields(head), content)
+
+
+async def _relay_events(
+    state: EntryState,
+    attempt: Attempt,
+    connection: ClientConnection,
+    answer: Answer,
+) -> Outcome:
+    relay = attempt.relay
+    if relay is None:
+        raise ConnectionBroken('the answer is not a stream')
+    relay.restart()
+    head: AnswerHead = answer.head
+    fields = keep_answer_fields(head)
+    while True:
+        piece = await connection.next_piece(answer)
+        if not piece:
+            break
+        if attempt.is_reading:
+            _observe_speed(attempt, trio.current_time() - attempt.sent_at)
+            _end_reading(state, attempt)
+        await relay.pass_on(piece, head.status, fields)
+    if answer.ends_with_connection and not relay.is_between_events:
+        raise ConnectionBroken('the stream ended within an event')
+    await relay.end(head.status, fields)
+    return Relayed()
+
+
+def _observe_speed(attempt: Attempt, seconds: float) -> None:
+    attempt.live.speed.observe(attempt.pending_tokens, seconds)
+
+
+def _end_reading(state: EntryState, attempt: Attempt) -> None:
+    if not attempt.is_reading:
+        return
+    attempt.is_reading = False
+    state.loads.end_reading(attempt.live.number, attempt.placement.tokens)
+    state.notify()
--- /dev/null
+++ b/src/fireflymux/entry/calls.py
@@ -0,0 +1,102 @@
+"""Admits a caller's request: finds its route, its account and its service."""
+
+import hashlib
+
+import attrs
+
+from ..decisions.retry import AttemptHistory
+from ..decisions.routes import Route
+from ..errors import ErrorKind, Refused
+from ..http.messages import Request, find_field
+from ..http.server_connection import ServerConnection
+from ..platform.call_headers import CallTerms
+from .event_relay import EventRelay
+from .state import EntryState
+
+_FINGERPRINT_BYTES = 7
+
+
+@attrs.define(eq=False, kw_only=True)
+class Call:
+    """One request on its way.
+
+    Attributes:
+        request: The request.
+        terms: Its header fields.
+        route: The route that it takes.
+        service: The service that it was given to.
+        account: Client account; empty for requests without a key.
+        ends_at: Time at which it gets its final answer, in seconds.
+        relay: Takes the events, if the answer is a stream.
+        tried: Numbers of the endpoints that were chosen for it.
+        history: What became of its attempts.
+        is_in_flight: Whether an attempt runs now.
+    """
+
+    request: Request
+    terms: CallTerms
+    route: Route
+    service: str
+    account: str
+    ends_at: float
+    relay: EventRelay | None
+    tried: set[int] = attrs.field(factory=set)
+    history: AttemptHistory = attrs.field(factory=AttemptHistory)
+    is_in_flight: bool = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an endpoint can have run the request."""
+        return self.is_in_flight or self.history.may_have_run
+
+    def fingerprint(self) -> int:
+        """Digests what makes a request the same when its caller sends it again."""
+        digest = hashlib.blake2b(self.request.content, digest_size=_FINGERPRINT_BYTES)
+        digest.update(self.request.path)
+        digest.update(self.account.encode())
+        return int.from_bytes(digest.digest(), 'big')
+
+
+def admit_call(
+    state: EntryState,
+    request: Request,
+    terms: CallTerms,
+    connection: ServerConnection,
+) -> Call | Refused:
+    """Checks a request against the configuration in force.
+
+    Args:
+        state: Beliefs of the instance.
+        request: The request.
+        terms: Its header fields.
+        connection: Connection of its caller.
+
+    Returns:
+        The call, or why it is refused.
+    """
+    configuration = state.configuration
+    if configuration is None or not state.is_listed:
+        return Refused(ErrorKind.configuration_unavailable)
+    host = find_field(request.fields, b'host').partition(b':')[0].decode('latin-1').lower()
+    route = configuration.find_route(host, request.path.decode('latin-1'))
+    if route is None:
+        return Refused(ErrorKind.pool_unknown)
+    account = configuration.accounts_by_key.get(terms.key, '') if terms.key else ''
+    if configuration.needs_keys and not account and not route.is_public:
+        return Refused(ErrorKind.unauthenticated)
+    relay = None
+    if route.repeatability.is_stream:
+        relay = EventRelay(
+            connection,
+            resume_after=terms.resume_after,
+            numbered=route.repeatability.may_repeat,
+        )
+    return Call(
+        request=request,
+        terms=terms,
+        route=route,
+        service=route.choose_service(state.rng),
+        account=account,
+        ends_at=request.received_at + min(terms.deadline_seconds, route.timeout_seconds),
+        relay=relay,
+    )
--- /dev/null
+++ b/src/fireflymux/entry/event_relay.py
@@ -0,0 +1,96 @@
+"""Passes the events of a stream on to its caller, whole and in order."""
+
+from ..http.messages import Fields
+from ..http.server_connection import ServerConnection
+
+_EVENT_END = b'\n\n'
+_IDENTIFIER = b'id:'
+
+
+class EventRelay:
+    """One answer made of events, which may come from several endpoints in turn.
+
+    Attributes:
+        last_event: Number of the last event passed on; -1 before the first one.
+        is_begun: Whether the caller received the head of the answer.
+    """
+
+    def __init__(self, connection: ServerConnection, *, resume_after: int, numbered: bool) -> None:
+        """Starts before the first event.
+
+        Args:
+            connection: Connection of the caller.
+            resume_after: Number of the last event that the caller has; -1 for none.
+            numbered: Whether the numbers of events are read, so that the answer can resume.
+        """
+        self.last_event = resume_after
+        self.is_begun = False
+        self._connection = connection
+        self._numbered = numbered
+        self._partial = b''
+
+    @property
+    def is_between_events(self) -> bool:
+        """Whether no part of an event is held back."""
+        return not self._partial
+
+    def restart(self) -> None:
+        """Forgets the part of an event that a broken attempt left."""
+        self._partial = b''
+
+    async def pass_on(self, received: bytes, status: int, fields: Fields) -> None:
+        """Takes bytes of the endpoint's answer and sends the events that are whole.
+
+        Args:
+            received: The bytes, in order.
+            status: Status of the answer.
+            fields: Field lines of the answer for the caller.
+        """
+        content = self._partial + received
+        end = content.rfind(_EVENT_END)
+        if end < 0:
+            self._partial = content
+            return
+        whole = content[: end + len(_EVENT_END)]
+        self._partial = content[len(whole) :]
+        if self._numbered:
+            whole = self._drop_repeated(whole)
+        await self._send(whole, status, fields)
+
+    async def end(self, status: int, fields: Fields) -> None:
+        """Sends what is left and the end of the answer."""
+        rest = self._partial
+        self._partial = b''
+        await self._send(rest, status, fields)
+        if not self.is_begun:
+            self.is_begun = True
+            await self._connection.start_answer(status, fields)
+        await self._connection.end_answer()
+
+    async def _send(self, content: bytes, status: int, fields: Fields) -> None:
+        if not content:
+            return
+        if not self.is_begun:
+            self.is_begun = True
+            await self._connection.start_answer(status, fields)
+        await self._connection.send_chunk(content)
+
+    def _drop_repeated(self, events: bytes) -> bytes:
+        kept = []
+        for event in events.split(_EVENT_END)[:-1]:
+            number = _read_number(event)
+            if number is not None:
+                if number <= self.last_event:
+                    continue
+                self.last_event = number
+            kept.append(event + _EVENT_END)
+        return b''.join(kept)
+
+
+def _read_number(event: bytes) -> int | None:
+    for line in event.split(b'\n'):
+        if not line.startswith(_IDENTIFIER):
+            continue
+        text = line[len(_IDENTIFIER) :].strip()
+        return int(text) if text.isdigit() else None
+    return None
--- /dev/null
+++ b/src/fireflymux/entry/exchange.py
@@ -0,0 +1,239 @@
+"""Answers a caller's request: places it, sends it, and says what became of it."""
+
+import orjson
+import trio
+
+from ..decisions.retry import Ending, may_try_again
+from ..decisions.waiting import Waiting
+from ..errors import ANSWERS, ErrorKind, Ran, Refused
+from ..http.messages import Request
+from ..http.server_connection import ServerConnection
+from ..logs import get_logger
+from ..metrics import Metrics
+from ..platform.call_headers import CallTerms, decode_call, encode_refusal
+from .attempt import Attempt, Broken, NotSent, Outcome, Rejected, Relayed, Whole, run_attempt
+from .calls import Call, admit_call
+from .service_queue import ServiceQueue, engine_chooser, release_placement, slot_chooser
+from .state import EntryState
+
+_log = get_logger(__name__)
+#: Time for an endpoint's own answer at its deadline to arrive, in seconds.
+_ANSWER_MARGIN_SECONDS = 0.05
+#: Part of the target latency after which a request that was not placed is given up.
+_PATIENCE_PART = 0.25
+#: Spread of the time after which a refused caller may come back.
+_LEAST_RETURN_PART = 0.5
+_UNAVAILABLE_STATUS = 503
+
+
+class Exchanges:
+    """Answers the requests of all connections of one instance.
+
+    Attributes:
+        running: Requests that are being answered.
+    """
+
+    def __init__(self, state: EntryState, metrics: Metrics) -> None:
+        """Starts with no request.
+
+        Args:
+            state: Beliefs of the instance.
+            metrics: Counters of the instance.
+        """
+        self.running = 0
+        self._state = state
+        self._metrics = metrics
+        self._queues: dict[str, ServiceQueue] = {}
+        state.subscribe(self.dispatch)
+
+    def dispatch(self) -> None:
+        """Places the waiting requests that fit now."""
+        for queue in self._queues.values():
+            queue.dispatch()
+
+    async def handle(self, request: Request, connection: ServerConnection) -> None:
+        """Answers one request.
+
+        Args:
+            request: The request.
+            connection: Connection of its caller.
+        """
+        terms = decode_call(request)
+        self.running += 1
+        try:
+            call = admit_call(self._state, request, terms, connection)
+            if isinstance(call, Refused):
+                await self._refuse(call, terms, connection)
+                return
+            await self._answer(call, connection)
+        finally:
+            self.running -= 1
+
+    async def _answer(self, call: Call, connection: ServerConnection) -> None:
+        self._state.allowance_of(call.service).count_request(trio.current_time())
+        result: Whole | Relayed | Refused | None = None
+        with trio.move_on_at(call.ends_at + _ANSWER_MARGIN_SECONDS):
+            result = await self._run(call)
+        if isinstance(result, Whole):
+            self._metrics.requests.inc({'result': 'whole'})
+            await connection.answer(result.status, result.fields, result.content)
+            return
+        if isinstance(result, Relayed):
+            self._metrics.requests.inc({'result': 'relayed'})
+            return
+        if result is None:
+            kind = ErrorKind.outcome_unknown if call.may_have_run else ErrorKind.queue_timeout
+            result = Refused(kind, 'the time of the request is over')
+        self._log_failure(call, result)
+        if call.relay is not None and call.relay.is_begun:
+            connection.abort()
+            return
+        await self._refuse(result, call.terms, connection)
+
+    async def _run(self, call: Call) -> Whole | Relayed | Refused:
+        crashes = self._state.crashes
+        while True:
+            if not crashes.is_empty and crashes.is_refused(call.fingerprint()):
+                return Refused(ErrorKind.endpoint_crashed, 'it broke off on several endpoints')
+            placement = await self._place(call)
+            if placement is None:
+                return _refuse_unplaced(call)
+            outcome = await self._attempt(call, placement)
+            if isinstance(outcome, Relayed):
+                return outcome
+            if isinstance(outcome, Whole) and not outcome.is_failure:
+                return outcome
+            if self._may_try_again(call, outcome):
+                continue
+            return outcome if isinstance(outcome, Whole) else _refuse_ended(call, outcome)
+
+    async def _place(self, call: Call) -> Waiting | None:
+        waiting = Waiting(
+            account=call.account,
+            parts=call.terms.parts,
+            prompt_tokens=call.terms.prompt_tokens,
+            output_tokens=call.terms.output_tokens,
+            target_seconds=call.route.target_seconds,
+            excluded=call.tried,
+        )
+        patience = _PATIENCE_PART * call.route.target_seconds
+        until = min(trio.current_time() + patience, call.ends_at)
+        placed = await self._queue_of(call.service).place(waiting, until=until)
+        return waiting if placed else None
+
+    async def _attempt(self, call: Call, waiting: Waiting) -> Outcome:
+        placement = waiting.placement
+        if placement is None:
+            return NotSent('no endpoint')
+        live = self._state.find_endpoint(placement.number)
+        call.tried.add(placement.number)
+        if live is None:
+            release_placement(self._state, placement)
+            return NotSent('the endpoint is gone')
+        call.is_in_flight = True
+        outcome = await run_attempt(
+            self._state,
+            Attempt(
+                request=call.request,
+                terms=call.terms,
+                account=call.account,
+                live=live,
+                placement=placement,
+                ends_at=call.ends_at,
+                relay=call.relay,
+            ),
+        )
+        call.is_in_flight = False
+        self._metrics.attempts.inc({'result': type(outcome).__name__})
+        if not isinstance(outcome, Relayed | Whole):
+            _log.info(
+                'attempt_ended',
+                request=call.terms.attempt.decode('latin-1'),
+                endpoint=live.endpoint.identifier,
+                result=type(outcome).__name__,
+                detail=str(outcome),
+            )
+        return outcome
+
+    def _may_try_again(self, call: Call, outcome: Outcome) -> bool:
+        now = trio.current_time()
+        ending = _ENDINGS[type(outcome)]
+        call.history.record(ending)
+        if ending is Ending.broken:
+            self._state.crashes.record(call.fingerprint(), now)
+        allowance = self._state.allowance_of(call.service)
+        is_again = may_try_again(
+            call.history,
+            ending,
+            repeatability=call.route.repeatability,
+            maximum_endpoints=call.route.maximum_endpoints,
+            seconds_left=call.ends_at - now,
+            try_spend=lambda: allowance.try_spend(now),
+        )
+        if is_again and ending is not Ending.not_sent:
+            self._metrics.retries.inc({'ending': ending.value})
+        return is_again
+
+    def _queue_of(self, name: str) -> ServiceQueue:
+        queue = self._queues.get(name)
+        if queue is not None:
+            return queue
+        configuration = self._state.configuration
+        service = None if configuration is None else configuration.services.get(name)
+        if service is not None and service.engine is not None:
+            choose = engine_chooser(self._state, name, service.engine)
+        else:
+            choose = slot_chooser(self._state, name)
+        queue = self._queues[name] = ServiceQueue(self._state, choose)
+        return queue
+
+    def _log_failure(self, call: Call, refused: Refused) -> None:
+        self._metrics.refusals.inc({'kind': refused.kind.value})
+        _log.info(
+            'request_failed',
+            request=call.terms.attempt.decode('latin-1'),
+            route=call.route.name,
+            account=call.account,
+            kind=refused.kind.value,
+            detail=refused.detail,
+            ran='unknown' if call.may_have_run else 'no',
+            sends=call.history.sends,
+            unsent=call.history.unsent,
+            seconds=round(trio.current_time() - call.request.received_at, 3),
+        )
+
+    async def _refuse(
+        self, refused: Refused, terms: CallTerms, connection: ServerConnection
+    ) -> None:
+        answer = ANSWERS[refused.kind]
+        retry_after = 0.0
+        if refused.outcome is Ran.no and answer.status == _UNAVAILABLE_STATUS:
+            spread = self._state.rng.uniform(_LEAST_RETURN_PART, 1)
+            retry_after = answer.retry_after_seconds * spread
+        content = orjson.dumps({'kind': refused.kind.value, 'title': answer.title})
+        await connection.answer(
+            answer.status, encode_refusal(terms.attempt, retry_after), content
+        )
+
+
+_ENDINGS: dict[type[Outcome], Ending] = {
+    NotSent: Ending.not_sent,
+    Rejected: Ending.rejected,
+    Broken: Ending.broken,
+    Whole: Ending.failed,
+}
+
+
+def _refuse_unplaced(call: Call) -> Refused:
+    if call.may_have_run:
+        return Refused(ErrorKind.endpoint_crashed, 'no other endpoint took it in time')
+    return Refused(ErrorKind.queue_timeout, 'no endpoint could take it in time')
+
+
+def _refuse_ended(call: Call, outcome: Outcome) -> Refused:
+    detail = str(outcome)
+    if call.may_have_run:
+        return Refused(ErrorKind.endpoint_crashed, detail)
+    if isinstance(outcome, Rejected):
+        return Refused(ErrorKind.sidecar_busy, detail)
+    return Refused(ErrorKind.endpoint_unreachable, detail)
--- /dev/null
+++ b/src/fireflymux/entry/instance.py
@@ -0,0 +1,143 @@
+"""Runs an entry instance from start to stop."""
+
+import random
+import signal
+
+import orjson
+import trio
+
+from ..http.messages import HttpLimits, Request
+from ..http.server_connection import ServerConnection
+from ..logs import get_logger
+from ..metrics import Metrics
+from ..platform.readiness import READINESS_PATH
+from ..platform.store import StoreClient
+from ..settings import EntryProcessSettings
+from .exchange import Exchanges
+from .listeners import Listener
+from .peer_link import REPORT_SECONDS, PeerLink
+from .state import EntryState
+from .store_follower import StoreFollower
+
+_log = get_logger(__name__)
+#: A gap between two ticks that shows that the process did not run.
+_FREEZE_SECONDS = 0.5
+#: Time for the balancer to notice that the instance is not ready.
+_LEAVE_SECONDS = 3.0
+#: Time kept in reserve before the process is killed.
+_EXIT_MARGIN_SECONDS = 0.6
+_POLL_SECONDS = 0.05
+_OK = 200
+_UNAVAILABLE = 503
+_NOT_FOUND = 404
+
+
+class EntryInstance:
+    """The parts of one entry instance."""
+
+    def __init__(self, settings: EntryProcessSettings) -> None:
+        """Builds the parts.
+
+        Args:
+            settings: Settings of the process.
+        """
+        self._settings = settings.entry
+        self._state = EntryState(self._settings, random.Random())
+        self._metrics = Metrics()
+        self._exchanges = Exchanges(self._state, self._metrics)
+        self._store = StoreFollower(self._state, StoreClient(self._settings.store_address))
+        self._peers = PeerLink(self._state)
+        self._callers = Listener(
+            self._settings.caller_address,
+            self._exchanges.handle,
+            limits=self._caller_limits,
+            is_stopping=self._is_stopping,
+        )
+        self._readiness = Listener(
+            self._settings.readiness_address,
+            self._answer_readiness,
+            limits=HttpLimits,
+            is_stopping=_never,
+        )
+
+    async def run(self) -> None:
+        """Serves until SIGTERM, then until the requests in progress have ended."""
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(self._callers.run)
+                await nursery.start(self._readiness.run)
+                nursery.start_soon(self._peers.run)
+                nursery.start_soon(self._store.run)
+                nursery.start_soon(self._tick)
+                _log.info('started', caller_address=self._settings.caller_address)
+                async for _ in signals:
+                    break
+                await self._stop()
+                nursery.cancel_scope.cancel()
+        _log.info('stopped', running=self._exchanges.running)
+
+    async def _stop(self) -> None:
+        started = trio.current_time()
+        self._state.is_stopping = True
+        _log.info('stopping', running=self._exchanges.running)
+        last = started + self._settings.shutdown_timeout_seconds - _EXIT_MARGIN_SECONDS
+        with trio.move_on_at(last):
+            await self._store.unregister()
+            await trio.sleep_until(started + _LEAVE_SECONDS)
+            self._callers.close_idle()
+            while self._exchanges.running:
+                await trio.sleep(_POLL_SECONDS)
+            self._callers.close_idle()
+            await trio.sleep(_POLL_SECONDS)
+
+    async def _tick(self) -> None:
+        state = self._state
+        last = trio.current_time()
+        while True:
+            await trio.sleep(REPORT_SECONDS)
+            now = trio.current_time()
+            if now - last > _FREEZE_SECONDS:
+                _log.warning('resumed_after_pause', seconds=round(now - last, 3))
+            last = now
+            before = len(state.members.list_endpoints())
+            state.members.expire(now)
+            if len(state.members.list_endpoints()) != before:
+                state.update_endpoints()
+            state.loads.expire(now)
+            self._exchanges.dispatch()
+
+    def _is_stopping(self) -> bool:
+        return self._state.is_stopping
+
+    def _caller_limits(self) -> HttpLimits:
+        configuration = self._state.configuration
+        if configuration is None:
+            return HttpLimits()
+        limits = configuration.limits
+        return HttpLimits(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            header_seconds=limits.header_seconds,
+            idle_seconds=limits.idle_seconds,
+        )
+
+    async def _answer_readiness(self, request: Request, connection: ServerConnection) -> None:
+        if request.path != READINESS_PATH:
+            await connection.answer(_NOT_FOUND, (), b'')
+            return
+        status = _OK if self._state.is_ready else _UNAVAILABLE
+        content = orjson.dumps({'configuration_version': self._state.configuration_version})
+        await connection.answer(status, (), content)
+
+
+def _never() -> bool:
+    return False
+
+
+async def run_entry(settings: EntryProcessSettings) -> None:
+    """Runs an entry instance until it is told to stop.
+
+    Args:
+        settings: Settings of the process.
+    """
+    await EntryInstance(settings).run()
--- /dev/null
+++ b/src/fireflymux/entry/service_queue.py
@@ -0,0 +1,167 @@
+"""Queues of one entry instance: a request waits here until an endpoint can take it."""
+
+from collections.abc import Callable, Iterable
+
+import trio
+
+from ..decisions.engine_choice import EngineView, Placement, choose_engine
+from ..decisions.routes import EngineTerms
+from ..decisions.slot_choice import SlotView, choose_slot
+from ..decisions.waiting import Waiting, WaitingRequests
+from .state import EntryState, LiveEndpoint
+
+#: Part of a target latency that a prompt may wait on its engine.
+_ENGINE_WAIT_PART = 0.4
+
+
+class ServiceQueue:
+    """Requests for one service that wait in this instance."""
+
+    def __init__(self, state: EntryState, choose: Callable[[Waiting], Placement | None]) -> None:
+        """Starts empty.
+
+        Args:
+            state: Beliefs of the instance.
+            choose: Chooses an endpoint for a request, or returns None while none fits.
+        """
+        self._state = state
+        self._choose = choose
+        self._waiting = WaitingRequests()
+
+    async def place(self, waiting: Waiting, *, until: float) -> bool:
+        """Waits until a request is placed.
+
+        Args:
+            waiting: The request; its load is counted on the endpoint once it is placed.
+            until: Time at which it is given up, in seconds.
+
+        Returns:
+            Whether it was placed.
+        """
+        placed = trio.Event()
+        waiting.on_placed = placed.set
+        self._waiting.add(waiting)
+        try:
+            self.dispatch()
+            if waiting.placement is None:
+                with trio.move_on_at(until):
+                    await placed.wait()
+        except trio.Cancelled:
+            if waiting.placement is not None:
+                release_placement(self._state, waiting.placement)
+            raise
+        finally:
+            self._waiting.discard(waiting)
+        return waiting.placement is not None
+
+    def dispatch(self) -> None:
+        """Places whatever fits now."""
+        if not len(self._waiting):
+            return
+        now = trio.current_time()
+        placed = self._waiting.place(
+            self._take_place, lambda account: self._state.usage.total(account, now)
+        )
+        for waiting in placed:
+            if waiting.on_placed is not None:
+                waiting.on_placed()
+
+    def _take_place(self, waiting: Waiting) -> Placement | None:
+        placement = self._choose(waiting)
+        if placement is None:
+            return None
+        state = self._state
+        state.loads.begin(placement.number, placement.tokens)
+        tokens = placement.tokens + 2 * waiting.output_tokens
+        state.usage.charge(waiting.account, tokens, trio.current_time())
+        live = state.find_endpoint(placement.number)
+        if live is not None and waiting.parts:
+            live.cache.record(waiting.parts)
+            report = [placement.number]
+            for part in waiting.parts:
+                report.extend((part.identifier, part.tokens))
+            state.placements.append(report)
+        return placement
+
+
+def release_placement(state: EntryState, placement: Placement) -> None:
+    """Takes the load of a placement that was not used off its endpoint."""
+    state.loads.end_reading(placement.number, placement.tokens)
+    state.loads.end(placement.number)
+    state.notify()
+
+
+def engine_chooser(
+    state: EntryState, service: str, terms: EngineTerms
+) -> Callable[[Waiting], Placement | None]:
+    """Returns the choice of an engine for the prompts of a service.
+
+    Args:
+        state: Beliefs of the instance.
+        service: Name of the service.
+        terms: What its engines share.
+
+    Returns:
+        The choice.
+    """
+
+    def choose(waiting: Waiting) -> Placement | None:
+        workers = state.list_workers(service, waiting.excluded)
+        views = _view_engines(state, workers, waiting, terms)
+        placement = choose_engine(views, waiting.parts, waiting.prompt_tokens)
+        if placement is None:
+            return None
+        chosen = next(view for view in views if view.number == placement.number)
+        longest = _ENGINE_WAIT_PART * waiting.target_seconds
+        return placement if chosen.wait_seconds() <= longest else None
+
+    return choose
+
+
+def slot_chooser(state: EntryState, service: str) -> Callable[[Waiting], Placement | None]:
+    """Returns the choice of an endpoint for the requests of a plain service.
+
+    Args:
+        state: Beliefs of the instance.
+        service: Name of the service.
+
+    Returns:
+        The choice.
+    """
+
+    def choose(waiting: Waiting) -> Placement | None:
+        views = [
+            SlotView(
+                number=live.number,
+                running=state.loads.total(live.number).running,
+                slots=max(live.endpoint.slots, 1),
+                is_near=live.endpoint.failure_domain == state.settings.failure_domain,
+            )
+            for live in state.list_workers(service, waiting.excluded)
+        ]
+        chosen = choose_slot(views)
+        return None if chosen is None else Placement(chosen.number, 0, 0.0)
+
+    return choose
+
+
+def _view_engines(
+    state: EntryState,
+    workers: Iterable[LiveEndpoint],
+    waiting: Waiting,
+    terms: EngineTerms,
+) -> list[EngineView]:
+    views = []
+    for live in workers:
+        load = state.loads.total(live.number)
+        views.append(
+            EngineView(
+                number=live.number,
+                pending_tokens=load.pending_tokens,
+                running=load.running,
+                slots=terms.slots,
+                cached_tokens=live.cache.count_cached(waiting.parts),
+                tokens_per_second=live.speed.tokens_per_second,
+            )
+        )
+    return views
--- /dev/null
+++ b/src/fireflymux/entry/state.py
@@ -0,0 +1,262 @@
+"""What one entry instance believes: configuration, endpoints, loads and usage."""
+
+import random
+import zlib
+from collections.abc import Callable, Iterable
+
+import attrs
+import trio
+
+from .._settings_generated import EntrySettings
+from ..decisions.account_usage import AccountUsage
+from ..decisions.crash_counts import CrashCounts
+from ..decisions.ejection import EndpointRecord, eject_outliers
+from ..decisions.loads import FleetLoads
+from ..decisions.membership import Endpoint, Membership
+from ..decisions.prompts import PrefixCache
+from ..decisions.reading_speed import ReadingSpeed
+from ..decisions.retry_allowance import RetryAllowance
+from ..decisions.routes import Configuration, Service
+from ..endpoint_health import EndpointHealth
+from ..http.connection_pool import ConnectionPool
+from ..logs import get_logger
+
+_log = get_logger(__name__)
+_CONNECT_SECONDS = 0.4
+#: Part of an engine's memory that holds prompts which may be read again.
+_CACHE_PART = 0.75
+#: Speed assumed where the configuration states no rate, in prompt tokens a second.
+_DEFAULT_SPEED = 60000.0
+#: How much faster engines read prompts than the rate that the configuration states.
+_SPEED_RATIO = 1.6
+#: Instances that may run at once for each that was seen, replacements included.
+_INSTANCE_MARGIN = 2
+
+
+@attrs.define(eq=False, kw_only=True)
+class LiveEndpoint:
+    """One endpoint with what this instance keeps about it.
+
+    Attributes:
+        endpoint: Its entry in the store's list.
+        number: Number that instances name it by among themselves.
+        pool: Connections to it.
+        record: How its requests went.
+        cache: Prompt parts that it is believed to keep.
+        speed: How fast it reads prompts.
+    """
+
+    endpoint: Endpoint
+    number: int
+    pool: ConnectionPool
+    record: EndpointRecord
+    cache: PrefixCache
+    speed: ReadingSpeed
+
+    def may_work(self, now: float) -> bool:
+        """Tells whether it may be given new work.
+
+        Args:
+            now: Time in seconds.
+
+        Returns:
+            Whether it is neither leaving nor held back.
+        """
+        if self.endpoint.is_leaving or self.record.reachability.is_paused:
+            return False
+        return self.record.ejected_until <= now
+
+
+def number_endpoint(endpoint: Endpoint) -> int:
+    """Returns the number of an endpoint, the same on every instance."""
+    return zlib.crc32('{0} {1}'.format(*endpoint.key).encode())
+
+
+class EntryState:
+    """Beliefs of one entry instance, changed only between two steps of its tasks.
+
+    Attributes:
+        configuration: Configuration in force; None before the first one.
+        configuration_row: Its row in the store, for other instances.
+        members: Endpoints in the store's list.
+        member_rows: Their rows in the store, for other instances.
+        members_version: Version of the store that the list is of.
+        is_listed: Whether the list of endpoints was read.
+        loads: Work outstanding on endpoints.
+        usage: Tokens given to accounts.
+        crashes: Requests that broke off.
+        placements: Prompts sent since the last report to other instances.
+        instances: Addresses of other entry instances by name.
+        is_stopping: Whether the instance is shutting down.
+    """
+
+    def __init__(self, settings: EntrySettings, rng: random.Random) -> None:
+        """Starts knowing nothing.
+
+        Args:
+            settings: Section [entry].
+            rng: Source of random choices.
+        """
+        self.settings = settings
+        self.rng = rng
+        self.configuration: Configuration | None = None
+        self.configuration_row = b''
+        self.members = Membership()
+        self.member_rows: dict[str, bytes] = {}
+        self.members_version = 0
+        self.is_listed = False
+        self.loads = FleetLoads()
+        self.usage = AccountUsage(settings.share_window_seconds)
+        self.crashes = CrashCounts()
+        self.placements: list[list[int]] = []
+        self.instances: dict[str, str] = {}
+        self.is_stopping = False
+        self._endpoints: dict[int, LiveEndpoint] = {}
+        self._by_service: dict[str, list[LiveEndpoint]] = {}
+        self._allowances: dict[str, RetryAllowance] = {}
+        self._listeners: list[Callable[[], None]] = []
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the instance knows enough to serve."""
+        return self.configuration is not None and self.is_listed and not self.is_stopping
+
+    @property
+    def configuration_version(self) -> int:
+        """Version of the configuration in force; zero before the first one."""
+        return 0 if self.configuration is None else self.configuration.version
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Calls a function after each change that may free an endpoint for work."""
+        self._listeners.append(listener)
+
+    def notify(self) -> None:
+        """Tells the subscribers that an endpoint may have become free."""
+        for listener in self._listeners:
+            listener()
+
+    def apply_configuration(self, configuration: Configuration, row: bytes, source: str) -> None:
+        """Puts a configuration in force, unless a newer one is.
+
+        Args:
+            configuration: The configuration.
+            row: Its row in the store.
+            source: Where it came from, for the log.
+        """
+        if configuration.version <= self.configuration_version:
+            return
+        _log.info(
+            'configuration_in_force',
+            version=configuration.version,
+            previous=self.configuration_version,
+            source=source,
+            hosts=len(configuration.routes),
+        )
+        self.configuration = configuration
+        self.configuration_row = row
+        self.notify()
+
+    def update_endpoints(self) -> None:
+        """Takes over the list of endpoints after a change of `members`."""
+        current = {
+            number_endpoint(endpoint): endpoint
+            for endpoint in self.members.list_endpoints().values()
+        }
+        for number in set(self._endpoints) - set(current):
+            gone = self._endpoints.pop(number)
+            gone.pool.close()
+            _log.info('endpoint_gone', endpoint=gone.endpoint.identifier)
+        for number, endpoint in current.items():
+            known = self._endpoints.get(number)
+            if known is None:
+                self._endpoints[number] = self._create_endpoint(number, endpoint)
+                _log.info('endpoint_added', endpoint=endpoint.identifier, host=endpoint.host)
+                continue
+            if endpoint.is_leaving and not known.endpoint.is_leaving:
+                _log.info('endpoint_leaving', endpoint=endpoint.identifier)
+            known.endpoint = endpoint
+        self._by_service = {}
+        for live in self._endpoints.values():
+            self._by_service.setdefault(live.endpoint.service, []).append(live)
+        self.notify()
+
+    def find_endpoint(self, number: int) -> LiveEndpoint | None:
+        """Finds an endpoint by its number."""
+        return self._endpoints.get(number)
+
+    def list_workers(self, service: str, excluded: Iterable[int]) -> list[LiveEndpoint]:
+        """Lists the endpoints of a service that may be given new work.
+
+        Args:
+            service: Name of the service.
+            excluded: Numbers of endpoints that must not be chosen again.
+
+        Returns:
+            Those not held back; if all are, those that are not leaving.
+        """
+        now = trio.current_time()
+        listed = [
+            live
+            for live in self._by_service.get(service, ())
+            if live.number not in excluded and not live.endpoint.is_leaving
+        ]
+        return [live for live in listed if live.may_work(now)] or listed
+
+    def record_result(self, live: LiveEndpoint, *, failed: bool) -> None:
+        """Counts how a request went on an endpoint, and ejects it if it stands out.
+
+        Args:
+            live: The endpoint.
+            failed: Whether the request failed there.
+        """
+        live.record.record(failed=failed)
+        if not failed:
+            live.record.reachability.record_success()
+            return
+        others = self._by_service.get(live.endpoint.service, ())
+        for record in eject_outliers([entry.record for entry in others], trio.current_time()):
+            _log.warning(
+                'endpoint_ejected',
+                endpoint=live.endpoint.identifier,
+                until=round(record.ejected_until, 1),
+            )
+
+    def allowance_of(self, service: str) -> RetryAllowance:
+        """Returns the bound on repeats for a service."""
+        allowance = self._allowances.get(service)
+        if allowance is None:
+            allowance = self._allowances[service] = RetryAllowance(
+                ratio=self.settings.retry_ratio,
+                window_seconds=self.settings.retry_window_seconds,
+                constant=self.settings.retry_constant,
+                instances=_INSTANCE_MARGIN * (1 + len(self.instances)),
+            )
+        return allowance
+
+    def _create_endpoint(self, number: int, endpoint: Endpoint) -> LiveEndpoint:
+        service = self._find_service(endpoint.service)
+        cache_tokens = 0
+        if service is not None and service.engine is not None:
+            cache_tokens = int(service.engine.cache_tokens * _CACHE_PART)
+        return LiveEndpoint(
+            endpoint=endpoint,
+            number=number,
+            pool=ConnectionPool(
+                endpoint.host, endpoint.port, connect_timeout_seconds=_CONNECT_SECONDS
+            ),
+            record=EndpointRecord(EndpointHealth(clock=trio.current_time)),
+            cache=PrefixCache(cache_tokens),
+            speed=ReadingSpeed(self._guess_speed(endpoint.service)),
+        )
+
+    def _find_service(self, name: str) -> Service | None:
+        return None if self.configuration is None else self.configuration.services.get(name)
+
+    def _guess_speed(self, service: str) -> float:
+        engines = sum(
+            endpoint.service == service for endpoint in self.members.list_endpoints().values()
+        )
+        if self.configuration is None or not self.configuration.limits.fleet_tokens_per_second:
+            return _DEFAULT_SPEED
+        rate = self.configuration.limits.fleet_tokens_per_second
+        return _SPEED_RATIO * rate / max(engines, 1)
--- /dev/null
+++ b/src/fireflymux/entry/store_follower.py
@@ -0,0 +1,168 @@
+"""Keeps an instance's beliefs current with the tables of the store."""
+
+from collections.abc import Callable, Sequence
+
+import trio
+
+from ..logs import get_logger
+from ..platform.configuration_row import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TABLE,
+    MalformedRow,
+    decode_configuration,
+)
+from ..platform.endpoint_row import ENDPOINT_TABLE, decode_endpoint
+from ..platform.store import HistoryLost, Row, StoreClient, StoreUnavailable
+from .state import EntryState
+
+_log = get_logger(__name__)
+#: Table in which entry instances name their addresses to each other.
+INSTANCE_TABLE = 'fireflymux-instances'
+#: Longest wait of one call for a change; a connection gone silent shows after it.
+_FOLLOW_SECONDS = 1.0
+_FOLLOW_INSTANCES_SECONDS = 5.0
+_FIRST_DELAY_SECONDS = 0.1
+_DELAY_LIMIT_SECONDS = 0.8
+_REGISTER_SECONDS = 0.5
+
+Apply = Callable[[Sequence[Row], bool, int], None]
+
+
+class StoreFollower:
+    """Follows the tables of configuration, endpoints and instances."""
+
+    def __init__(self, state: EntryState, store: StoreClient) -> None:
+        """Prepares to follow.
+
+        Args:
+            state: Beliefs to keep current.
+            store: Client of the store.
+        """
+        self._state = state
+        self._store = store
+        self._lost: set[str] = set()
+
+    async def run(self) -> None:
+        """Follows until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                self._follow, CONFIGURATION_TABLE, self._apply_configuration, _FOLLOW_SECONDS
+            )
+            nursery.start_soon(
+                self._follow, ENDPOINT_TABLE, self._apply_endpoints, _FOLLOW_SECONDS
+            )
+            nursery.start_soon(
+                self._follow, INSTANCE_TABLE, self._apply_instances, _FOLLOW_INSTANCES_SECONDS
+            )
+            nursery.start_soon(self._register)
+
+    async def unregister(self) -> None:
+        """Removes this instance from the table of instances."""
+        try:
+            await self._store.remove_row(INSTANCE_TABLE, self._state.settings.name)
+        except StoreUnavailable as error:
+            _log.warning('unregister_failed', reason=str(error))
+
+    async def _register(self) -> None:
+        settings = self._state.settings
+        while True:
+            try:
+                await self._store.put_row(
+                    INSTANCE_TABLE, settings.name, settings.peer_host.encode()
+                )
+            except StoreUnavailable as error:
+                _log.warning('register_failed', reason=str(error))
+                await trio.sleep(_REGISTER_SECONDS)
+                continue
+            return
+
+    async def _follow(self, table: str, apply: Apply, wait_seconds: float) -> None:
+        version = -1
+        delay = _FIRST_DELAY_SECONDS
+        while True:
+            try:
+                version = await self._step(table, apply, wait_seconds, version)
+            except StoreUnavailable as error:
+                self._note_outage(table, error)
+                await trio.sleep(delay * self._state.rng.uniform(0.5, 1))
+                delay = min(delay * 2, _DELAY_LIMIT_SECONDS)
+                continue
+            delay = _FIRST_DELAY_SECONDS
+            if table in self._lost:
+                self._lost.discard(table)
+                _log.info('store_regained', table=table, version=version)
+
+    async def _step(self, table: str, apply: Apply, wait_seconds: float, version: int) -> int:
+        if version < 0:
+            whole = await self._store.read_table(table)
+            apply(whole.rows, True, whole.version)
+            return whole.version
+        changes = await self._store.follow_table(table, version, wait_seconds)
+        if isinstance(changes, HistoryLost):
+            _log.info('history_lost', table=table, version=version)
+            return -1
+        if changes.rows:
+            apply(changes.rows, False, changes.version)
+        return changes.version
+
+    def _note_outage(self, table: str, error: StoreUnavailable) -> None:
+        self._state.members.record_outage(trio.current_time())
+        if table not in self._lost:
+            self._lost.add(table)
+            _log.warning('store_lost', table=table, reason=str(error))
+
+    def _apply_configuration(self, rows: Sequence[Row], is_whole: bool, version: int) -> None:
+        for row in rows:
+            if row.key != CONFIGURATION_KEY or row.content is None:
+                continue
+            try:
+                configuration = decode_configuration(row.content)
+            except MalformedRow as error:
+                _log.error('configuration_malformed', reason=str(error), store_version=version)
+                continue
+            self._state.apply_configuration(configuration, row.content, 'store')
+
+    def _apply_endpoints(self, rows: Sequence[Row], is_whole: bool, version: int) -> None:
+        if version < self._state.members_version:
+            return
+        merge_endpoint_rows(self._state, rows, is_whole=is_whole)
+        self._state.members_version = version
+
+    def _apply_instances(self, rows: Sequence[Row], is_whole: bool, version: int) -> None:
+        if is_whole:
+            self._state.instances.clear()
+        for row in rows:
+            if row.key == self._state.settings.name:
+                continue
+            if row.content is None:
+                self._state.instances.pop(row.key, None)
+                continue
+            self._state.instances[row.key] = row.content.decode('latin-1')
+
+
+def merge_endpoint_rows(state: EntryState, rows: Sequence[Row], *, is_whole: bool) -> None:
+    """Takes over rows of the table of endpoints.
+
+    Args:
+        state: Beliefs to keep current.
+        rows: The rows.
+        is_whole: Whether they are the whole table.
+    """
+    now = trio.current_time()
+    if is_whole:
+        listed = {row.key for row in rows}
+        for missing in set(state.member_rows) - listed:
+            state.member_rows.pop(missing)
+            state.members.remove(missing, now)
+    for row in rows:
+        endpoint = None
+        if row.content is not None:
+            endpoint = decode_endpoint(row.key, row.content)
+        if endpoint is None or row.content is None:
+            state.member_rows.pop(row.key, None)
+            state.members.remove(row.key, now)
+            continue
+        state.member_rows[row.key] = row.content
+        state.members.put(endpoint)
+    state.is_listed = True
+    state.update_endpoints()
--- /dev/null
+++ b/src/fireflymux/http/client_connection.py
@@ -0,0 +1,187 @@
+"""One connection to a server, and the exchange of one request and its answer at a time."""
+
+import socket
+
+import attrs
+import trio
+
+from .messages import Fields, encode_head
+from .response_parser import Answer, ResponseParser
+
+_RECEIVE_BYTES = 65536
+#: A peer that acknowledges nothing for this long is taken for unreachable.
+_USER_TIMEOUT_MILLISECONDS = 2000
+_KEEPALIVE_SECONDS = 1
+_KEEPALIVE_PROBES = 2
+
+
+class ConnectFailed(Exception):
+    """A connection could not be established, so nothing was sent on it."""
+
+
+class ConnectionBroken(Exception):
+    """A connection ended, or carried bytes that are no answer, before the answer was whole."""
+
+
+@attrs.define(eq=False)
+class ClientConnection:
+    """One connection to a server.
+
+    Attributes:
+        idle_until: Time until which the server keeps the connection without a request, in
+            seconds of trio's clock.
+    """
+
+    _socket: trio.socket.SocketType
+    _parser: ResponseParser = attrs.field(factory=ResponseParser)
+    idle_until: float = float('inf')
+
+    @classmethod
+    async def open(cls, host: str, port: int, *, timeout_seconds: float) -> 'ClientConnection':
+        """Connects to a server.
+
+        Args:
+            host: IP address.
+            port: TCP port.
+            timeout_seconds: Longest wait.
+
+        Returns:
+            The connection.
+
+        Raises:
+            ConnectFailed: The server did not accept the connection in time.
+        """
+        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            _set_options(sock)
+            with trio.fail_after(timeout_seconds):
+                await sock.connect((host, port))
+        except (OSError, trio.TooSlowError) as error:
+            sock.close()
+            raise ConnectFailed(repr(error)) from error
+        except BaseException:
+            sock.close()
+            raise
+        return cls(sock)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether the connection is open, quiet, and past a whole answer."""
+        if self._parser.is_spoiled or self._parser.answers or not self._parser.keeps_alive:
+            return False
+        try:
+            self._socket._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)  # noqa: SLF001
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        # Bytes or the end: neither belongs to a request.
+        return False
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._socket.close()
+
+    async def send(self, start_line: bytes, fields: Fields, content: bytes) -> None:
+        """Sends a request.
+
+        Args:
+            start_line: Request line without its end.
+            fields: Field lines, framing included.
+            content: The body.
+
+        Raises:
+            ConnectionBroken: The connection ended; the server can have read the request.
+        """
+        view = memoryview(encode_head(start_line, fields) + content)
+        try:
+            while view:
+                view = view[await self._socket.send(view) :]
+        except OSError as error:
+            raise ConnectionBroken(repr(error)) from error
+
+    async def next_answer(self) -> Answer:
+        """Waits for the head of the next answer.
+
+        Returns:
+            The answer; its body comes with `next_piece`.
+
+        Raises:
+            ConnectionBroken: The connection ended before.
+        """
+        answers = self._parser.answers
+        while not answers:
+            await self._receive()
+        return answers[0]
+
+    async def next_piece(self, answer: Answer) -> bytes:
+        """Waits for the next part of an answer's body.
+
+        Args:
+            answer: The answer that `next_answer` returned.
+
+        Returns:
+            The part; empty after the last one.
+
+        Raises:
+            ConnectionBroken: The connection ended before the answer did.
+        """
+        while not answer.pieces and not answer.is_whole:
+            await self._receive()
+        if answer.pieces:
+            part = b''.join(answer.pieces)
+            answer.pieces.clear()
+            return part
+        return b''
+
+    def drop(self, answer: Answer) -> None:
+        """Takes a whole answer off the connection, so that the next one can be read."""
+        self._parser.answers.remove(answer)
+
+    async def read_whole(self, answer: Answer, maximum_bytes: int) -> bytes:
+        """Reads the body of an answer to its end.
+
+        Args:
+            answer: The answer that `next_answer` returned.
+            maximum_bytes: Largest body.
+
+        Returns:
+            The body.
+
+        Raises:
+            ConnectionBroken: The connection ended before, or the body is too large.
+        """
+        parts = []
+        size = 0
+        while True:
+            part = await self.next_piece(answer)
+            if not part:
+                return b''.join(parts)
+            size += len(part)
+            if size > maximum_bytes:
+                raise ConnectionBroken('the answer is too large')
+            parts.append(part)
+
+    async def _receive(self) -> None:
+        if self._parser.is_spoiled:
+            raise ConnectionBroken('the server sent bytes that are no answer')
+        try:
+            received = await self._socket.recv(_RECEIVE_BYTES)
+        except OSError as error:
+            raise ConnectionBroken(repr(error)) from error
+        if received:
+            self._parser.feed(received)
+            return
+        self._parser.feed_end()
+        answers = self._parser.answers
+        if not answers or not answers[-1].is_whole:
+            raise ConnectionBroken('the server closed the connection')
+
+
+def _set_options(sock: trio.socket.SocketType) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MILLISECONDS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
--- /dev/null
+++ b/src/fireflymux/http/connection_pool.py
@@ -0,0 +1,90 @@
+"""Connections kept open to one server, within a bound on their number."""
+
+from collections import deque
+
+import trio
+
+from .client_connection import ClientConnection
+
+#: Margin before the server's own idle timeout, in seconds.
+_IDLE_MARGIN_SECONDS = 1.0
+#: Idle timeout assumed of a server that states none.
+_DEFAULT_IDLE_SECONDS = 4.0
+
+
+class ConnectionPool:
+    """Idle connections to one server; the one used last is taken first.
+
+    Attributes:
+        opened: Connections opened so far.
+    """
+
+    def __init__(self, host: str, port: int, *, connect_timeout_seconds: float) -> None:
+        """Starts with no connection.
+
+        Args:
+            host: IP address of the server.
+            port: TCP port of the server.
+            connect_timeout_seconds: Longest wait for a new connection.
+        """
+        self.opened = 0
+        self._host = host
+        self._port = port
+        self._connect_timeout = connect_timeout_seconds
+        self._idle: deque[ClientConnection] = deque()
+
+    async def take(self) -> ClientConnection:
+        """Takes an idle connection, or opens one.
+
+        Returns:
+            A connection that carries nothing.
+
+        Raises:
+            ConnectFailed: No connection could be opened.
+        """
+        while self._idle:
+            connection = self._idle.pop()
+            if trio.current_time() < connection.idle_until and connection.is_reusable:
+                return connection
+            connection.close()
+        return await self.open()
+
+    async def open(self) -> ClientConnection:
+        """Opens a connection.
+
+        Returns:
+            A connection that carries nothing.
+
+        Raises:
+            ConnectFailed: The server did not accept the connection in time.
+        """
+        self.opened += 1
+        return await ClientConnection.open(
+            self._host, self._port, timeout_seconds=self._connect_timeout
+        )
+
+    def give_back(self, connection: ClientConnection, idle_seconds: float | None) -> None:
+        """Keeps a connection for the next request, or closes it.
+
+        Args:
+            connection: A connection after a whole answer.
+            idle_seconds: Idle timeout that the server stated, if any.
+        """
+        idle = _DEFAULT_IDLE_SECONDS if idle_seconds is None else idle_seconds
+        kept = idle - _IDLE_MARGIN_SECONDS
+        if kept <= 0 or not connection.is_reusable:
+            connection.close()
+            return
+        connection.idle_until = trio.current_time() + kept
+        self._idle.append(connection)
+        self._drop_expired()
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    def _drop_expired(self) -> None:
+        now = trio.current_time()
+        while self._idle and self._idle[0].idle_until <= now:
+            self._idle.popleft().close()
--- /dev/null
+++ b/src/fireflymux/operator_cli.py
@@ -0,0 +1,247 @@
+"""The operator's commands: contracts, endpoints and status.
+
+Exit codes: 0 done, 1 the platform did not answer, 2 bad settings or arguments, 3 conflict
+with another change, 4 the outcome of a change is unknown.
+"""
+
+import getpass
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import attrs
+import orjson
+
+from .codec import to_plain
+from .config_commit import Accepted, CommitUnknown, Conflict
+from .console import EXIT_USAGE, fail, write
+from .credentials import digest_key
+from .messages import Contract
+from .operator import CURRENT, InvalidChange, OperatorSession
+from .platform_client import PlatformError
+from .settings import OperatorSettings, SettingsError
+
+EXIT_PLATFORM = 1
+EXIT_CONFLICT = 3
+EXIT_UNKNOWN = 4
+
+
+def _show(rows: Sequence[dict[str, Any]], *, as_json: bool) -> None:
+    if as_json:
+        write(orjson.dumps(list(rows)).decode())
+        return
+    if not rows:
+        write('(none)')
+        return
+    columns = list(rows[0])
+    table = [columns, *([str(row[name]) for name in columns] for row in rows)]
+    widths = [max(len(line[place]) for line in table) for place in range(len(columns))]
+    for line in table:
+        write('  '.join(cell.ljust(width) for cell, width in zip(line, widths)).rstrip())
+
+
+class _OperatorCommands:
+    """What the operator's commands share."""
+
+    def __init__(
+        self,
+        settings: str = 'operator.ini',
+        operator: str = '',
+        json: bool = False,
+    ) -> None:
+        """Keeps the options.
+
+        Args:
+            settings: Path of an INI file with a section [platform].
+            operator: Name recorded with each change; the login name by default.
+            json: Whether to print JSON in place of a table.
+        """
+        self._settings = settings
+        self._operator = operator or getpass.getuser()
+        self._json = json
+
+    def _session(self) -> OperatorSession:
+        try:
+            return OperatorSession(OperatorSettings.from_file(self._settings), self._operator)
+        except SettingsError as error:
+            fail(str(error), EXIT_USAGE)
+            raise
+
+    def _run(self, act: Callable[[OperatorSession], Any]) -> Any:
+        try:
+            return act(self._session())
+        except InvalidChange as error:
+            fail('not allowed: {0}'.format(error), EXIT_USAGE)
+        except PlatformError as error:
+            fail('the platform did not answer: {0}'.format(error), EXIT_PLATFORM)
+
+    def _report(self, outcome: Accepted | Conflict | CommitUnknown) -> None:
+        if isinstance(outcome, Conflict):
+            fail('conflict: {0}'.format(outcome.detail), EXIT_CONFLICT)
+        if isinstance(outcome, CommitUnknown):
+            fail(
+                'outcome unknown of change {0}: {1}'.format(outcome.change_id, outcome.detail),
+                EXIT_UNKNOWN,
+            )
+        if isinstance(outcome, Accepted):
+            _show([{'accepted_version': outcome.version}], as_json=self._json)
+
+
+class ContractCommands(_OperatorCommands):
+    """Creates, changes, retires and lists contracts."""
+
+    def create(
+        self,
+        account: str,
+        secret: str,
+        pools: str,
+        weight: float = 1.0,
+        rate: float = 100.0,
+        concurrency: int = 100,
+        queue: int = 1000,
+        key_required: str = '',
+    ) -> None:
+        """Creates a contract.
+
+        Args:
+            account: The client account.
+            secret: Secret part of the caller's key; only its digest is stored.
+            pools: Comma-separated models and services.
+            weight: Share relative to other accounts.
+            rate: Requests per second.
+            concurrency: Requests that run at once.
+            queue: Requests that wait at once.
+            key_required: Comma-separated services whose calls need an Idempotency-Key.
+        """
+        contract = Contract(
+            account=str(account),
+            weight=float(weight),
+            rate_per_second=float(rate),
+            concurrency=int(concurrency),
+            queue_length=int(queue),
+            pools=_split(pools),
+            key_digest=digest_key(str(secret)),
+            key_required_pools=_split(key_required),
+        )
+        self._report(
+            self._run(
+                lambda session: session.put_contract(
+                    str(account), lambda _: contract, if_version=0
+                ),
+            )
+        )
+
+    def change(self, account: str, if_version: int = CURRENT, **terms: Any) -> None:
+        """Changes terms of a contract.
+
+        Args:
+            account: The client account.
+            if_version: Version of the contract that you saw; by default the newest one.
+            terms: New terms: weight, rate, concurrency, queue, pools, secret, key_required.
+        """
+
+        def revise(found: Contract | None) -> Contract:
+            if found is None:
+                raise InvalidChange('account: no contract of this name')
+            return attrs.evolve(found, **_translate(terms))
+
+        self._report(
+            self._run(
+                lambda session: session.put_contract(str(account), revise, if_version=if_version),
+            )
+        )
+
+    def retire(self, account: str, if_version: int = CURRENT) -> None:
+        """Retires a contract; its callers are refused from then on.
+
+        Args:
+            account: The client account.
+            if_version: Version of the contract that you saw; by default the newest one.
+        """
+
+        def revise(found: Contract | None) -> Contract:
+            if found is None:
+                raise InvalidChange('account: no contract of this name')
+            return attrs.evolve(found, retired=True)
+
+        self._report(
+            self._run(
+                lambda session: session.put_contract(str(account), revise, if_version=if_version),
+            )
+        )
+
+    def list(self) -> None:
+        """Lists the contracts in force; digests are left out."""
+        current = self._run(lambda session: session.read())
+        rows = [to_plain(contract) for contract in current.contracts.values()]
+        for row in rows:
+            row.pop('key_digest')
+        _show(rows, as_json=self._json)
+
+
+class EndpointCommands(_OperatorCommands):
+    """Announces and lists endpoints."""
+
+    def announce(
+        self, endpoint: str, state: str, model: str = '', if_version: int = CURRENT
+    ) -> None:
+        """Announces that an endpoint joins, leaves or stops for maintenance.
+
+        Args:
+            endpoint: Name of the endpoint.
+            state: One of joined, leaving and maintenance.
+            model: Model that the engine must load before it takes new work.
+            if_version: Version of the announcement that you saw; by default the newest one.
+        """
+        self._report(
+            self._run(
+                lambda session: session.announce(
+                    str(endpoint), state, model=str(model), if_version=if_version
+                ),
+            )
+        )
+
+    def list(self) -> None:
+        """Lists the announcements in force."""
+        current = self._run(lambda session: session.read())
+        _show([to_plain(item) for item in current.endpoints.values()], as_json=self._json)
+
+
+class StatusCommand(_OperatorCommands):
+    """Shows the configuration version in force at the table."""
+
+    def show(self) -> None:
+        """Shows version and counts."""
+        current = self._run(lambda session: session.read())
+        retired = sum(1 for contract in current.contracts.values() if contract.retired)
+        _show(
+            [
+                {
+                    'version': current.version,
+                    'contracts': len(current.contracts) - retired,
+                    'retired': retired,
+                    'endpoints_announced': len(current.endpoints),
+                }
+            ],
+            as_json=self._json,
+        )
+
+
+def _split(names: Any) -> list[str]:
+    parts = names if isinstance(names, tuple | list) else str(names).split(',')
+    return [str(name) for name in parts if name]
+
+
+def _translate(terms: dict[str, Any]) -> dict[str, Any]:
+    names: dict[str, tuple[str, Callable[[Any], Any]]] = {
+        'weight': ('weight', float),
+        'rate': ('rate_per_second', float),
+        'concurrency': ('concurrency', int),
+        'queue': ('queue_length', int),
+        'pools': ('pools', _split),
+        'secret': ('key_digest', lambda secret: digest_key(str(secret))),
+        'key_required': ('key_required_pools', _split),
+    }
+    unknown = set(terms) - set(names)
+    if unknown:
+        raise InvalidChange('terms: one of {0}'.format(', '.join(names)))
+    return {names[key][0]: names[key][1](given) for key, given in terms.items()}
--- /dev/null
+++ b/src/fireflymux/platform/call_headers.py
@@ -0,0 +1,258 @@
+"""Header fields of calls and answers, decoded into the product's types and back."""
+
+from collections.abc import Sequence
+
+import attrs
+
+from ..decisions.prompts import PromptPart
+from ..http.messages import AnswerHead, Fields, Request, find_field
+
+_ATTEMPT = b'x-attempt-id'
+_DEADLINE = b'x-deadline-ms'
+_AUTHORIZATION = b'authorization'
+_MODEL = b'x-model'
+_TOKENS = b'x-token-usage'
+_PARTS = b'x-prompt-prefix'
+_HINT = b'x-length-hint'
+_RESUME_AFTER = b'last-event-id'
+_SIGNATURE = b'x-server-signature'
+_NOT_RUN = b'x-not-executed'
+_LOAD = b'x-server-load'
+_KEEP_ALIVE = b'keep-alive'
+_KEY_SCHEME = b'token '
+_MISDIRECTED_STATUS = 421
+_MILLISECONDS = 1000.0
+_KEEP_ALIVE_TIMEOUT = b'timeout='
+
+#: Fields that concern one connection only.
+_HOP_BY_HOP = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'content-length',
+        b'expect',
+    )
+)
+#: Fields that only the system itself may send to an endpoint.
+_SYSTEM_FIELDS = frozenset(
+    (
+        _AUTHORIZATION,
+        _DEADLINE,
+        b'x-tenant',
+        b'x-expect-instance',
+        b'x-hold',
+        b'x-pin-ms',
+        b'x-kv-backup',
+        b'kv-from',
+        b'kv-fetch',
+    )
+)
+
+
+@attrs.define(frozen=True, kw_only=True)
+class CallTerms:
+    """What a caller's header fields say of its request.
+
+    Attributes:
+        attempt: Identifier of this attempt of the caller; the answer repeats it.
+        deadline_seconds: How long the caller waits; infinite if it doesn't say.
+        key: The caller's key; empty if it sent none.
+        prompt_tokens: Length of the prompt.
+        output_tokens: Length of the answer that the caller expects.
+        parts: Parts of the prompt in order.
+        resume_after: Number of the last event that the caller has; -1 if it doesn't resume.
+    """
+
+    attempt: bytes
+    deadline_seconds: float
+    key: str
+    prompt_tokens: int
+    output_tokens: int
+    parts: tuple[PromptPart, ...]
+    resume_after: int
+
+
+@attrs.define(frozen=True, kw_only=True)
+class AnswerTerms:
+    """What an endpoint's header fields say of its answer.
+
+    Attributes:
+        attempt: Identifier of the attempt that it answers.
+        is_signed: Whether the endpoint vouches for the answer.
+        did_not_run: Whether the endpoint says that it did not run the request.
+        idle_seconds: How long the endpoint keeps the idle connection; None if not stated.
+    """
+
+    attempt: bytes
+    is_signed: bool
+    did_not_run: bool
+    idle_seconds: float | None
+
+
+def decode_call(request: Request) -> CallTerms:
+    """Reads the terms of a request.
+
+    Args:
+        request: A caller's request.
+
+    Returns:
+        Its terms; fields that can't be read count as missing.
+    """
+    found = {name.lower(): content for name, content in request.fields}
+    tokens = found.get(_TOKENS, b'').split(b',')
+    resume_after = found.get(_RESUME_AFTER, b'')
+    return CallTerms(
+        attempt=found.get(_ATTEMPT, b''),
+        deadline_seconds=_decode_deadline(found.get(_DEADLINE, b'')),
+        key=_decode_key(found.get(_AUTHORIZATION, b'')),
+        prompt_tokens=_to_int(tokens[0], 0),
+        output_tokens=_to_int(found.get(_HINT, b''), _to_int(tokens[-1], 0)),
+        parts=_decode_parts(found.get(_PARTS, b'')),
+        resume_after=_to_int(resume_after, -1),
+    )
+
+
+def encode_call(
+    request: Request,
+    *,
+    endpoint: str,
+    account: str,
+    remaining_seconds: float,
+    resume_after: int,
+) -> Fields:
+    """Builds the header fields of a request to an endpoint.
+
+    Args:
+        request: The caller's request.
+        endpoint: Identifier of the endpoint that is meant.
+        account: Client account; empty for requests without a key.
+        remaining_seconds: Time that the caller still waits.
+        resume_after: Number of the last event that the caller has; -1 for the beginning.
+
+    Returns:
+        The field lines, framing included.
+    """
+    named = {
+        option.strip().lower()
+        for option in find_field(request.fields, b'connection').split(b',')
+        if option
+    }
+    fields = []
+    for field in request.fields:
+        name = field[0].lower()
+        if name in _HOP_BY_HOP or name in _SYSTEM_FIELDS or name in named:
+            continue
+        if name == _RESUME_AFTER and resume_after >= 0:
+            continue
+        fields.append(field)
+    remaining = max(int(remaining_seconds * _MILLISECONDS), 1)
+    fields.append((b'X-Deadline-Ms', b'%d' % remaining))
+    fields.append((b'X-Expect-Instance', endpoint.encode()))
+    if account:
+        fields.append((b'X-Tenant', account.encode()))
+    if resume_after >= 0:
+        fields.append((b'Last-Event-Id', b'%d' % resume_after))
+    if request.content or request.method not in {b'GET', b'HEAD'}:
+        fields.append((b'Content-Length', b'%d' % len(request.content)))
+    return fields
+
+
+def decode_answer(head: AnswerHead) -> AnswerTerms:
+    """Reads the terms of an endpoint's answer.
+
+    Args:
+        head: Head of the answer.
+
+    Returns:
+        Its terms.
+    """
+    found = {name.lower(): content for name, content in head.fields}
+    return AnswerTerms(
+        attempt=found.get(_ATTEMPT, b''),
+        is_signed=bool(found.get(_SIGNATURE)),
+        did_not_run=_NOT_RUN in found or head.status == _MISDIRECTED_STATUS,
+        idle_seconds=_decode_idle(found.get(_KEEP_ALIVE, b'')),
+    )
+
+
+def keep_answer_fields(head: AnswerHead) -> Fields:
+    """Keeps the fields of an endpoint's answer that its caller receives.
+
+    Args:
+        head: Head of the answer.
+
+    Returns:
+        The field lines without framing.
+    """
+    return [
+        field
+        for field in head.fields
+        if field[0].lower() not in _HOP_BY_HOP and field[0].lower() != _LOAD
+    ]
+
+
+def encode_refusal(attempt: bytes, retry_after_seconds: float) -> Fields:
+    """Builds the fields of an answer that the system itself gives.
+
+    Args:
+        attempt: Identifier of the caller's attempt; empty if it sent none.
+        retry_after_seconds: When the caller may come back; zero if it is not to.
+
+    Returns:
+        The field lines without framing.
+    """
+    fields: Fields = [(b'Content-Type', b'application/problem+json')]
+    if attempt:
+        fields.append((b'X-Attempt-Id', attempt))
+    if retry_after_seconds > 0:
+        fields.append((b'Retry-After', b'%.2f' % retry_after_seconds))
+    return fields
+
+
+def _decode_deadline(text: bytes) -> float:
+    try:
+        deadline = float(text) / _MILLISECONDS
+    except ValueError:
+        return float('inf')
+    return deadline if deadline > 0 else float('inf')
+
+
+def _decode_key(text: bytes) -> str:
+    if text[: len(_KEY_SCHEME)].lower() != _KEY_SCHEME:
+        return ''
+    return text[len(_KEY_SCHEME) :].strip().decode('latin-1')
+
+
+def _decode_parts(text: bytes) -> tuple[PromptPart, ...]:
+    parts = []
+    for entry in text.split(b','):
+        identifier, _, tokens = entry.strip().partition(b':')
+        try:
+            parts.append(PromptPart(int(identifier, 16), int(tokens)))
+        except ValueError:
+            break
+    return tuple(parts)
+
+
+def _decode_idle(text: bytes) -> float | None:
+    for option in text.split(b','):
+        name = option.strip().lower()
+        if name.startswith(_KEEP_ALIVE_TIMEOUT):
+            return float(_to_int(name[len(_KEEP_ALIVE_TIMEOUT) :], 0))
+    return None
+
+
+def _to_int(text: bytes, default: int) -> int:
+    try:
+        return int(text)
+    except ValueError:
+        return default
+
+
--- /dev/null
+++ b/src/fireflymux/platform/configuration_row.py
@@ -0,0 +1,105 @@
+"""Decodes the operator's configuration into the product's types."""
+
+from typing import Any
+
+import orjson
+
+from ..decisions.routes import (
+    CallerLimits,
+    Configuration,
+    EngineTerms,
+    Repeatability,
+    Route,
+    Service,
+    WeightedService,
+    index_routes,
+)
+
+#: Table and key of the configuration in the store.
+CONFIGURATION_TABLE = 'op'
+CONFIGURATION_KEY = 'config'
+_MILLISECONDS = 1000.0
+
+
+class MalformedRow(Exception):
+    """A row of the store does not hold what its key promises."""
+
+
+def decode_configuration(content: bytes) -> Configuration:
+    """Decodes one version of the configuration.
+
+    Args:
+        content: Content of its row.
+
+    Returns:
+        The configuration.
+
+    Raises:
+        MalformedRow: A field is missing or of another type.
+    """
+    try:
+        return _decode(orjson.loads(content))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise MalformedRow(repr(error)) from error
+
+
+def _decode(raw: dict[str, Any]) -> Configuration:
+    limits = raw['limits']
+    accounts = raw.get('tenants') or []
+    return Configuration(
+        version=int(raw['version']),
+        routes=index_routes([_decode_route(entry) for entry in raw['routes']]),
+        services={entry['name']: _decode_service(entry) for entry in raw['services']},
+        limits=CallerLimits(
+            header_bytes=int(limits['max_header_bytes']),
+            body_bytes=int(limits['max_body_bytes']),
+            header_seconds=limits['header_timeout_ms'] / _MILLISECONDS,
+            idle_seconds=limits['idle_timeout_ms'] / _MILLISECONDS,
+            fleet_tokens_per_second=float(limits.get('tokens_per_s') or 0),
+        ),
+        accounts_by_key={key: entry['name'] for entry in accounts for key in entry['api_keys']},
+        needs_keys='tenants' in raw,
+    )
+
+
+def _decode_route(raw: dict[str, Any]) -> Route:
+    # A route names one service or, under another field, several with weights.
+    divided = raw.get('backends') or [{'service': raw.get('service'), 'weight': 1}]
+    return Route(
+        name=raw['name'],
+        host=raw['host'].lower(),
+        prefix=raw['prefix'],
+        services=tuple(
+            WeightedService(service=entry['service'], weight=float(entry['weight']))
+            for entry in divided
+        ),
+        repeatability=_decode_repeatability(raw),
+        timeout_seconds=raw['timeout_ms'] / _MILLISECONDS,
+        target_seconds=raw['target_latency_ms'] / _MILLISECONDS,
+        maximum_endpoints=int(raw.get('max_attempts') or 1),
+        priority=int(raw.get('priority') or 0),
+        is_public=bool(raw.get('public')),
+    )
+
+
+def _decode_repeatability(raw: dict[str, Any]) -> Repeatability:
+    # The field says what may be repeated, not what kind of request it is.
+    declared = raw['type']
+    if declared == 'streaming':
+        if raw.get('stream_resume'):
+            return Repeatability.stream_resumable
+        return Repeatability.stream_once
+    return Repeatability.idempotent if declared == 'safe' else Repeatability.once
+
+
+def _decode_service(raw: dict[str, Any]) -> Service:
+    engine = raw.get('engine')
+    return Service(
+        name=raw['name'],
+        maximum_connections=int(raw.get('max_connections') or 0),
+        engine=engine
+        and EngineTerms(
+            slots=int(engine['batch_slots']),
+            cache_tokens=int(engine['kv_capacity']),
+        ),
+    )
--- a/src/fireflymux/settings.py
+++ b/src/fireflymux/settings.py
@@ -13,6 +13,7 @@
 import orjson
 
 from ._settings_generated import (
+    EntrySettings,
     FleetSettings,
     InstanceSettings,
     ObservabilitySettings,
@@ -31,6 +32,7 @@
         'observability': ObservabilitySettings,
         'router': RouterSettings,
         'sidecar': SidecarSettings,
+        'entry': EntrySettings,
     }
 )
 _REQUIRED = frozenset(('instance', 'fleet', 'platform'))
@@ -123,6 +125,30 @@
         return cls(platform=sections['platform'], tls=sections['tls'])
 
 
+@attrs.define(frozen=True, kw_only=True)
+class EntryProcessSettings:
+    """Settings of an entry instance that serves without sidecars."""
+
+    entry: EntrySettings
+    observability: ObservabilitySettings
+
+    @classmethod
+    def from_file(cls, path: str) -> 'EntryProcessSettings':
+        """Reads and checks a settings file that holds at least [entry].
+
+        Args:
+            path: Path of the INI file.
+
+        Returns:
+            The settings.
+
+        Raises:
+            SettingsError: The file can't be read or holds a value that is not allowed.
+        """
+        sections = _read_sections(path, required=frozenset(('entry',)))
+        return cls(entry=sections['entry'], observability=sections['observability'])
+
+
 def _read_sections(path: str, *, required: frozenset[str]) -> dict[str, Any]:
     parser = configparser.ConfigParser(interpolation=None)
     try:
