Predict first events from outstanding tokens; refuse what comes long after SIGTERM

Change: predicted first event = outstanding tokens over a learned speed; placed if within 0.9 of the target, 0.6 for accounts over their max-min share; no request is taken 2.5 s after SIGTERM.

--- a/src/fireflymux/_messages_generated.py
+++ b/src/fireflymux/_messages_generated.py
@@ -233,6 +233,7 @@
     loads: list[int]
     placements: list[list[int]]
     usage: dict[str, float]
+    demand: dict[str, float]
     crashes: dict[str, int]
 
 
--- a/src/fireflymux/decisions/account_usage.py
+++ b/src/fireflymux/decisions/account_usage.py
@@ -73,6 +73,23 @@
             given += usage.get(account, 0.0) * self._factor(now - heard)
         return given
 
+    def totals(self, now: float) -> dict[str, float]:
+        """Returns what all instances gave, by account.
+
+        Args:
+            now: Time in seconds.
+
+        Returns:
+            Tokens.
+        """
+        factor = self._factor(now - self._updated)
+        totals = {account: tokens * factor for account, tokens in self._own.items()}
+        for heard, usage in self._others.values():
+            factor = self._factor(now - heard)
+            for account, tokens in usage.items():
+                totals[account] = totals.get(account, 0.0) + tokens * factor
+        return totals
+
     def _factor(self, seconds: float) -> float:
         return math.exp(-max(seconds, 0.0) / self._window)
 
--- a/src/fireflymux/decisions/engine_choice.py
+++ b/src/fireflymux/decisions/engine_choice.py
@@ -1,7 +1,8 @@
-"""Chooses the engine for a prompt: short waits first, and prompts where they are kept.
+"""Chooses the engine for a prompt: an early first event, and prompts where they are kept.
 
 Answers the load of long prompts that share parts, on engines that read prompts in order of
-arrival: each token read twice is capacity that others wait for.
+arrival: each token read twice is capacity that others wait for, and a prompt whose answer
+comes late has used up the time of others for little.
 """
 
 from collections.abc import Sequence
@@ -9,11 +10,15 @@
 import attrs
 
 from .prompts import PromptPart
+from .reading import FIRST_EVENT_SECONDS
 
 #: Weight of reading a shared part again, against waiting for as long.
 _REREAD_WEIGHT = 2.0
 #: Wait that another engine must save before a prompt leaves its home, in seconds.
 _HOME_BIAS_SECONDS = 0.03
+#: Wait before reading that a prompt may have which is too long to be on time anywhere, as a
+#: part of its target latency.
+_LONG_PROMPT_WAIT_PART = 0.15
 
 
 @attrs.define(frozen=True, kw_only=True)
@@ -22,11 +27,11 @@
 
     Attributes:
         number: Number of the endpoint.
-        pending_tokens: Prompt tokens that it has to read first.
+        pending_tokens: Prompt tokens sent to it whose answers have not begun.
         running: Requests on it.
         slots: Requests that run at once on it.
         cached_tokens: Leading tokens of the prompt that it keeps.
-        tokens_per_second: Speed at which it reads prompts.
+        tokens_per_second: Speed at which it works prompts off.
     """
 
     number: int
@@ -36,24 +41,27 @@
     cached_tokens: int
     tokens_per_second: float
 
+    @property
     def wait_seconds(self) -> float:
-        """Predicts how long a prompt waits before the engine begins to read it."""
+        """Predicted time until it begins to read a prompt."""
         return self.pending_tokens / self.tokens_per_second
 
 
 @attrs.define(frozen=True)
 class Placement:
-    """An engine for a prompt.
+    """An endpoint for a request.
 
     Attributes:
         number: Number of the endpoint.
         tokens: Prompt tokens that it has to read.
-        seconds: Predicted time until it has read them.
+        wait_seconds: Predicted time until it begins to read them.
+        seconds: Predicted time to the first event.
     """
 
     number: int
     tokens: int
-    seconds: float
+    wait_seconds: float = 0.0
+    seconds: float = 0.0
 
 
 def choose_engine(
@@ -61,7 +69,7 @@
     parts: Sequence[PromptPart],
     prompt_tokens: int,
 ) -> Placement | None:
-    """Chooses the engine with the least predicted wait, reading again included.
+    """Chooses the engine with the earliest predicted first event, rereading included.
 
     Args:
         views: Engines that may be given work.
@@ -79,17 +87,38 @@
         if view.running >= view.slots:
             continue
         tokens = max(prompt_tokens - view.cached_tokens, 1)
-        seconds = view.wait_seconds() + tokens / view.tokens_per_second
+        wait = view.wait_seconds
+        seconds = FIRST_EVENT_SECONDS + wait + tokens / view.tokens_per_second
         missing = max(shared_tokens - view.cached_tokens, 0)
         cost = seconds + _REREAD_WEIGHT * missing / view.tokens_per_second
         if view.number != home:
             cost += _HOME_BIAS_SECONDS
         if cost < best_cost:
             best_cost = cost
-            best = Placement(view.number, tokens, seconds)
+            best = Placement(view.number, tokens, wait, seconds)
     return best
 
 
+def is_worth_placing(placement: Placement, *, spent_seconds: float, limit_seconds: float) -> bool:
+    """Tells whether a prompt is placed, or left to wait or be refused.
+
+    Args:
+        placement: Where it would go.
+        spent_seconds: Time since it arrived.
+        limit_seconds: Latency that it must meet.
+
+    Returns:
+        Whether its first event is predicted in time; a prompt that is too long for that
+        anywhere is placed while little waits before it.
+    """
+    if spent_seconds + placement.seconds <= limit_seconds:
+        return True
+    own_seconds = placement.seconds - placement.wait_seconds
+    if own_seconds < limit_seconds:
+        return False
+    return placement.wait_seconds <= _LONG_PROMPT_WAIT_PART * limit_seconds
+
+
 def find_home(views: Sequence[EngineView], parts: Sequence[PromptPart]) -> int:
     """Finds the engine that all instances prefer for a prompt, by rendezvous hashing.
 
--- /dev/null
+++ b/src/fireflymux/decisions/reading.py
@@ -0,0 +1,57 @@
+"""Predicts when an engine sends the first event of an answer.
+
+While an engine is busy, a prompt stays unread and unanswered for as long as it takes to read
+whatever is outstanding on it (Little's law), so that one speed, learned from the times to the
+first event, covers the wait, the reading and the steps until the event is full.
+"""
+
+_FORGETTING = 0.985
+#: Weight of the guess beside the measurements, in tokens.
+_GUESS_TOKENS = 100000.0
+#: Time to the first event of an idle engine that has nothing to read, in seconds.
+FIRST_EVENT_SECONDS = 0.055
+_LEAST_SECONDS = 0.002
+
+
+class FirstEventModel:
+    """Tokens that an engine works off in a second, its first events included.
+
+    Attributes:
+        tokens_per_second: The estimate.
+    """
+
+    def __init__(self, tokens_per_second: float) -> None:
+        """Starts with a guess.
+
+        Args:
+            tokens_per_second: The guess.
+        """
+        self.tokens_per_second = tokens_per_second
+        self._guess_seconds = _GUESS_TOKENS / tokens_per_second
+        self._tokens = 0.0
+        self._seconds = 0.0
+
+    def observe(self, tokens: float, seconds: float) -> None:
+        """Takes a measurement.
+
+        Args:
+            tokens: Tokens outstanding on the engine when the prompt was sent, its own included.
+            seconds: Time from sending to the first event.
+        """
+        self._tokens = _FORGETTING * self._tokens + tokens
+        taken = max(seconds - FIRST_EVENT_SECONDS, _LEAST_SECONDS)
+        self._seconds = _FORGETTING * self._seconds + taken
+        self.tokens_per_second = (self._tokens + _GUESS_TOKENS) / (
+            self._seconds + self._guess_seconds
+        )
+
+    def predict(self, tokens: float) -> float:
+        """Predicts the time to the first event.
+
+        Args:
+            tokens: Tokens outstanding on the engine, the prompt's own included.
+
+        Returns:
+            Seconds.
+        """
+        return FIRST_EVENT_SECONDS + tokens / self.tokens_per_second
--- a/src/fireflymux/decisions/waiting.py
+++ b/src/fireflymux/decisions/waiting.py
@@ -21,6 +21,7 @@
         parts: Parts of its prompt in order.
         prompt_tokens: Length of its prompt.
         output_tokens: Expected length of its answer.
+        arrived_at: Time at which it was received, in seconds.
         target_seconds: Latency within which its answer is on time.
         excluded: Endpoints that must not be chosen again.
         on_placed: Called once it is placed.
@@ -31,11 +32,17 @@
     parts: tuple[PromptPart, ...]
     prompt_tokens: int
     output_tokens: int
+    arrived_at: float
     target_seconds: float
     excluded: set[int]
     on_placed: Callable[[], None] | None = None
     placement: Placement | None = None
 
+    @property
+    def cost_tokens(self) -> int:
+        """Tokens that it counts for: each one read once, each one generated twice."""
+        return self.prompt_tokens + 2 * self.output_tokens
+
 
 class WaitingRequests:
     """Requests by client account; the account with the least usage is served first.
--- a/src/fireflymux/entry/attempt.py
+++ b/src/fireflymux/entry/attempt.py
@@ -81,7 +81,6 @@
         ends_at: Time at which the caller's patience or the route's timeout ends, in seconds.
         relay: Takes the events, if the answer is a stream.
         is_reading: Whether the endpoint still reads the prompt.
-        pending_tokens: Prompt tokens that the endpoint had to read until this prompt's end.
         sent_at: Time at which the request was sent, in seconds.
     """
 
@@ -93,7 +92,6 @@
     ends_at: float
     relay: EventRelay | None
     is_reading: bool = True
-    pending_tokens: int = 0
     sent_at: float = 0.0
 
 
@@ -108,7 +106,6 @@
         How it ended.
     """
     live = attempt.live
-    attempt.pending_tokens = state.loads.total(live.number).pending_tokens
     try:
         outcome = await _connect_and_exchange(state, attempt)
     finally:
@@ -213,7 +210,7 @@
         if not piece:
             break
         if attempt.is_reading:
-            _observe_speed(attempt, trio.current_time() - attempt.sent_at)
+            _observe_first_event(attempt)
             _end_reading(state, attempt)
         await relay.pass_on(piece, head.status, fields)
     if answer.ends_with_connection and not relay.is_between_events:
@@ -222,8 +219,11 @@
     return Relayed()
 
 
-def _observe_speed(attempt: Attempt, seconds: float) -> None:
-    attempt.live.speed.observe(attempt.pending_tokens, seconds)
+def _observe_first_event(attempt: Attempt) -> None:
+    placement = attempt.placement
+    model = attempt.live.model
+    tokens = placement.tokens + placement.wait_seconds * model.tokens_per_second
+    model.observe(tokens, trio.current_time() - attempt.sent_at)
 
 
 def _end_reading(state: EntryState, attempt: Attempt) -> None:
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -113,11 +113,14 @@
             parts=call.terms.parts,
             prompt_tokens=call.terms.prompt_tokens,
             output_tokens=call.terms.output_tokens,
+            arrived_at=call.request.received_at,
             target_seconds=call.route.target_seconds,
             excluded=call.tried,
         )
         patience = _PATIENCE_PART * call.route.target_seconds
         until = min(trio.current_time() + patience, call.ends_at)
+        if not call.history.sends:
+            self._state.demand.charge(call.account, waiting.cost_tokens, trio.current_time())
         placed = await self._queue_of(call.service).place(waiting, until=until)
         return waiting if placed else None
 
--- a/src/fireflymux/entry/instance.py
+++ b/src/fireflymux/entry/instance.py
@@ -23,7 +23,7 @@
 #: A gap between two ticks that shows that the process did not run.
 _FREEZE_SECONDS = 0.5
 #: Time for the balancer to notice that the instance is not ready.
-_LEAVE_SECONDS = 3.0
+_LEAVE_SECONDS = 2.5
 #: Time kept in reserve before the process is killed.
 _EXIT_MARGIN_SECONDS = 0.6
 _POLL_SECONDS = 0.05
@@ -84,6 +84,7 @@
         with trio.move_on_at(last):
             await self._store.unregister()
             await trio.sleep_until(started + _LEAVE_SECONDS)
+            self._state.is_closing = True
             self._callers.close_idle()
             while self._exchanges.running:
                 await trio.sleep(_POLL_SECONDS)
--- a/src/fireflymux/entry/peer_link.py
+++ b/src/fireflymux/entry/peer_link.py
@@ -95,9 +95,11 @@
         state.placements = state.placements[_MAXIMUM_PLACEMENTS:]
         now = trio.current_time()
         usage: dict[str, float] = {}
+        demand: dict[str, float] = {}
         crashes: dict[str, int] = {}
         if self._count % _USAGE_EVERY == 0:
             usage = {name: round(tokens) for name, tokens in state.usage.report(now).items()}
+            demand = {name: round(tokens) for name, tokens in state.demand.report(now).items()}
             crashes = {str(key): count for key, count in state.crashes.report(now).items()}
         return orjson.dumps(
             [
@@ -108,6 +110,7 @@
                 loads,
                 placements,
                 usage,
+                demand,
                 crashes,
                 self._count % _USAGE_EVERY == 0,
             ]
@@ -155,6 +158,7 @@
                 live.cache.record([PromptPart(*pair) for pair in pairs])
         if has_usage:
             state.usage.merge(report.instance, report.usage, now)
+            state.demand.merge(report.instance, report.demand, now)
             state.crashes.merge(
                 report.instance, {int(key): count for key, count in report.crashes.items()}
             )
--- a/src/fireflymux/entry/service_queue.py
+++ b/src/fireflymux/entry/service_queue.py
@@ -4,14 +4,17 @@
 
 import trio
 
-from ..decisions.engine_choice import EngineView, Placement, choose_engine
+from ..decisions.engine_choice import EngineView, Placement, choose_engine, is_worth_placing
+from ..decisions.fair_level import find_fair_level
 from ..decisions.routes import EngineTerms
 from ..decisions.slot_choice import SlotView, choose_slot
 from ..decisions.waiting import Waiting, WaitingRequests
 from .state import EntryState, LiveEndpoint
 
-#: Part of a target latency that a prompt may wait on its engine.
-_ENGINE_WAIT_PART = 0.4
+#: Part of the target latency by which the first event is to come.
+_TARGET_PART = 0.9
+#: The same for accounts that were given their share already.
+_OVER_SHARE_PART = 0.6
 
 
 class ServiceQueue:
@@ -71,9 +74,9 @@
         if placement is None:
             return None
         state = self._state
+        now = trio.current_time()
         state.loads.begin(placement.number, placement.tokens)
-        tokens = placement.tokens + 2 * waiting.output_tokens
-        state.usage.charge(waiting.account, tokens, trio.current_time())
+        state.usage.charge(waiting.account, waiting.cost_tokens, now)
         live = state.find_endpoint(placement.number)
         if live is not None and waiting.parts:
             live.cache.record(waiting.parts)
@@ -111,13 +114,34 @@
         placement = choose_engine(views, waiting.parts, waiting.prompt_tokens)
         if placement is None:
             return None
-        chosen = next(view for view in views if view.number == placement.number)
-        longest = _ENGINE_WAIT_PART * waiting.target_seconds
-        return placement if chosen.wait_seconds() <= longest else None
+        now = trio.current_time()
+        part = _OVER_SHARE_PART if is_over_share(state, waiting.account, now) else _TARGET_PART
+        is_placed = is_worth_placing(
+            placement,
+            spent_seconds=now - waiting.arrived_at,
+            limit_seconds=part * waiting.target_seconds,
+        )
+        return placement if is_placed else None
 
     return choose
 
 
+def is_over_share(state: EntryState, account: str, now: float) -> bool:
+    """Tells whether an account was given more than its max-min share lately.
+
+    Args:
+        state: Beliefs of the instance.
+        account: Client account.
+        now: Time in seconds.
+
+    Returns:
+        Whether others were given less than they asked for meanwhile.
+    """
+    given = state.usage.totals(now)
+    level = find_fair_level(state.demand.totals(now), sum(given.values()))
+    return given.get(account, 0.0) > level
+
+
 def slot_chooser(state: EntryState, service: str) -> Callable[[Waiting], Placement | None]:
     """Returns the choice of an endpoint for the requests of a plain service.
 
@@ -140,7 +164,7 @@
             for live in state.list_workers(service, waiting.excluded)
         ]
         chosen = choose_slot(views)
-        return None if chosen is None else Placement(chosen.number, 0, 0.0)
+        return None if chosen is None else Placement(chosen.number, 0)
 
     return choose
 
@@ -161,7 +185,7 @@
                 running=load.running,
                 slots=terms.slots,
                 cached_tokens=live.cache.count_cached(waiting.parts),
-                tokens_per_second=live.speed.tokens_per_second,
+                tokens_per_second=live.model.tokens_per_second,
             )
         )
     return views
--- a/src/fireflymux/entry/state.py
+++ b/src/fireflymux/entry/state.py
@@ -14,7 +14,7 @@
 from ..decisions.loads import FleetLoads
 from ..decisions.membership import Endpoint, Membership
 from ..decisions.prompts import PrefixCache
-from ..decisions.reading_speed import ReadingSpeed
+from ..decisions.reading import FirstEventModel
 from ..decisions.retry_allowance import RetryAllowance
 from ..decisions.routes import Configuration, Service
 from ..endpoint_health import EndpointHealth
@@ -43,7 +43,7 @@
         pool: Connections to it.
         record: How its requests went.
         cache: Prompt parts that it is believed to keep.
-        speed: How fast it reads prompts.
+        model: Predicts its first events.
     """
 
     endpoint: Endpoint
@@ -51,7 +51,7 @@
     pool: ConnectionPool
     record: EndpointRecord
     cache: PrefixCache
-    speed: ReadingSpeed
+    model: FirstEventModel
 
     def may_work(self, now: float) -> bool:
         """Tells whether it may be given new work.
@@ -84,10 +84,13 @@
         is_listed: Whether the list of endpoints was read.
         loads: Work outstanding on endpoints.
         usage: Tokens given to accounts.
+        demand: Tokens that accounts asked for.
         crashes: Requests that broke off.
         placements: Prompts sent since the last report to other instances.
         instances: Addresses of other entry instances by name.
-        is_stopping: Whether the instance is shutting down.
+        is_stopping: Whether the instance is shutting down: it isn't ready, and connections
+            end after their current answer.
+        is_closing: Whether it takes no new request any more.
     """
 
     def __init__(self, settings: EntrySettings, rng: random.Random) -> None:
@@ -107,10 +110,12 @@
         self.is_listed = False
         self.loads = FleetLoads()
         self.usage = AccountUsage(settings.share_window_seconds)
+        self.demand = AccountUsage(settings.share_window_seconds)
         self.crashes = CrashCounts()
         self.placements: list[list[int]] = []
         self.instances: dict[str, str] = {}
         self.is_stopping = False
+        self.is_closing = False
         self._endpoints: dict[int, LiveEndpoint] = {}
         self._by_service: dict[str, list[LiveEndpoint]] = {}
         self._allowances: dict[str, RetryAllowance] = {}
@@ -246,7 +251,7 @@
             ),
             record=EndpointRecord(EndpointHealth(clock=trio.current_time)),
             cache=PrefixCache(cache_tokens),
-            speed=ReadingSpeed(self._guess_speed(endpoint.service)),
+            model=FirstEventModel(self._guess_speed(endpoint.service)),
         )
 
     def _find_service(self, name: str) -> Service | None:
