--- /dev/null
+++ b/emulator/backend.py
@@ -0,0 +1,151 @@
+"""Stand-in of an endpoint that the entry role calls: answers as a script tells it to."""
+
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import Any
+
+import trio
+
+from fireflymux.http.answer_writer import AnswerWriter
+from fireflymux.http.messages import Fields, Request, find_field
+
+_EVENT_SECONDS = 0.02
+
+
+class Backend:
+    """One endpoint that records what reaches it.
+
+    Attributes:
+        name: Its identifier.
+        behaviour: What it does with a request: a key of `_BEHAVIOURS`.
+        requests: Requests that it ran.
+        left: Attempts whose connection ended while it worked on them.
+    """
+
+    def __init__(self, name: str, behaviour: str = 'answer') -> None:
+        self.name = name
+        self.behaviour = behaviour
+        self.requests: list[Request] = []
+        self.left: list[bytes] = []
+
+    async def respond(self, request: Request, writer: AnswerWriter) -> None:
+        """Answers one request."""
+        attempt = find_field(request.fields, b'x-attempt-id')
+        expected = find_field(request.fields, b'x-expect-instance')
+        if expected != self.name.encode() or self.behaviour == 'misdirected':
+            await writer.answer(421, [(b'X-Attempt-Id', attempt)], b'')
+            return
+        if self.behaviour == 'full':
+            fields = [(b'X-Attempt-Id', attempt), (b'X-Not-Executed', b'1')]
+            await writer.answer(503, fields, b'')
+            return
+        self.requests.append(request)
+        fields = [(b'X-Attempt-Id', attempt), (b'X-Server-Signature', self.name.encode())]
+        try:
+            await _BEHAVIOURS[self.behaviour](request, writer, fields)
+        except trio.Cancelled:
+            self.left.append(attempt)
+            raise
+
+
+def _content_of(fields: Fields) -> bytes:
+    return b'answer of ' + fields[1][1]
+
+
+async def _answer(request: Request, writer: AnswerWriter, fields: Fields) -> None:
+    await writer.answer(200, fields, _content_of(fields))
+
+
+async def _fail(request: Request, writer: AnswerWriter, fields: Fields) -> None:
+    await writer.answer(500, fields, b'failed')
+
+
+async def _break_off(request: Request, writer: AnswerWriter, fields: Fields) -> None:
+    writer.abort()
+
+
+async def _hang(request: Request, writer: AnswerWriter, fields: Fields) -> None:
+    await trio.sleep_forever()
+
+
+async def _answer_slowly(request: Request, writer: AnswerWriter, fields: Fields) -> None:
+    await trio.sleep(1.5)
+    await writer.answer(200, fields, _content_of(fields))
+
+
+async def _answer_unsigned(request: Request, writer: AnswerWriter, fields: Fields) -> None:
+    await writer.answer(200, fields[:1], b'not signed')
+
+
+async def _answer_short(request: Request, writer: AnswerWriter, fields: Fields) -> None:
+    await writer.send(b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n')
+    lines = b''.join(b'%b: %b\r\n' % field for field in fields)
+    await writer.send(lines + b'\r\nonly a part')
+    writer.abort()
+
+
+async def _answer_without_length(request: Request, writer: AnswerWriter, fields: Fields) -> None:
+    lines = b''.join(b'%b: %b\r\n' % field for field in fields)
+    await writer.send(b'HTTP/1.1 200 OK\r\n' + lines + b'\r\n' + _content_of(fields))
+    writer.must_close = True
+
+
+async def _answer_after_stray(request: Request, writer: AnswerWriter, fields: Fields) -> None:
+    stray = [(b'X-Attempt-Id', b'of-another'), (b'X-Server-Signature', b'x')]
+    await writer.answer(200, stray, b'answer of another request')
+    await writer.answer(200, fields, _content_of(fields))
+
+
+async def _answer_twice(request: Request, writer: AnswerWriter, fields: Fields) -> None:
+    await writer.answer(200, fields, _content_of(fields))
+    await writer.answer(200, fields, b'the second answer')
+
+
+def _events(request: Request, count: int) -> list[bytes]:
+    after = find_field(request.fields, b'last-event-id')
+    first = int(after) + 1 if after else 0
+    return [b'id: %d\ndata: piece %d\n\n' % (number, number) for number in range(first, count)]
+
+
+async def _stream(request: Request, writer: AnswerWriter, fields: Fields) -> None:
+    await writer.start(200, fields, b'')
+    for event in _events(request, 6):
+        await writer.send_chunk(event)
+        await trio.sleep(_EVENT_SECONDS)
+    await writer.end()
+
+
+async def _stream_cut(request: Request, writer: AnswerWriter, fields: Fields) -> None:
+    await writer.start(200, fields, b'')
+    events = _events(request, 6)
+    for event in events[:2]:
+        await writer.send_chunk(event)
+        await trio.sleep(_EVENT_SECONDS)
+    await writer.send_chunk(events[2][:8])
+    writer.abort()
+
+
+async def _stream_slowly(request: Request, writer: AnswerWriter, fields: Fields) -> None:
+    await writer.start(200, fields, b'')
+    for event in _events(request, 1000):
+        await writer.send_chunk(event)
+        await trio.sleep(_EVENT_SECONDS)
+
+
+_BEHAVIOURS: Mapping[str, Callable[[Request, AnswerWriter, Fields], Any]] = MappingProxyType(
+    {
+        'answer': _answer,
+        'fail': _fail,
+        'break off': _break_off,
+        'hang': _hang,
+        'answer slowly': _answer_slowly,
+        'answer unsigned': _answer_unsigned,
+        'answer short': _answer_short,
+        'answer without length': _answer_without_length,
+        'answer after a stray one': _answer_after_stray,
+        'answer twice': _answer_twice,
+        'stream': _stream,
+        'stream and cut': _stream_cut,
+        'stream slowly': _stream_slowly,
+    }
+)
--- /dev/null
+++ b/emulator/entry_fleet.py
@@ -0,0 +1,250 @@
+"""Entry instances with their store and endpoints, in one process on loopback."""
+
+import random
+import socket
+from collections.abc import Mapping
+from contextlib import asynccontextmanager
+from types import MappingProxyType
+from typing import Any
+
+import attrs
+import orjson
+import trio
+
+from fireflymux._settings_generated import EntrySettings, ObservabilitySettings
+from fireflymux.entry.instance import EntryInstance
+from fireflymux.entry.listeners import Listener
+from fireflymux.http.answer_writer import AnswerWriter
+from fireflymux.http.client_connection import ClientConnection, ConnectionBroken
+from fireflymux.http.messages import HttpLimits, Request
+from fireflymux.settings import EntryProcessSettings
+
+from .backend import Backend
+from .row_store import RowStore
+
+HOST = 'models.example'
+KEY = 'key-of-mothers'
+_LIMITS: Mapping[str, int] = MappingProxyType(
+    {
+        'max_header_bytes': 4096,
+        'max_body_bytes': 20000,
+        'header_timeout_ms': 400,
+        'idle_timeout_ms': 3000,
+        'tokens_per_s': 100000,
+    }
+)
+
+
+@attrs.define
+class Reply:
+    """What a caller got; status 0 if the connection ended without a head."""
+
+    status: int
+    fields: dict[str, str]
+    content: bytes
+    is_whole: bool
+
+
+def free_port(host: str = '127.0.0.1') -> int:
+    """Returns a port that nothing listens on."""
+    with socket.socket() as sock:
+        sock.bind((host, 0))
+        return sock.getsockname()[1]
+
+
+def route(prefix: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
+    """Returns a route as the operator writes it."""
+    return {
+        'name': prefix.strip('/') or 'root',
+        'host': HOST,
+        'prefix': prefix,
+        'type': kind,
+        'timeout_ms': 2000,
+        'target_latency_ms': 400,
+        'priority': 1,
+        'service': service,
+        'max_attempts': 2,
+        'public': False,
+        'stream_resume': False,
+    } | changes
+
+
+def configuration(version: int, routes: list[dict[str, Any]], **changes: Any) -> dict[str, Any]:
+    """Returns a configuration as the operator writes it."""
+    names = {entry['service'] for entry in routes}
+    return {
+        'version': version,
+        'routes': routes,
+        'services': [{'name': name, 'max_connections': 50} for name in sorted(names)],
+        'limits': dict(_LIMITS),
+        'tenants': [{'name': 'mothers', 'api_keys': [KEY], 'priority': 1}],
+    } | changes
+
+
+class EntryFleet:
+    """A store, endpoints and entry instances.
+
+    Attributes:
+        store: The store.
+        backends: Endpoints by identifier.
+    """
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.store = RowStore()
+        self.backends: dict[str, Backend] = {}
+        self.instances: list[EntryInstance] = []
+        self.settings: list[EntrySettings] = []
+        self._nursery = nursery
+        self._outages: dict[str, str] = {}
+        self._peer_port = free_port()
+
+    async def start_store(self) -> str:
+        """Starts a listener of the store; each has an address of its own."""
+        address = '127.0.0.1:{0}'.format(free_port())
+
+        async def respond(request: Request, writer: AnswerWriter) -> None:
+            await self.store.respond(request, writer, self._outages.get(address, ''))
+
+        await self._listen(address, respond)
+        return address
+
+    def turn_away(self, store_address: str, outage: str) -> None:
+        """Begins an outage of the store for those who use one of its addresses.
+
+        Args:
+            store_address: The address.
+            outage: 'busy', 'reset' or 'silent'; empty to end the outage.
+        """
+        self._outages[store_address] = outage
+
+    async def add_backend(self, name: str, service: str, behaviour: str = 'answer') -> Backend:
+        """Starts an endpoint and enters it into the store."""
+        backend = Backend(name, behaviour)
+        self.backends[name] = backend
+        address = '127.0.0.1:{0}'.format(free_port())
+        await self._listen(address, backend.respond)
+        self.announce(name, service, address)
+        return backend
+
+    def announce(self, name: str, service: str, address: str, **changes: Any) -> None:
+        """Enters an endpoint into the store."""
+        entry = {
+            'service': service,
+            'address': address,
+            'zone': 'a',
+            'batch_slots': 8,
+            'state': 'ready',
+            'sequence': 1,
+            'born': 1700000000000,
+        }
+        self.store.put('servers', name, entry | changes)
+
+    def change_endpoint(self, name: str, **changes: Any) -> None:
+        """Changes fields of an endpoint's entry."""
+        raw, _ = self.store._rows['servers'][name]
+        self.store.put('servers', name, orjson.loads(raw) | changes)
+
+    async def add_instance(self, store_address: str, **changes: Any) -> EntryInstance:
+        """Starts an entry instance in this process."""
+        number = len(self.instances) + 1
+        host = '127.0.0.{0}'.format(number + 10)
+        settings = EntrySettings(
+            **{
+                'name': 'entry-{0}'.format(number),
+                'failure_domain': 'a',
+                'caller_address': '127.0.0.1:{0}'.format(free_port()),
+                'readiness_address': '127.0.0.1:{0}'.format(free_port()),
+                'peer_host': host,
+                'peer_port': self._peer_port,
+                'seeds': '127.0.0.11:1',
+                'store_address': store_address,
+            }
+            | changes
+        )
+        instance = EntryInstance(
+            EntryProcessSettings(entry=settings, observability=ObservabilitySettings())
+        )
+        self.instances.append(instance)
+        self.settings.append(settings)
+        await self._nursery.start(instance.serve)
+        return instance
+
+    async def wait_ready(self, number: int = 0) -> None:
+        """Waits until an instance says that it is ready."""
+        with trio.fail_after(5):
+            while (await self.ask_readiness(number)) != 200:
+                await trio.sleep(0.02)
+
+    async def ask_readiness(self, number: int = 0) -> int:
+        """Asks an instance whether it is ready."""
+        reply = await exchange(
+            self.settings[number].readiness_address,
+            b'GET /api/readyz HTTP/1.1\r\nHost: x\r\n\r\n',
+        )
+        return reply.status
+
+    async def call(self, path: str, number: int = 0, **options: Any) -> Reply:
+        """Sends a request as a caller would."""
+        return await exchange(self.settings[number].caller_address, encode_call(path, **options))
+
+    async def _listen(self, address: str, respond: Any) -> None:
+        listener = Listener(address, respond, limits=HttpLimits, is_stopping=bool)
+        await self._nursery.start(listener.run)
+
+
+def encode_call(
+    path: str,
+    *,
+    method: str = 'POST',
+    key: str = KEY,
+    attempt: str = '',
+    deadline_ms: int = 2000,
+    content: bytes = b'',
+    host: str = HOST,
+    more: str = '',
+) -> bytes:
+    """Encodes a caller's request."""
+    attempt = attempt or '{0:016x}'.format(random.getrandbits(64))
+    lines = [
+        '{0} {1} HTTP/1.1'.format(method, path),
+        'Host: {0}'.format(host),
+        'X-Attempt-Id: {0}'.format(attempt),
+        'X-Deadline-Ms: {0}'.format(deadline_ms),
+        'Content-Length: {0}'.format(len(content)),
+    ]
+    if key:
+        lines.append('Authorization: Token {0}'.format(key))
+    if more:
+        lines.append(more)
+    return '\r\n'.join([*lines, '', '']).encode() + content
+
+
+async def exchange(address: str, raw: bytes) -> Reply:
+    """Sends bytes on a connection of its own and reads one answer."""
+    host, _, port = address.rpartition(':')
+    connection = await ClientConnection.open(host, int(port), timeout_seconds=2)
+    content = b''
+    head = None
+    try:
+        await connection._socket.send(raw)
+        answer = await connection.next_answer()
+        head = answer.head
+        while piece := await connection.next_piece(answer):
+            content += piece
+        is_whole = True
+    except ConnectionBroken:
+        is_whole = False
+    finally:
+        connection.close()
+    if head is None:
+        return Reply(0, {}, content, False)
+    fields = {name.decode().lower(): text.decode() for name, text in head.fields}
+    return Reply(head.status, fields, content, is_whole)
+
+
+@asynccontextmanager
+async def open_fleet():
+    """Opens a fleet without endpoints or instances and ends it."""
+    async with trio.open_nursery() as nursery:
+        yield EntryFleet(nursery)
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/features/steps/entry_steps.py
@@ -0,0 +1,549 @@
+"""Steps for the entry role: each scenario runs on a trio loop of its own."""
+
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import trio
+from behave import given, then, when
+
+from emulator.entry_fleet import (
+    configuration,
+    encode_call,
+    exchange,
+    free_port,
+    open_fleet,
+    route,
+)
+
+_ROOT = Path(__file__).resolve().parent.parent.parent
+_FORGED = '\r\n'.join(
+    ('X-Tenant: partner', 'X-Expect-Instance: other', 'X-Hold: 1', 'X-Pin-Ms: 9', 'X-Own: kept')
+)
+
+
+def _play(context, act):
+    """Builds the fleet, runs the steps of a scenario on it, keeps what `act` returns."""
+
+    async def run():
+        with trio.fail_after(20):
+            async with open_fleet() as fleet:
+                await context.build(fleet)
+                context.fleet_played = fleet
+                context.result = await act(fleet)
+
+    trio.run(run)
+
+
+def _put(fleet, version, routes, **changes):
+    fleet.store.put('op', 'config', configuration(version, routes, **changes))
+
+
+async def _start(fleet, instances=1):
+    address = await fleet.start_store()
+    for _ in range(instances):
+        await fleet.add_instance(address)
+    for number in range(instances):
+        await fleet.wait_ready(number)
+
+
+@given('routes "/" to "general" and "/orders/" to "orders"')
+def two_routes(context):
+    async def build(fleet):
+        await fleet.add_backend('g', 'general')
+        await fleet.add_backend('o', 'orders')
+        _put(fleet, 5, [route('/', 'unsafe', 'general'), route('/orders/', 'unsafe', 'orders')])
+        await _start(fleet)
+
+    context.build = build
+
+
+def _one_route(context, kind, behaviours, **changes):
+    async def build(fleet):
+        for number, behaviour in enumerate(behaviours):
+            await fleet.add_backend('e{0}'.format(number), 'pool', behaviour)
+        _put(fleet, 5, [route('/', kind, 'pool', **changes)])
+        await _start(fleet)
+
+    context.build = build
+
+
+@given('a "{kind}" route whose only endpoint does "{behaviour}"')
+def only_endpoint(context, kind, behaviour):
+    _one_route(context, kind, [behaviour], timeout_ms=600)
+
+
+@given('a "{kind}" route of {milliseconds:d} ms whose only endpoint does "{behaviour}"')
+def only_endpoint_timed(context, kind, milliseconds, behaviour):
+    _one_route(context, kind, [behaviour], timeout_ms=milliseconds)
+
+
+@given('a "{kind}" route with one endpoint that does "{behaviour}" and one that answers')
+def bad_and_good(context, kind, behaviour):
+    _one_route(context, kind, [behaviour, 'answer'])
+
+
+@given('a resumable stream route with one endpoint that cuts and one that streams')
+def cutting_and_streaming(context):
+    _one_route(context, 'streaming', ['stream and cut', 'stream'], stream_resume=True)
+
+
+@given('a "{kind}" route with {count:d} endpoints that do "{behaviour}"')
+def many_endpoints(context, kind, count, behaviour):
+    _one_route(context, kind, [behaviour] * count)
+
+
+@given('a "safe" route with two endpoints that answer')
+def two_endpoints(context):
+    _one_route(context, 'safe', ['answer', 'answer'])
+
+
+@given('two instances, one of which the store answers with "{outage}"')
+def one_turned_away(context, outage):
+    async def build(fleet):
+        for name in ('e0', 'e1'):
+            await fleet.add_backend(name, 'pool')
+        _put(fleet, 5, [route('/', 'safe', 'pool')])
+        healthy = await fleet.start_store()
+        other = await fleet.start_store()
+        await fleet.add_instance(healthy)
+        await fleet.add_instance(other)
+        for number in range(2):
+            await fleet.wait_ready(number)
+        fleet.turn_away(other, outage)
+        context.turned_away = other
+
+    context.build = build
+
+
+@given('an instance whose store is silent')
+def silent_store(context):
+    async def build(fleet):
+        address = await fleet.start_store()
+        fleet.turn_away(address, 'silent')
+        await fleet.add_instance(address)
+
+    context.build = build
+
+
+@when('a caller posts to "{path}" with headers that only the system may set')
+def post_forged(context, path):
+    _play(context, lambda fleet: fleet.call(path, content=b'body', more=_FORGED))
+
+
+@when('a caller posts to "{path}" on host "{host}" with key "{key}"')
+def post_denied(context, path, host, key):
+    key = '' if key == 'none' else key
+    _play(context, lambda fleet: fleet.call(path, host=host, key=key))
+
+
+_HEAD = 'POST /a HTTP/1.1\r\nHost: models.example\r\nX-Attempt-Id: a1\r\n'
+_HIDDEN = '0\r\n\r\nPOST /a HTTP/1.1\r\n'
+_BAD_BYTES = {
+    'two different lengths': _HEAD + 'Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd',
+    'a length and chunks': _HEAD
+    + 'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+    'an unknown transfer coding': _HEAD + 'Transfer-Encoding: xchunked\r\n\r\n',
+    'a space before the colon': 'POST /a HTTP/1.1\r\nHost : models.example\r\n\r\n',
+    'no host': 'POST /a HTTP/1.1\r\nContent-Length: 0\r\n\r\n',
+    'a second request hidden in a chunk': _HEAD
+    + 'Transfer-Encoding: chunked\r\n\r\nzz\r\n'
+    + _HIDDEN,
+    'a body over the limit': _HEAD + 'Content-Length: 20001\r\n\r\n',
+    'headers over the limit': _HEAD + 'X-Long: {0}\r\n\r\n'.format('x' * 5000),
+    'half a head and then nothing': _HEAD,
+}
+
+
+@when('a connection sends {described}')
+def send_bad_bytes(context, described):
+    raw = _BAD_BYTES[described].encode()
+    _play(context, lambda fleet: exchange(fleet.settings[0].caller_address, raw))
+
+
+@when('a caller sends a request')
+def send_one(context):
+    async def act(fleet):
+        started = trio.current_time()
+        reply = await fleet.call('/a')
+        context.seconds = trio.current_time() - started
+        context.readiness = await fleet.ask_readiness()
+        return reply
+
+    _play(context, act)
+
+
+@when('a caller sends {count:d} requests one after the other')
+@when('a caller reads {count:d} streams one after the other')
+def send_many(context, count):
+    async def act(fleet):
+        return [await fleet.call('/a', attempt='a{0}'.format(number)) for number in range(count)]
+
+    _play(context, act)
+
+
+@when('a caller leaves in the middle of its stream')
+def leave(context):
+    async def act(fleet):
+        host, _, port = fleet.settings[0].caller_address.rpartition(':')
+        stream = await trio.open_tcp_stream(host, int(port))
+        await stream.send_all(encode_call('/a', attempt='gone'))
+        while b'piece 2' not in await stream.receive_some():
+            continue
+        await stream.aclose()
+        await trio.sleep(0.3)
+        return fleet.backends['e0'].left
+
+    _play(context, act)
+
+
+@when('the same request is sent {count:d} times')
+def send_same(context, count):
+    async def act(fleet):
+        for _ in range(count):
+            await fleet.call('/a', content=b'the same')
+        return sum(len(backend.requests) for backend in fleet.backends.values())
+
+    _play(context, act)
+
+
+async def _count_calls(fleet, count=10, number=0):
+    for backend in fleet.backends.values():
+        backend.requests.clear()
+    replies = [await fleet.call('/a', number=number) for _ in range(count)]
+    runs = {name: len(backend.requests) for name, backend in fleet.backends.items()}
+    return [reply.status for reply in replies], runs
+
+
+@when('one of them is draining')
+def drain_one(context):
+    async def act(fleet):
+        fleet.change_endpoint('e0', state='draining')
+        await trio.sleep(0.2)
+        return await _count_calls(fleet)
+
+    _play(context, act)
+
+
+@when('entries with missing, wrong or unreadable fields appear')
+def foreign_entries(context):
+    async def act(fleet):
+        address = '127.0.0.1:{0}'.format(free_port())
+        fleet.store.put('servers', 'x1', b'\xff\x00 no json')
+        fleet.store.put('servers', 'x2', {'service': 'pool', 'address': address})
+        fleet.announce('x3', 'pool', 'no address')
+        fleet.announce('x4', 'pool', address, state='asleep')
+        fleet.announce('x5', 'pool', address, batch_slots='8')
+        fleet.announce('x6', 'pool', address, sequence=None)
+        await trio.sleep(0.2)
+        return await _count_calls(fleet)
+
+    _play(context, act)
+
+
+@when('the store is away and has lost both entries when it is back')
+def lapse(context):
+    async def act(fleet):
+        address = fleet.settings[0].store_address
+        fleet.turn_away(address, 'reset')
+        await trio.sleep(1.5)
+        fleet.store.remove('servers', 'e0')
+        fleet.store.remove('servers', 'e1')
+        fleet.turn_away(address, '')
+        await trio.sleep(1.0)
+        early = await _count_calls(fleet, 2)
+        await trio.sleep(2.0)
+        return early, await _count_calls(fleet, 2)
+
+    _play(context, act)
+
+
+def _moved(version):
+    routes = [route('/', 'unsafe', 'general'), route('/orders/', 'unsafe', 'general')]
+    return configuration(version, routes)
+
+
+@when('the configuration moves "/orders/" to "general", and an older one follows')
+def move_route(context):
+    async def act(fleet):
+        fleet.store.put('op', 'config', _moved(8))
+        await trio.sleep(0.2)
+        _put(fleet, 7, [route('/orders/', 'unsafe', 'orders')])
+        await trio.sleep(0.2)
+        return await fleet.call('/orders/1')
+
+    _play(context, act)
+
+
+@when('the store forgets its history together with a change of the configuration')
+def forget_history(context):
+    async def act(fleet):
+        fleet.store.put('op', 'config', _moved(8))
+        fleet.store.forget_history()
+        await trio.sleep(1.5)
+        return await fleet.call('/orders/1')
+
+    _play(context, act)
+
+
+@when('the configuration drops a key and one endpoint drains')
+def drop_key(context):
+    async def act(fleet):
+        accounts = [{'name': 'mothers', 'api_keys': ['new-key'], 'priority': 1}]
+        _put(fleet, 9, [route('/', 'safe', 'pool')], tenants=accounts)
+        fleet.change_endpoint('e0', state='draining')
+        await trio.sleep(2.0)
+        refused = await fleet.call('/a', number=1)
+        for backend in fleet.backends.values():
+            backend.requests.clear()
+        served = await fleet.call('/a', number=1, key='new-key')
+        return refused, served
+
+    _play(context, act)
+
+
+@when('a third instance starts with the store away')
+def start_third(context):
+    async def act(fleet):
+        await fleet.add_instance(context.turned_away)
+        await fleet.wait_ready(2)
+        return await fleet.call('/a', number=2)
+
+    _play(context, act)
+
+
+@given('the entry role as a process of its own')
+def own_process(context):
+    async def build(fleet):
+        await fleet.add_backend('e0', 'pool', 'answer slowly')
+        _put(fleet, 5, [route('/', 'unsafe', 'pool')])
+
+    context.build = build
+
+
+_SETTINGS = """[entry]
+name = entry-9
+failure_domain = a
+caller_address = 127.0.0.1:{caller}
+readiness_address = 127.0.0.1:{readiness}
+peer_host = 127.0.0.1
+peer_port = {peer}
+store_address = {store}
+shutdown_timeout_seconds = 8
+"""
+
+
+def _start_process(path):
+    return subprocess.Popen(
+        [sys.executable, '-m', 'fireflymux', 'entry', str(path)],
+        cwd=_ROOT,
+        env=os.environ | {'PYTHONPATH': str(_ROOT / 'src')},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+async def _ask(address):
+    try:
+        return (await exchange(address, b'GET /api/readyz HTTP/1.1\r\nHost: x\r\n\r\n')).status
+    except Exception:
+        return 0
+
+
+@when('it gets SIGTERM while a slow request is in progress')
+def stop_process(context):
+    folder = Path(tempfile.mkdtemp())
+
+    async def act(fleet):
+        ports = {name: free_port() for name in ('caller', 'readiness', 'peer')}
+        path = folder / 'entry.ini'
+        path.write_text(_SETTINGS.format(store=await fleet.start_store(), **ports))
+        process = _start_process(path)
+        context.closers.append(process.kill)
+        readiness = '127.0.0.1:{0}'.format(ports['readiness'])
+        while await _ask(readiness) != 200:
+            await trio.sleep(0.05)
+        replies = []
+
+        async def call():
+            address = '127.0.0.1:{0}'.format(ports['caller'])
+            replies.append(await exchange(address, encode_call('/a', deadline_ms=5000)))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+            await trio.sleep(0.3)
+            process.send_signal(signal.SIGTERM)
+            await trio.sleep(0.3)
+            meanwhile = await _ask(readiness)
+        code = await trio.to_thread.run_sync(process.wait)
+        return replies[0], meanwhile, code
+
+    _play(context, act)
+
+
+@given('a settings file of an entry instance with three mistakes')
+def bad_settings(context):
+    path = Path(tempfile.mkdtemp()) / 'entry.ini'
+    text = _SETTINGS.format(caller=1, readiness=1, peer=0, store='nowhere')
+    path.write_text('{0}unknown_key = 1\n'.format(text))
+    context.path = path
+
+
+@when('the entry role starts')
+def start_badly(context):
+    process = _start_process(context.path)
+    _, context.errors = process.communicate(timeout=20)
+    context.code = process.returncode
+
+
+@then('it names all three and ends with 2')
+def check_settings_errors(context):
+    assert context.code == 2, context.code
+    for key in ('peer_port', 'store_address', 'unknown_key'):
+        assert key in context.errors, context.errors
+
+
+@then('the request is answered, it is not ready meanwhile, and the process ends with 0')
+def check_stop(context):
+    reply, meanwhile, code = context.result
+    assert reply.status == 200 and reply.is_whole, reply
+    assert reply.fields.get('connection') == 'close', reply
+    assert meanwhile == 503, meanwhile
+    assert code == 0, code
+
+
+@then('the endpoint of "orders" ran exactly that request, with the account and no key')
+def check_forwarded(context):
+    backends = context.fleet_played.backends
+    assert not backends['g'].requests
+    (request,) = backends['o'].requests
+    assert (request.method, request.target) == (b'POST', b'/orders/7?x=1'), request
+    assert request.content == b'body', request
+    fields = {name.lower().decode(): text.decode() for name, text in request.fields}
+    assert fields['x-tenant'] == 'mothers', fields
+    assert fields['x-expect-instance'] == 'o', fields
+    assert fields['x-own'] == 'kept', fields
+    assert not {'authorization', 'x-hold', 'x-pin-ms'} & set(fields), fields
+    assert 1500 < int(fields['x-deadline-ms']) <= 2000, fields
+
+
+@then("the caller got the endpoint's whole answer")
+def check_answer(context):
+    reply = context.result
+    assert reply.status == 200 and reply.is_whole, reply
+    assert reply.content == b'answer of o', reply
+    assert reply.fields['x-server-signature'] == 'o', reply
+
+
+def _runs(context):
+    return sum(len(backend.requests) for backend in context.fleet_played.backends.values())
+
+
+@then('it is answered {status:d} and nothing ran')
+def check_denied(context, status):
+    assert context.result.status == status, context.result
+    assert not _runs(context)
+
+
+@then('it is answered {status:d}, closed, and nothing ran')
+def check_closed(context, status):
+    check_denied(context, status)
+    assert context.result.fields.get('connection') == 'close', context.result
+
+
+@then('it is answered {status:d} and the endpoint ran it {runs:d} times')
+def check_told(context, status, runs):
+    reply = context.result
+    assert reply.status == status and reply.is_whole, reply
+    assert _runs(context) == runs, _runs(context)
+    if status == 503:
+        assert float(reply.fields['retry-after']) > 0, reply
+    if status in {502, 504}:
+        assert 'x-server-signature' not in reply.fields, reply
+    if status == 200:
+        assert reply.content == b'answer of e0', reply
+
+
+@then('all are answered 200 with their own whole answers')
+def check_all(context):
+    for number, reply in enumerate(context.result):
+        assert reply.status == 200 and reply.is_whole, reply
+        assert reply.fields['x-attempt-id'] == 'a{0}'.format(number), reply
+        assert reply.content.startswith(b'answer of e'), reply
+
+
+@then('each has every event once, in order, and an end')
+def check_streams(context):
+    whole = b''.join(b'id: %d\ndata: piece %d\n\n' % (number, number) for number in range(6))
+    for reply in context.result:
+        assert reply.is_whole and reply.content == whole, reply
+
+
+@then('the connection ends before the answer does, with whole events only')
+def check_cut(context):
+    reply = context.result
+    assert reply.status == 200 and not reply.is_whole, reply
+    assert reply.content.endswith(b'piece 1\n\n'), reply
+
+
+@then("the endpoint's connection ends within 0.3 s")
+def check_left(context):
+    assert context.result == [b'gone'], context.result
+
+
+@then('it is answered {status:d} after {least:d} to {most:d} ms')
+def check_time(context, status, least, most):
+    assert context.result.status == status, context.result
+    assert least <= context.seconds * 1000 <= most, context.seconds
+
+
+@then('endpoints ran it {most:d} times at most')
+def check_crashes(context, most):
+    assert 2 <= context.result <= most, context.result
+
+
+@then('requests go to the other one only')
+def check_drained(context):
+    statuses, runs = context.result
+    assert set(statuses) == {200} and runs['e0'] == 0, context.result
+
+
+@then('requests go to the two endpoints only')
+def check_foreign(context):
+    statuses, _ = context.result
+    assert set(statuses) == {200}, context.result
+
+
+@then('requests are answered for a second, and refused as not run after 2 more')
+def check_lapse(context):
+    early, late = context.result
+    assert set(early[0]) == {200}, context.result
+    assert set(late[0]) == {503}, context.result
+
+
+@then('requests to "/orders/1" reach "general"')
+def check_moved(context):
+    assert context.result.content == b'answer of g', context.result
+
+
+@then('the one turned away refuses the key and uses the other endpoint within 2 seconds')
+def check_heard(context):
+    refused, served = context.result
+    assert refused.status == 401, refused
+    assert served.content == b'answer of e1', served
+
+
+@then('it becomes ready and answers requests')
+def check_third(context):
+    assert context.result.status == 200, context.result
+
+
+@then('it is answered 503 with a time to come back, and it is not ready')
+def check_unknowing(context):
+    assert context.result.status == 503, context.result
+    assert float(context.result.fields['retry-after']) > 0, context.result
+    assert context.readiness == 503, context.readiness
--- a/src/fireflymux/_messages_generated.py
+++ b/src/fireflymux/_messages_generated.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from attrs import define, field
 
 
@@ -232,9 +234,9 @@
     members_version: int
     loads: list[int]
     placements: list[list[int]]
-    usage: dict[str, float]
-    demand: dict[str, float]
-    crashes: dict[str, int]
+    usage: dict[str, Any] | None
+    demand: dict[str, Any] | None
+    crashes: dict[str, Any] | None
 
 
 @define(frozen=True, kw_only=True)
--- a/src/fireflymux/decisions/account_usage.py
+++ b/src/fireflymux/decisions/account_usage.py
@@ -68,10 +68,10 @@
         Returns:
             Tokens.
         """
-        given = self._own.get(account, 0.0) * self._factor(now - self._updated)
-        for heard, usage in self._others.values():
-            given += usage.get(account, 0.0) * self._factor(now - heard)
-        return given
+        return self._own.get(account, 0.0) * self._factor(now - self._updated) + sum(
+            usage.get(account, 0.0) * self._factor(now - heard)
+            for heard, usage in self._others.values()
+        )
 
     def totals(self, now: float) -> dict[str, float]:
         """Returns what all instances gave, by account.
--- a/src/fireflymux/decisions/loads.py
+++ b/src/fireflymux/decisions/loads.py
@@ -113,6 +113,7 @@
     ) -> None:
         load = loads.get(endpoint)
         if load is None:
-            load = loads[endpoint] = EndpointLoad()
+            load = EndpointLoad()
+            loads[endpoint] = load
         load.pending_tokens += tokens
         load.running += running
--- a/src/fireflymux/decisions/membership.py
+++ b/src/fireflymux/decisions/membership.py
@@ -97,7 +97,8 @@
         Args:
             now: Time in seconds.
         """
-        for identifier in [name for name, until in self._vanishing.items() if until <= now]:
+        overdue = [name for name, until in self._vanishing.items() if until <= now]
+        for identifier in overdue:
             self._vanishing.pop(identifier)
             self._endpoints.pop(identifier, None)
 
--- a/src/fireflymux/decisions/waiting.py
+++ b/src/fireflymux/decisions/waiting.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from ..account_choice import choose_account
 from .engine_choice import Placement
 from .prompts import PromptPart
 
@@ -90,7 +91,7 @@
         stuck: set[str] = set()
         while len(stuck) < len(self._by_account):
             ready = [account for account in self._by_account if account not in stuck]
-            account = min(ready, key=lambda name: (usage(name), name))
+            account = choose_account(ready, usage) or ''
             waiting = self._place_first(account, choose)
             if waiting is None:
                 stuck.add(account)
--- a/src/fireflymux/entry/calls.py
+++ b/src/fireflymux/entry/calls.py
@@ -8,7 +8,7 @@
 from ..decisions.routes import Route
 from ..errors import ErrorKind, Refused
 from ..http.messages import Request, find_field
-from ..http.server_connection import ServerConnection
+from ..http.answer_writer import AnswerWriter
 from ..platform.call_headers import CallTerms
 from .event_relay import EventRelay
 from .state import EntryState
@@ -61,7 +61,7 @@
     state: EntryState,
     request: Request,
     terms: CallTerms,
-    connection: ServerConnection,
+    writer: AnswerWriter,
 ) -> Call | Refused:
     """Checks a request against the configuration in force.
 
@@ -69,7 +69,7 @@
         state: Beliefs of the instance.
         request: The request.
         terms: Its header fields.
-        connection: Connection of its caller.
+        writer: Writes its answer.
 
     Returns:
         The call, or why it is refused.
@@ -89,7 +89,7 @@
     relay = None
     if route.repeatability.is_stream:
         relay = EventRelay(
-            connection,
+            writer,
             resume_after=terms.resume_after,
             numbered=route.repeatability.may_repeat,
         )
--- a/src/fireflymux/entry/event_relay.py
+++ b/src/fireflymux/entry/event_relay.py
@@ -1,7 +1,7 @@
 """Passes the events of a stream on to its caller, whole and in order."""
 
+from ..http.answer_writer import AnswerWriter
 from ..http.messages import Fields
-from ..http.server_connection import ServerConnection
 
 _EVENT_END = b'\n\n'
 _IDENTIFIER = b'id:'
@@ -15,17 +15,17 @@
         is_begun: Whether the caller received the head of the answer.
     """
 
-    def __init__(self, connection: ServerConnection, *, resume_after: int, numbered: bool) -> None:
+    def __init__(self, writer: AnswerWriter, *, resume_after: int, numbered: bool) -> None:
         """Starts before the first event.
 
         Args:
-            connection: Connection of the caller.
+            writer: Writes the caller's answer.
             resume_after: Number of the last event that the caller has; -1 for none.
             numbered: Whether the numbers of events are read, so that the answer can resume.
         """
         self.last_event = resume_after
         self.is_begun = False
-        self._connection = connection
+        self._writer = writer
         self._numbered = numbered
         self._partial = b''
 
@@ -61,19 +61,21 @@
         """Sends what is left and the end of the answer."""
         rest = self._partial
         self._partial = b''
-        await self._send(rest, status, fields)
         if not self.is_begun:
             self.is_begun = True
-            await self._connection.start_answer(status, fields)
-        await self._connection.end_answer()
+            await self._writer.start(status, fields, rest)
+        elif rest:
+            await self._writer.send_chunk(rest)
+        await self._writer.end()
 
     async def _send(self, content: bytes, status: int, fields: Fields) -> None:
         if not content:
             return
-        if not self.is_begun:
-            self.is_begun = True
-            await self._connection.start_answer(status, fields)
-        await self._connection.send_chunk(content)
+        if self.is_begun:
+            await self._writer.send_chunk(content)
+            return
+        self.is_begun = True
+        await self._writer.start(status, fields, content)
 
     def _drop_repeated(self, events: bytes) -> bytes:
         kept = []
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -1,5 +1,9 @@
 """Answers a caller's request: places it, sends it, and says what became of it."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import TypeGuard
+
 import orjson
 import trio
 
@@ -7,7 +11,7 @@
 from ..decisions.waiting import Waiting
 from ..errors import ANSWERS, ErrorKind, Ran, Refused
 from ..http.messages import Request
-from ..http.server_connection import ServerConnection
+from ..http.answer_writer import AnswerWriter
 from ..logs import get_logger
 from ..metrics import Metrics
 from ..platform.call_headers import CallTerms, decode_call, encode_refusal
@@ -51,62 +55,63 @@
         for queue in self._queues.values():
             queue.dispatch()
 
-    async def handle(self, request: Request, connection: ServerConnection) -> None:
+    async def respond(self, request: Request, writer: AnswerWriter) -> None:
         """Answers one request.
 
         Args:
             request: The request.
-            connection: Connection of its caller.
+            writer: Writes its answer.
         """
         terms = decode_call(request)
         self.running += 1
         try:
-            call = admit_call(self._state, request, terms, connection)
+            call = admit_call(self._state, request, terms, writer)
             if isinstance(call, Refused):
-                await self._refuse(call, terms, connection)
+                await self._refuse(call, terms, writer)
                 return
-            await self._answer(call, connection)
+            await self._answer(call, writer)
         finally:
             self.running -= 1
 
-    async def _answer(self, call: Call, connection: ServerConnection) -> None:
+    async def _answer(self, call: Call, writer: AnswerWriter) -> None:
         self._state.allowance_of(call.service).count_request(trio.current_time())
         result: Whole | Relayed | Refused | None = None
         with trio.move_on_at(call.ends_at + _ANSWER_MARGIN_SECONDS):
             result = await self._run(call)
         if isinstance(result, Whole):
             self._metrics.requests.inc({'result': 'whole'})
-            await connection.answer(result.status, result.fields, result.content)
+            await writer.answer(result.status, result.fields, result.content)
             return
         if isinstance(result, Relayed):
             self._metrics.requests.inc({'result': 'relayed'})
             return
-        if result is None:
-            kind = ErrorKind.outcome_unknown if call.may_have_run else ErrorKind.queue_timeout
-            result = Refused(kind, 'the time of the request is over')
-        self._log_failure(call, result)
+        await self._fail(call, result or _refuse_overdue(call), writer)
+
+    async def _fail(self, call: Call, refused: Refused, writer: AnswerWriter) -> None:
+        self._log_failure(call, refused)
         if call.relay is not None and call.relay.is_begun:
-            connection.abort()
+            writer.abort()
             return
-        await self._refuse(result, call.terms, connection)
+        await self._refuse(refused, call.terms, writer)
 
     async def _run(self, call: Call) -> Whole | Relayed | Refused:
-        crashes = self._state.crashes
         while True:
-            if not crashes.is_empty and crashes.is_refused(call.fingerprint()):
+            if self._is_crashing(call):
                 return Refused(ErrorKind.endpoint_crashed, 'it broke off on several endpoints')
-            placement = await self._place(call)
-            if placement is None:
+            waiting = await self._place(call)
+            if waiting is None:
                 return _refuse_unplaced(call)
-            outcome = await self._attempt(call, placement)
-            if isinstance(outcome, Relayed):
-                return outcome
-            if isinstance(outcome, Whole) and not outcome.is_failure:
+            outcome = await self._attempt(call, waiting)
+            if isinstance(outcome, Relayed) or _is_success(outcome):
                 return outcome
             if self._may_try_again(call, outcome):
                 continue
             return outcome if isinstance(outcome, Whole) else _refuse_ended(call, outcome)
 
+    def _is_crashing(self, call: Call) -> bool:
+        crashes = self._state.crashes
+        return not crashes.is_empty and crashes.is_refused(call.fingerprint())
+
     async def _place(self, call: Call) -> Waiting | None:
         waiting = Waiting(
             account=call.account,
@@ -187,7 +192,8 @@
             choose = engine_chooser(self._state, name, service.engine)
         else:
             choose = slot_chooser(self._state, name)
-        queue = self._queues[name] = ServiceQueue(self._state, choose)
+        queue = ServiceQueue(self._state, choose)
+        self._queues[name] = queue
         return queue
 
     def _log_failure(self, call: Call, refused: Refused) -> None:
@@ -205,26 +211,33 @@
             seconds=round(trio.current_time() - call.request.received_at, 3),
         )
 
-    async def _refuse(
-        self, refused: Refused, terms: CallTerms, connection: ServerConnection
-    ) -> None:
+    async def _refuse(self, refused: Refused, terms: CallTerms, writer: AnswerWriter) -> None:
         answer = ANSWERS[refused.kind]
         retry_after = 0.0
         if refused.outcome is Ran.no and answer.status == _UNAVAILABLE_STATUS:
             spread = self._state.rng.uniform(_LEAST_RETURN_PART, 1)
             retry_after = answer.retry_after_seconds * spread
         content = orjson.dumps({'kind': refused.kind.value, 'title': answer.title})
-        await connection.answer(
-            answer.status, encode_refusal(terms.attempt, retry_after), content
-        )
+        await writer.answer(answer.status, encode_refusal(terms.attempt, retry_after), content)
+
+
+_ENDINGS: Mapping[type[Outcome], Ending] = MappingProxyType(
+    {
+        NotSent: Ending.not_sent,
+        Rejected: Ending.rejected,
+        Broken: Ending.broken,
+        Whole: Ending.failed,
+    }
+)
+
+
+def _is_success(outcome: Outcome) -> TypeGuard[Whole]:
+    return isinstance(outcome, Whole) and not outcome.is_failure
 
 
-_ENDINGS: dict[type[Outcome], Ending] = {
-    NotSent: Ending.not_sent,
-    Rejected: Ending.rejected,
-    Broken: Ending.broken,
-    Whole: Ending.failed,
-}
+def _refuse_overdue(call: Call) -> Refused:
+    kind = ErrorKind.outcome_unknown if call.may_have_run else ErrorKind.queue_timeout
+    return Refused(kind, 'the time of the request is over')
 
 
 def _refuse_unplaced(call: Call) -> Refused:
--- a/src/fireflymux/entry/instance.py
+++ b/src/fireflymux/entry/instance.py
@@ -7,7 +7,7 @@
 import trio
 
 from ..http.messages import HttpLimits, Request
-from ..http.server_connection import ServerConnection
+from ..http.answer_writer import AnswerWriter
 from ..logs import get_logger
 from ..metrics import Metrics
 from ..platform.readiness import READINESS_PATH
@@ -16,6 +16,7 @@
 from .exchange import Exchanges
 from .listeners import Listener
 from .peer_link import REPORT_SECONDS, PeerLink
+from .peer_snapshot import PeerSnapshots
 from .state import EntryState
 from .store_follower import StoreFollower
 
@@ -47,35 +48,51 @@
         self._exchanges = Exchanges(self._state, self._metrics)
         self._store = StoreFollower(self._state, StoreClient(self._settings.store_address))
         self._peers = PeerLink(self._state)
+        self._snapshots = PeerSnapshots(self._state, self._peers)
         self._callers = Listener(
             self._settings.caller_address,
-            self._exchanges.handle,
+            self._exchanges.respond,
             limits=self._caller_limits,
             is_stopping=self._is_stopping,
         )
-        self._readiness = Listener(
+        readiness = Listener(
             self._settings.readiness_address,
             self._answer_readiness,
             limits=HttpLimits,
             is_stopping=_never,
         )
+        snapshots = Listener(
+            '{0}:{1}'.format(self._settings.peer_host, self._settings.peer_port),
+            self._snapshots.respond,
+            limits=HttpLimits,
+            is_stopping=_never,
+        )
+
+        self._listeners = (self._callers, readiness, snapshots)
+        self._followers = (self._peers.run, self._store.run, self._snapshots.run, self._tick)
 
     async def run(self) -> None:
         """Serves until SIGTERM, then until the requests in progress have ended."""
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async with trio.open_nursery() as nursery:
-                await nursery.start(self._callers.run)
-                await nursery.start(self._readiness.run)
-                nursery.start_soon(self._peers.run)
-                nursery.start_soon(self._store.run)
-                nursery.start_soon(self._tick)
-                _log.info('started', caller_address=self._settings.caller_address)
-                async for _ in signals:
-                    break
+                await nursery.start(self.serve)
+                await anext(signals)
                 await self._stop()
                 nursery.cancel_scope.cancel()
         _log.info('stopped', running=self._exchanges.running)
 
+    async def serve(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serves until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for listener in self._listeners:
+                await nursery.start(listener.run)
+            for follow in self._followers:
+                nursery.start_soon(follow)
+            _log.info('started', caller_address=self._settings.caller_address)
+            task_status.started()
+
     async def _stop(self) -> None:
         started = trio.current_time()
         self._state.is_stopping = True
@@ -122,13 +139,13 @@
             idle_seconds=limits.idle_seconds,
         )
 
-    async def _answer_readiness(self, request: Request, connection: ServerConnection) -> None:
+    async def _answer_readiness(self, request: Request, writer: AnswerWriter) -> None:
         if request.path != READINESS_PATH:
-            await connection.answer(_NOT_FOUND, (), b'')
+            await writer.answer(_NOT_FOUND, (), b'')
             return
         status = _OK if self._state.is_ready else _UNAVAILABLE
         content = orjson.dumps({'configuration_version': self._state.configuration_version})
-        await connection.answer(status, (), content)
+        await writer.answer(status, (), content)
 
 
 def _never() -> bool:
--- a/src/fireflymux/entry/listeners.py
+++ b/src/fireflymux/entry/listeners.py
@@ -22,7 +22,7 @@
     def __init__(
         self,
         address: str,
-        handle: Handler,
+        respond: Handler,
         *,
         limits: Callable[[], HttpLimits],
         is_stopping: Callable[[], bool],
@@ -31,13 +31,13 @@
 
         Args:
             address: IP address and port.
-            handle: Answers one request.
+            respond: Answers one request.
             limits: Returns the bounds on what callers may send.
             is_stopping: Tells whether connections end after their current answer.
         """
         host, _, port = address.rpartition(':')
         self._address = (host, int(port))
-        self._handle = handle
+        self._respond = respond
         self._limits = limits
         self._is_stopping = is_stopping
         self._connections: set[ServerConnection] = set()
@@ -47,9 +47,7 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
-    async def run(
-        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
-    ) -> None:
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Listens until cancelled."""
         sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         with sock:
@@ -76,7 +74,7 @@
         connection = ServerConnection(accepted, self._limits(), is_stopping=self._is_stopping)
         self._connections.add(connection)
         try:
-            await connection.serve(self._handle)
+            await connection.serve(self._respond)
         except OSError as error:
             _log.debug('connection_failed', reason=repr(error))
         finally:
--- a/src/fireflymux/entry/peer_link.py
+++ b/src/fireflymux/entry/peer_link.py
@@ -2,7 +2,9 @@
 
 import ipaddress
 import socket
+from collections.abc import Mapping
 
+import attrs
 import orjson
 import trio
 
@@ -22,6 +24,7 @@
 _USAGE_EVERY = 5
 _LOAD_FIELDS = 3
 _SILENT_SECONDS = 1.0
+_REPORT_FIELDS = tuple(field.name for field in attrs.fields(PeerReport))
 #: Prompts named in one report; the rest follow with the next one.
 _MAXIMUM_PLACEMENTS = 40
 
@@ -71,20 +74,29 @@
     async def _send(self, sock: trio.socket.SocketType) -> None:
         while True:
             await trio.sleep(REPORT_SECONDS)
+            self._count += 1
             report = self._build_report()
             if report is None:
                 continue
-            for host in self.list_hosts():
-                if not self.is_heard(host) and self._count % _REPEAT_EVERY:
-                    continue
-                try:
-                    await sock.sendto(report, (host, self._state.settings.peer_port))
-                except OSError as error:
-                    _log.debug('report_not_sent', host=host, reason=repr(error))
-
-    def _build_report(self) -> bytes | None:
+            content = orjson.dumps(attrs.astuple(report, recurse=False))
+            for host in self._list_due():
+                await self._send_to(sock, host, content)
+
+    async def _send_to(self, sock: trio.socket.SocketType, host: str, content: bytes) -> None:
+        try:
+            await sock.sendto(content, (host, self._state.settings.peer_port))
+        except OSError as error:
+            _log.debug('report_not_sent', host=host, reason=repr(error))
+
+    def _list_due(self) -> list[str]:
+        """Lists the hosts to report to; silent ones are tried more rarely."""
+        hosts = self.list_hosts()
+        if self._count % _REPEAT_EVERY == 0:
+            return hosts
+        return [host for host in hosts if self.is_heard(host)]
+
+    def _build_report(self) -> PeerReport | None:
         state = self._state
-        self._count += 1
         loads: list[int] = []
         for load in state.loads.report():
             loads.extend((load.endpoint, load.pending_tokens, load.running))
@@ -93,27 +105,20 @@
             return None
         self._sent_loads = loads
         state.placements = state.placements[_MAXIMUM_PLACEMENTS:]
+        has_usage = self._count % _USAGE_EVERY == 0
         now = trio.current_time()
-        usage: dict[str, float] = {}
-        demand: dict[str, float] = {}
-        crashes: dict[str, int] = {}
-        if self._count % _USAGE_EVERY == 0:
-            usage = {name: round(tokens) for name, tokens in state.usage.report(now).items()}
-            demand = {name: round(tokens) for name, tokens in state.demand.report(now).items()}
-            crashes = {str(key): count for key, count in state.crashes.report(now).items()}
-        return orjson.dumps(
-            [
-                state.settings.name,
-                self._incarnation,
-                state.configuration_version,
-                state.members_version,
-                loads,
-                placements,
-                usage,
-                demand,
-                crashes,
-                self._count % _USAGE_EVERY == 0,
-            ]
+        return PeerReport(
+            instance=state.settings.name,
+            incarnation=self._incarnation,
+            config_version=state.configuration_version,
+            members_version=state.members_version,
+            loads=loads,
+            placements=placements,
+            usage=_round(state.usage.report(now)) if has_usage else None,
+            demand=_round(state.demand.report(now)) if has_usage else None,
+            crashes={str(key): count for key, count in state.crashes.report(now).items()}
+            if has_usage
+            else None,
         )
 
     async def _receive(self, sock: trio.socket.SocketType) -> None:
@@ -124,45 +129,56 @@
                 _log.debug('report_not_received', reason=repr(error))
                 continue
             try:
-                fields = orjson.loads(received)
-                self._take(fields, address[0])
-            except (ValueError, TypeError, KeyError, IndexError) as error:
+                self._take(_decode_report(received), address[0])
+            except (ValueError, TypeError, AttributeError) as error:
                 _log.debug('report_malformed', host=address[0], reason=repr(error))
 
-    def _take(self, fields: list, host: str) -> None:
-        state = self._state
-        *columns, has_usage = fields
-        report = PeerReport(
-            **dict(zip(PeerReport.__annotations__, columns, strict=True)),
-        )
-        now = trio.current_time()
-        if report.instance == state.settings.name:
+    def _take(self, report: PeerReport, host: str) -> None:
+        name = report.instance
+        if name == self._state.settings.name:
             return
-        if report.instance not in self._heard or not self.is_heard(host):
-            _log.info('instance_heard', peer=report.instance, host=host)
-        self._heard[report.instance] = (host, now)
+        if not self.is_heard(host):
+            _log.info('instance_heard', peer=name, host=host)
+        now = trio.current_time()
+        self._heard[name] = (host, now)
         self.newest[host] = report
-        loads = report.loads
-        state.loads.merge(
-            report.instance,
-            [
-                LoadReport(*loads[start : start + _LOAD_FIELDS])
-                for start in range(0, len(loads), _LOAD_FIELDS)
-            ],
-            now,
-        )
-        for number, *parts in report.placements:
-            live = state.find_endpoint(number)
-            if live is not None:
-                pairs = zip(parts[::2], parts[1::2], strict=True)
-                live.cache.record([PromptPart(*pair) for pair in pairs])
-        if has_usage:
-            state.usage.merge(report.instance, report.usage, now)
-            state.demand.merge(report.instance, report.demand, now)
-            state.crashes.merge(
-                report.instance, {int(key): count for key, count in report.crashes.items()}
-            )
-        state.notify()
+        self._state.loads.merge(name, _decode_loads(report.loads), now)
+        for placement in report.placements:
+            self._take_placement(*placement)
+        self._take_shares(report, now)
+        self._state.notify()
+
+    def _take_placement(self, number: int, *parts: int) -> None:
+        live = self._state.find_endpoint(number)
+        if live is None:
+            return
+        pairs = zip(parts[::2], parts[1::2], strict=True)
+        live.cache.record([PromptPart(*pair) for pair in pairs])
+
+    def _take_shares(self, report: PeerReport, now: float) -> None:
+        if report.usage is None or report.demand is None or report.crashes is None:
+            return
+        state = self._state
+        state.usage.merge(report.instance, report.usage, now)
+        state.demand.merge(report.instance, report.demand, now)
+        crashes = {int(key): count for key, count in report.crashes.items()}
+        state.crashes.merge(report.instance, crashes)
+
+
+def _decode_report(received: bytes) -> PeerReport:
+    columns = orjson.loads(received)
+    return PeerReport(**dict(zip(_REPORT_FIELDS, columns, strict=True)))
+
+
+def _decode_loads(loads: list[int]) -> list[LoadReport]:
+    return [
+        LoadReport(*loads[start : start + _LOAD_FIELDS])
+        for start in range(0, len(loads), _LOAD_FIELDS)
+    ]
+
+
+def _round(tokens: Mapping[str, float]) -> dict[str, float]:
+    return {account: round(count) for account, count in tokens.items()}
 
 
 def _seed_hosts(seeds: str) -> list[str]:
--- /dev/null
+++ b/src/fireflymux/entry/peer_snapshot.py
@@ -0,0 +1,132 @@
+"""Snapshots of the store's tables, fetched from another entry instance.
+
+An instance that the store turns away still hears from the others which versions there are.
+What they hand on is what the store acknowledged to them, so it can be put in force.
+"""
+
+import attrs
+import orjson
+import trio
+
+from .._messages_generated import EntrySnapshot
+from ..http.answer_writer import AnswerWriter
+from ..http.client_connection import ClientConnection, ConnectFailed, ConnectionBroken
+from ..http.messages import Request
+from ..logs import get_logger
+from ..platform.configuration_row import MalformedRow, decode_configuration
+from ..platform.store import Row
+from .peer_link import PeerLink
+from .state import EntryState
+from .store_follower import replace_endpoint_rows
+
+_log = get_logger(__name__)
+_PATH = b'/v1/snapshot'
+_POLL_SECONDS = 0.1
+#: Time that the store has to deliver a change before it is fetched from another instance.
+_PATIENCE_SECONDS = 0.25
+_FETCH_SECONDS = 1.0
+_MAXIMUM_SNAPSHOT_BYTES = 16777216
+_OK = 200
+_NOT_FOUND = 404
+
+
+class PeerSnapshots:
+    """Hands out snapshots, and fetches one where another instance knows more."""
+
+    def __init__(self, state: EntryState, link: PeerLink) -> None:
+        """Prepares to fetch.
+
+        Args:
+            state: Beliefs of the instance.
+            link: What the other instances report.
+        """
+        self._state = state
+        self._link = link
+        self._behind_since: float | None = None
+
+    async def respond(self, request: Request, writer: AnswerWriter) -> None:
+        """Answers another instance's request for a snapshot.
+
+        Args:
+            request: The request.
+            writer: Writes the answer.
+        """
+        if request.path != _PATH:
+            await writer.answer(_NOT_FOUND, (), b'')
+            return
+        state = self._state
+        snapshot = EntrySnapshot(
+            config_row=state.configuration_row.decode(),
+            config_version=state.configuration_version,
+            members={name: row.decode() for name, row in state.member_rows.items()},
+            members_version=state.members_version,
+            instances=state.instances | {state.settings.name: state.settings.peer_host},
+        )
+        await writer.answer(_OK, (), orjson.dumps(attrs.asdict(snapshot, recurse=False)))
+
+    async def run(self) -> None:
+        """Fetches snapshots whenever this instance is behind, until cancelled."""
+        while True:
+            await trio.sleep(_POLL_SECONDS)
+            hosts = self._list_ahead()
+            if not hosts:
+                self._behind_since = None
+                continue
+            now = trio.current_time()
+            if self._behind_since is None:
+                self._behind_since = now
+            if now - self._behind_since < _PATIENCE_SECONDS:
+                continue
+            await self._fetch(self._state.rng.choice(hosts))
+
+    def _list_ahead(self) -> list[str]:
+        """Lists the instances that know more than this one."""
+        state = self._state
+        if state.configuration is None or not state.is_listed:
+            return self._link.list_hosts()
+        return [
+            host
+            for host, report in self._link.newest.items()
+            if self._link.is_heard(host)
+            and (
+                report.config_version > state.configuration_version
+                or report.members_version > state.members_version
+            )
+        ]
+
+    async def _fetch(self, host: str) -> None:
+        try:
+            with trio.fail_after(_FETCH_SECONDS):
+                content = await self._request(host)
+            snapshot = EntrySnapshot(**orjson.loads(content))
+            self._apply(snapshot, host)
+        except (ConnectFailed, ConnectionBroken, trio.TooSlowError) as error:
+            _log.debug('snapshot_not_fetched', host=host, reason=repr(error))
+        except (ValueError, TypeError, MalformedRow) as error:
+            _log.warning('snapshot_malformed', host=host, reason=repr(error))
+
+    async def _request(self, host: str) -> bytes:
+        port = self._state.settings.peer_port
+        connection = await ClientConnection.open(host, port, timeout_seconds=_FETCH_SECONDS)
+        try:
+            await connection.send(b'GET %b HTTP/1.1' % _PATH, [(b'Host', host.encode())], b'')
+            answer = await connection.next_answer()
+            return await connection.read_whole(answer, _MAXIMUM_SNAPSHOT_BYTES)
+        finally:
+            connection.close()
+
+    def _apply(self, snapshot: EntrySnapshot, host: str) -> None:
+        state = self._state
+        if snapshot.config_version > state.configuration_version:
+            row = snapshot.config_row.encode()
+            state.apply_configuration(decode_configuration(row), row, host)
+        if snapshot.members_version > state.members_version:
+            rows = [
+                Row(name, content.encode(), snapshot.members_version)
+                for name, content in snapshot.members.items()
+            ]
+            _log.info('endpoints_from_peer', host=host, version=snapshot.members_version)
+            replace_endpoint_rows(state, rows, snapshot.members_version)
+        for name, address in snapshot.instances.items():
+            if name != state.settings.name:
+                state.instances.setdefault(name, address)
--- a/src/fireflymux/entry/state.py
+++ b/src/fireflymux/entry/state.py
@@ -230,12 +230,13 @@
         """Returns the bound on repeats for a service."""
         allowance = self._allowances.get(service)
         if allowance is None:
-            allowance = self._allowances[service] = RetryAllowance(
+            allowance = RetryAllowance(
                 ratio=self.settings.retry_ratio,
                 window_seconds=self.settings.retry_window_seconds,
                 constant=self.settings.retry_constant,
                 instances=_INSTANCE_MARGIN * (1 + len(self.instances)),
             )
+            self._allowances[service] = allowance
         return allowance
 
     def _create_endpoint(self, number: int, endpoint: Endpoint) -> LiveEndpoint:
--- a/src/fireflymux/entry/store_follower.py
+++ b/src/fireflymux/entry/store_follower.py
@@ -123,10 +123,11 @@
             self._state.apply_configuration(configuration, row.content, 'store')
 
     def _apply_endpoints(self, rows: Sequence[Row], is_whole: bool, version: int) -> None:
-        if version < self._state.members_version:
+        if not is_whole:
+            change_endpoint_rows(self._state, rows)
             return
-        merge_endpoint_rows(self._state, rows, is_whole=is_whole)
-        self._state.members_version = version
+        if version >= self._state.members_version:
+            replace_endpoint_rows(self._state, rows, version)
 
     def _apply_instances(self, rows: Sequence[Row], is_whole: bool, version: int) -> None:
         if is_whole:
@@ -140,29 +141,48 @@
             self._state.instances[row.key] = row.content.decode('latin-1')
 
 
-def merge_endpoint_rows(state: EntryState, rows: Sequence[Row], *, is_whole: bool) -> None:
-    """Takes over rows of the table of endpoints.
+def replace_endpoint_rows(state: EntryState, rows: Sequence[Row], version: int) -> None:
+    """Takes over the whole table of endpoints.
 
     Args:
         state: Beliefs to keep current.
-        rows: The rows.
-        is_whole: Whether they are the whole table.
+        rows: Every row of the table.
+        version: Version of the store that they are of.
     """
-    now = trio.current_time()
-    if is_whole:
-        listed = {row.key for row in rows}
-        for missing in set(state.member_rows) - listed:
-            state.member_rows.pop(missing)
-            state.members.remove(missing, now)
+    listed = {row.key for row in rows}
+    for missing in set(state.member_rows) - listed:
+        _remove_endpoint(state, missing)
     for row in rows:
-        endpoint = None
-        if row.content is not None:
-            endpoint = decode_endpoint(row.key, row.content)
-        if endpoint is None or row.content is None:
-            state.member_rows.pop(row.key, None)
-            state.members.remove(row.key, now)
-            continue
-        state.member_rows[row.key] = row.content
-        state.members.put(endpoint)
+        _put_endpoint(state, row)
+    state.members_version = version
     state.is_listed = True
     state.update_endpoints()
+
+
+def change_endpoint_rows(state: EntryState, rows: Sequence[Row]) -> None:
+    """Takes over changes of the table of endpoints.
+
+    Args:
+        state: Beliefs to keep current.
+        rows: Changed rows in order; those that are known already are passed over.
+    """
+    for row in rows:
+        if row.version and row.version <= state.members_version:
+            continue
+        _put_endpoint(state, row)
+        state.members_version = max(state.members_version, row.version)
+    state.update_endpoints()
+
+
+def _put_endpoint(state: EntryState, row: Row) -> None:
+    endpoint = None if row.content is None else decode_endpoint(row.key, row.content)
+    if endpoint is None or row.content is None:
+        _remove_endpoint(state, row.key)
+        return
+    state.member_rows[row.key] = row.content
+    state.members.put(endpoint)
+
+
+def _remove_endpoint(state: EntryState, identifier: str) -> None:
+    state.member_rows.pop(identifier, None)
+    state.members.remove(identifier, trio.current_time())
--- a/src/fireflymux/http/client_connection.py
+++ b/src/fireflymux/http/client_connection.py
@@ -33,6 +33,7 @@
     """
 
     _socket: trio.socket.SocketType
+    _raw_socket: socket.socket
     _parser: ResponseParser = attrs.field(factory=ResponseParser)
     idle_until: float = float('inf')
 
@@ -51,9 +52,10 @@
         Raises:
             ConnectFailed: The server did not accept the connection in time.
         """
-        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock = trio.socket.from_stdlib_socket(raw)
         try:
-            _set_options(sock)
+            _set_options(raw)
             with trio.fail_after(timeout_seconds):
                 await sock.connect((host, port))
         except (OSError, trio.TooSlowError) as error:
@@ -62,7 +64,7 @@
         except BaseException:
             sock.close()
             raise
-        return cls(sock)
+        return cls(sock, raw)
 
     @property
     def is_reusable(self) -> bool:
@@ -70,7 +72,7 @@
         if self._parser.is_spoiled or self._parser.answers or not self._parser.keeps_alive:
             return False
         try:
-            self._socket._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)  # noqa: SLF001
+            self._raw_socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
             return True
         except OSError:
@@ -151,7 +153,7 @@
         Raises:
             ConnectionBroken: The connection ended before, or the body is too large.
         """
-        parts = []
+        parts: list[bytes] = []
         size = 0
         while True:
             part = await self.next_piece(answer)
@@ -178,7 +180,7 @@
             raise ConnectionBroken('the server closed the connection')
 
 
-def _set_options(sock: trio.socket.SocketType) -> None:
+def _set_options(sock: socket.socket) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MILLISECONDS)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/src/fireflymux/http/messages.py
+++ b/src/fireflymux/http/messages.py
@@ -1,28 +1,31 @@
 """Heads of HTTP messages and whole requests, as read from a connection."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 
 import attrs
 
 #: Field lines of a message in the order received; names as they were sent.
 Fields = list[tuple[bytes, bytes]]
 
-_REASONS = {
-    200: b'OK',
-    400: b'Bad Request',
-    401: b'Unauthorized',
-    404: b'Not Found',
-    405: b'Method Not Allowed',
-    408: b'Request Timeout',
-    413: b'Content Too Large',
-    421: b'Misdirected Request',
-    429: b'Too Many Requests',
-    431: b'Request Header Fields Too Large',
-    500: b'Internal Server Error',
-    502: b'Bad Gateway',
-    503: b'Service Unavailable',
-    504: b'Gateway Timeout',
-}
+_REASONS: Mapping[int, bytes] = MappingProxyType(
+    {
+        200: b'OK',
+        400: b'Bad Request',
+        401: b'Unauthorized',
+        404: b'Not Found',
+        405: b'Method Not Allowed',
+        408: b'Request Timeout',
+        413: b'Content Too Large',
+        421: b'Misdirected Request',
+        429: b'Too Many Requests',
+        431: b'Request Header Fields Too Large',
+        500: b'Internal Server Error',
+        502: b'Bad Gateway',
+        503: b'Service Unavailable',
+        504: b'Gateway Timeout',
+    }
+)
 
 
 def find_field(fields: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes:
--- a/src/fireflymux/platform/call_headers.py
+++ b/src/fireflymux/platform/call_headers.py
@@ -1,7 +1,5 @@
 """Header fields of calls and answers, decoded into the product's types and back."""
 
-from collections.abc import Sequence
-
 import attrs
 
 from ..decisions.prompts import PromptPart
@@ -139,19 +137,8 @@
     Returns:
         The field lines, framing included.
     """
-    named = {
-        option.strip().lower()
-        for option in find_field(request.fields, b'connection').split(b',')
-        if option
-    }
-    fields = []
-    for field in request.fields:
-        name = field[0].lower()
-        if name in _HOP_BY_HOP or name in _SYSTEM_FIELDS or name in named:
-            continue
-        if name == _RESUME_AFTER and resume_after >= 0:
-            continue
-        fields.append(field)
+    replaced = {_RESUME_AFTER} if resume_after >= 0 else set()
+    fields = _keep_call_fields(request, replaced)
     remaining = max(int(remaining_seconds * _MILLISECONDS), 1)
     fields.append((b'X-Deadline-Ms', b'%d' % remaining))
     fields.append((b'X-Expect-Instance', endpoint.encode()))
@@ -164,6 +151,16 @@
     return fields
 
 
+def _keep_call_fields(request: Request, replaced: set[bytes]) -> Fields:
+    connection = find_field(request.fields, b'connection')
+    replaced.update(option.strip().lower() for option in connection.split(b','))
+    return [
+        field
+        for field in request.fields
+        if field[0].lower() not in _HOP_BY_HOP | _SYSTEM_FIELDS | replaced
+    ]
+
+
 def decode_answer(head: AnswerHead) -> AnswerTerms:
     """Reads the terms of an endpoint's answer.
 
@@ -254,5 +251,3 @@
         return int(text)
     except ValueError:
         return default
-
-
--- a/src/fireflymux/platform/endpoint_row.py
+++ b/src/fireflymux/platform/endpoint_row.py
@@ -32,10 +32,10 @@
     host, _, port = raw['address'].rpartition(':')
     if raw['state'] not in _STATES or not isinstance(raw['service'], str):
         return None
-    if type(raw['batch_slots']) is not int or type(raw['sequence']) is not int:
-        return None
     started = raw.get('born', 0)
-    if type(started) is not int or not isinstance(raw['zone'], str):
+    if not all(_is_count(number) for number in (raw['batch_slots'], raw['sequence'], started)):
+        return None
+    if not isinstance(raw['zone'], str):
         return None
     return Endpoint(
         identifier=identifier,
@@ -47,3 +47,7 @@
         is_leaving=raw['state'] == 'draining',
         incarnation=started,
     )
+
+
+def _is_count(found: Any) -> bool:
+    return isinstance(found, int) and not isinstance(found, bool)
--- a/src/fireflymux/platform/store.py
+++ b/src/fireflymux/platform/store.py
@@ -33,10 +33,12 @@
     Attributes:
         key: Key of the row.
         content: Its content; None if the row was removed.
+        version: Version of the store at its last change.
     """
 
     key: str
     content: bytes | None
+    version: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -199,5 +201,5 @@
 
 def _decode_row(raw: dict[str, Any]) -> Row:
     if raw.get('removed'):
-        return Row(raw['key'], None)
-    return Row(raw['key'], base64.b64decode(raw['value']))
+        return Row(raw['key'], None, raw.get('ver', 0))
+    return Row(raw['key'], base64.b64decode(raw['value']), raw['ver'])
