--- a/src/fireflymux/decisions/engine_choice.py
+++ b/src/fireflymux/decisions/engine_choice.py
@@ -13,7 +13,7 @@
 from .reading import FIRST_EVENT_SECONDS
 
 #: Weight of reading a shared part again, against waiting for as long.
-_REREAD_WEIGHT = 2.0
+_REREAD_WEIGHT = 4.0
 #: Wait that another engine must save before a prompt leaves its home, in seconds.
 _HOME_BIAS_SECONDS = 0.03
 #: Wait before reading that a prompt may have which is too long to be on time anywhere, as a
--- /dev/null
+++ b/src/fireflymux/decisions/fair_shares.py
@@ -0,0 +1,96 @@
+"""Max-min shares of the client accounts: who was given more than its share.
+
+Answers an account that asks for many times its share while engines are short: what it asks
+beyond the level that all others could have as well is the first to be refused.
+"""
+
+from collections.abc import Mapping
+
+from .account_usage import AccountUsage
+
+#: Age at which the level is worked out anew, in seconds.
+_LEVEL_SECONDS = 0.05
+
+
+class FairShares:
+    """Tokens that accounts asked for and were given, over all entry instances.
+
+    Attributes:
+        given: Tokens given to accounts.
+        asked: Tokens that accounts asked for.
+    """
+
+    def __init__(self, window_seconds: float) -> None:
+        """Starts with nothing given.
+
+        Args:
+            window_seconds: Time in which what was given decays to a third.
+        """
+        self.given = AccountUsage(window_seconds)
+        self.asked = AccountUsage(window_seconds)
+        self._totals: dict[str, float] = {}
+        self._level = float('inf')
+        self._valid_until = float('-inf')
+
+    def usage_of(self, account: str, now: float) -> float:
+        """Returns what an account was given lately.
+
+        Args:
+            account: Client account.
+            now: Time in seconds.
+
+        Returns:
+            Tokens.
+        """
+        self._refresh(now)
+        return self._totals.get(account, 0.0)
+
+    def is_over(self, account: str, now: float) -> bool:
+        """Tells whether an account was given more than its max-min share lately.
+
+        Args:
+            account: Client account.
+            now: Time in seconds.
+
+        Returns:
+            Whether others were given less than they asked for meanwhile.
+        """
+        return self.usage_of(account, now) > self._level
+
+    def charge(self, account: str, tokens: float, now: float) -> None:
+        """Counts tokens given to an account by this instance.
+
+        Args:
+            account: Client account.
+            tokens: Tokens.
+            now: Time in seconds.
+        """
+        self.given.charge(account, tokens, now)
+        self._totals[account] = self._totals.get(account, 0.0) + tokens
+
+    def _refresh(self, now: float) -> None:
+        if now < self._valid_until:
+            return
+        self._valid_until = now + _LEVEL_SECONDS
+        self._totals = self.given.totals(now)
+        self._level = find_fair_level(self.asked.totals(now), sum(self._totals.values()))
+
+
+def find_fair_level(asked: Mapping[str, float], capacity: float) -> float:
+    """Finds the level at which accounts that ask for more are cut off.
+
+    Args:
+        asked: Tokens that each account asked for.
+        capacity: Tokens that there are for all.
+
+    Returns:
+        The level; infinite if there is enough for all.
+    """
+    left = capacity
+    demands = sorted(asked.values())
+    for place, demand in enumerate(demands):
+        level = left / (len(demands) - place)
+        if demand > level:
+            return level
+        left -= demand
+    return float('inf')
--- a/src/fireflymux/decisions/waiting.py
+++ b/src/fireflymux/decisions/waiting.py
@@ -10,7 +10,7 @@
 from .prompts import PromptPart
 
 #: Waiting requests of one account that are looked at for each placement.
-_LOOK_AHEAD = 8
+_LOOK_AHEAD = 4
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -55,14 +55,16 @@
     def __init__(self) -> None:
         """Starts empty."""
         self._by_account: dict[str, deque[Waiting]] = {}
+        self._count = 0
 
     def __len__(self) -> int:
         """Returns the number of waiting requests."""
-        return sum(len(queue) for queue in self._by_account.values())
+        return self._count
 
     def add(self, waiting: Waiting) -> None:
         """Adds a request behind the others of its account."""
         self._by_account.setdefault(waiting.account, deque()).append(waiting)
+        self._count += 1
 
     def discard(self, waiting: Waiting) -> None:
         """Removes a request, if it still waits."""
@@ -70,6 +72,7 @@
         if queue is None or waiting not in queue:
             return
         queue.remove(waiting)
+        self._count -= 1
         if not queue:
             self._by_account.pop(waiting.account)
 
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -65,6 +65,8 @@
         terms = decode_call(request)
         self.running += 1
         try:
+            # Lets the connection's reader notice that the caller has left already.
+            await trio.lowlevel.checkpoint()
             call = admit_call(self._state, request, terms, writer)
             if isinstance(call, Refused):
                 await self._refuse(call, terms, writer)
@@ -125,7 +127,7 @@
         patience = _PATIENCE_PART * call.route.target_seconds
         until = min(trio.current_time() + patience, call.ends_at)
         if not call.history.sends:
-            self._state.demand.charge(call.account, waiting.cost_tokens, trio.current_time())
+            self._state.shares.asked.charge(call.account, waiting.cost_tokens, trio.current_time())
         placed = await self._queue_of(call.service).place(waiting, until=until)
         return waiting if placed else None
 
--- a/src/fireflymux/entry/peer_link.py
+++ b/src/fireflymux/entry/peer_link.py
@@ -114,8 +114,8 @@
             members_version=state.members_version,
             loads=loads,
             placements=placements,
-            usage=_round(state.usage.report(now)) if has_usage else None,
-            demand=_round(state.demand.report(now)) if has_usage else None,
+            usage=_round(state.shares.given.report(now)) if has_usage else None,
+            demand=_round(state.shares.asked.report(now)) if has_usage else None,
             crashes={str(key): count for key, count in state.crashes.report(now).items()}
             if has_usage
             else None,
@@ -159,8 +159,8 @@
         if report.usage is None or report.demand is None or report.crashes is None:
             return
         state = self._state
-        state.usage.merge(report.instance, report.usage, now)
-        state.demand.merge(report.instance, report.demand, now)
+        state.shares.given.merge(report.instance, report.usage, now)
+        state.shares.asked.merge(report.instance, report.demand, now)
         crashes = {int(key): count for key, count in report.crashes.items()}
         state.crashes.merge(report.instance, crashes)
 
--- a/src/fireflymux/entry/service_queue.py
+++ b/src/fireflymux/entry/service_queue.py
@@ -5,16 +5,17 @@
 import trio
 
 from ..decisions.engine_choice import EngineView, Placement, choose_engine, is_worth_placing
-from ..decisions.fair_level import find_fair_level
 from ..decisions.routes import EngineTerms
 from ..decisions.slot_choice import SlotView, choose_slot
 from ..decisions.waiting import Waiting, WaitingRequests
 from .state import EntryState, LiveEndpoint
 
+#: Shortest time between two looks at everything that waits.
+_DISPATCH_SECONDS = 0.008
 #: Part of the target latency by which the first event is to come.
-_TARGET_PART = 0.9
+_TARGET_PART = 0.75
 #: The same for accounts that were given their share already.
-_OVER_SHARE_PART = 0.6
+_OVER_SHARE_PART = 0.45
 
 
 class ServiceQueue:
@@ -30,6 +31,7 @@
         self._state = state
         self._choose = choose
         self._waiting = WaitingRequests()
+        self._next_dispatch = float('-inf')
 
     async def place(self, waiting: Waiting, *, until: float) -> bool:
         """Waits until a request is placed.
@@ -41,14 +43,16 @@
         Returns:
             Whether it was placed.
         """
+        # What waits already fitted nowhere a moment ago: only the new request is tried.
+        waiting.placement = self._take_place(waiting)
+        if waiting.placement is not None:
+            return True
         placed = trio.Event()
         waiting.on_placed = placed.set
         self._waiting.add(waiting)
         try:
-            self.dispatch()
-            if waiting.placement is None:
-                with trio.move_on_at(until):
-                    await placed.wait()
+            with trio.move_on_at(until):
+                await placed.wait()
         except trio.Cancelled:
             if waiting.placement is not None:
                 release_placement(self._state, waiting.placement)
@@ -58,12 +62,13 @@
         return waiting.placement is not None
 
     def dispatch(self) -> None:
-        """Places whatever fits now."""
-        if not len(self._waiting):
-            return
+        """Places whatever fits now, unless that was tried a moment ago."""
         now = trio.current_time()
+        if now < self._next_dispatch or not len(self._waiting):
+            return
+        self._next_dispatch = now + _DISPATCH_SECONDS
         placed = self._waiting.place(
-            self._take_place, lambda account: self._state.usage.total(account, now)
+            self._take_place, lambda account: self._state.shares.usage_of(account, now)
         )
         for waiting in placed:
             if waiting.on_placed is not None:
@@ -76,7 +81,7 @@
         state = self._state
         now = trio.current_time()
         state.loads.begin(placement.number, placement.tokens)
-        state.usage.charge(waiting.account, waiting.cost_tokens, now)
+        state.shares.charge(waiting.account, waiting.cost_tokens, now)
         live = state.find_endpoint(placement.number)
         if live is not None and waiting.parts:
             live.cache.record(waiting.parts)
@@ -115,7 +120,7 @@
         if placement is None:
             return None
         now = trio.current_time()
-        part = _OVER_SHARE_PART if is_over_share(state, waiting.account, now) else _TARGET_PART
+        part = _OVER_SHARE_PART if state.shares.is_over(waiting.account, now) else _TARGET_PART
         is_placed = is_worth_placing(
             placement,
             spent_seconds=now - waiting.arrived_at,
@@ -126,22 +131,6 @@
     return choose
 
 
-def is_over_share(state: EntryState, account: str, now: float) -> bool:
-    """Tells whether an account was given more than its max-min share lately.
-
-    Args:
-        state: Beliefs of the instance.
-        account: Client account.
-        now: Time in seconds.
-
-    Returns:
-        Whether others were given less than they asked for meanwhile.
-    """
-    given = state.usage.totals(now)
-    level = find_fair_level(state.demand.totals(now), sum(given.values()))
-    return given.get(account, 0.0) > level
-
-
 def slot_chooser(state: EntryState, service: str) -> Callable[[Waiting], Placement | None]:
     """Returns the choice of an endpoint for the requests of a plain service.
 
--- a/src/fireflymux/entry/state.py
+++ b/src/fireflymux/entry/state.py
@@ -8,9 +8,9 @@
 import trio
 
 from .._settings_generated import EntrySettings
-from ..decisions.account_usage import AccountUsage
 from ..decisions.crash_counts import CrashCounts
 from ..decisions.ejection import EndpointRecord, eject_outliers
+from ..decisions.fair_shares import FairShares
 from ..decisions.loads import FleetLoads
 from ..decisions.membership import Endpoint, Membership
 from ..decisions.prompts import PrefixCache
@@ -83,8 +83,7 @@
         members_version: Version of the store that the list is of.
         is_listed: Whether the list of endpoints was read.
         loads: Work outstanding on endpoints.
-        usage: Tokens given to accounts.
-        demand: Tokens that accounts asked for.
+        shares: Tokens that accounts asked for and were given.
         crashes: Requests that broke off.
         placements: Prompts sent since the last report to other instances.
         instances: Addresses of other entry instances by name.
@@ -109,8 +108,7 @@
         self.members_version = 0
         self.is_listed = False
         self.loads = FleetLoads()
-        self.usage = AccountUsage(settings.share_window_seconds)
-        self.demand = AccountUsage(settings.share_window_seconds)
+        self.shares = FairShares(settings.share_window_seconds)
         self.crashes = CrashCounts()
         self.placements: list[list[int]] = []
         self.instances: dict[str, str] = {}
--- a/src/fireflymux/platform/call_headers.py
+++ b/src/fireflymux/platform/call_headers.py
@@ -154,11 +154,8 @@
 def _keep_call_fields(request: Request, replaced: set[bytes]) -> Fields:
     connection = find_field(request.fields, b'connection')
     replaced.update(option.strip().lower() for option in connection.split(b','))
-    return [
-        field
-        for field in request.fields
-        if field[0].lower() not in _HOP_BY_HOP | _SYSTEM_FIELDS | replaced
-    ]
+    dropped = _HOP_BY_HOP | _SYSTEM_FIELDS | replaced
+    return [field for field in request.fields if field[0].lower() not in dropped]
 
 
 def decode_answer(head: AnswerHead) -> AnswerTerms:
