Bound the log, serve metrics, take over changed settings, log each placement

Cause: log lines were written without bound and could block on the reader; the entry role served no metrics, counted no refusal at admission (a scenario showed it), and read its settings once. Ruled out: a writer thread (it shares the one running thread with the data path). Change: 200 lines a kind and second, then counts; a reader that stops costs lines, counted; counters and histograms on the metrics address; SIGHUP and a changed file reload seeds and shutdown time; a line for each placement with what decided it.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -148,3 +148,13 @@
     Given a settings file of an entry instance with three mistakes
     When the entry role starts
     Then it names all three and ends with 2
+
+  Scenario: Metrics tell what became of requests
+    Given routes "/" to "general" and "/orders/" to "orders"
+    When a caller is answered once and refused once
+    Then the metrics count both, by result
+
+  Scenario: Changed settings are taken over while the process runs
+    Given the entry role as a process of its own
+    When its file names other seeds and it gets SIGHUP, and then holds a mistake
+    Then it says what it took over, what was wrong, and goes on
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -547,3 +547,61 @@
     assert context.result.status == 503, context.result
     assert float(context.result.fields['retry-after']) > 0, context.result
     assert context.readiness == 503, context.readiness
+
+
+@when('a caller is answered once and refused once')
+def count_results(context):
+    async def act(fleet):
+        address = '127.0.0.1:{0}'.format(free_port())
+        await fleet.add_instance(fleet.settings[0].store_address, metrics_address=address)
+        await fleet.wait_ready(1)
+        await fleet.call('/a', number=1)
+        await fleet.call('/a', number=1, key='wrong')
+        raw = b'GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n'
+        return (await exchange(address, raw)).content.decode()
+
+    _play(context, act)
+
+
+@then('the metrics count both, by result')
+def check_metrics(context):
+    lines = context.result.splitlines()
+    assert 'fireflymux_requests_total{pool="general",result="whole"} 1' in lines, lines
+    assert 'fireflymux_refusals_total{kind="unauthenticated"} 1' in lines, lines
+    assert any(line.startswith('fireflymux_request_seconds_count') for line in lines), lines
+
+
+@when('its file names other seeds and it gets SIGHUP, and then holds a mistake')
+def reload_settings(context):
+    folder = Path(tempfile.mkdtemp())
+
+    async def act(fleet):
+        ports = {name: free_port() for name in ('caller', 'readiness', 'peer')}
+        path = folder / 'entry.ini'
+        text = _SETTINGS.format(store=await fleet.start_store(), **ports)
+        path.write_text(text)
+        process = _start_process(path)
+        context.closers.append(process.kill)
+        readiness = '127.0.0.1:{0}'.format(ports['readiness'])
+        while await _ask(readiness) != 200:
+            await trio.sleep(0.05)
+        path.write_text('{0}seeds = 127.0.0.9:1\nretry_ratio = 0.1\n'.format(text))
+        process.send_signal(signal.SIGHUP)
+        await trio.sleep(0.5)
+        path.write_text('{0}seeds = 127.0.0.9:1\nretry_ratio = 9\n'.format(text))
+        process.send_signal(signal.SIGHUP)
+        await trio.sleep(0.5)
+        state = await _ask(readiness)
+        process.send_signal(signal.SIGTERM)
+        lines, _ = await trio.to_thread.run_sync(process.communicate)
+        return state, lines
+
+    _play(context, act)
+
+
+@then('it says what it took over, what was wrong, and goes on')
+def check_reload(context):
+    state, lines = context.result
+    assert state == 200, state
+    assert '"taken":["seeds"],"need_restart":["retry_ratio"]' in lines, lines
+    assert '"event":"settings_invalid"' in lines, lines
--- a/src/fireflymux/_settings_generated.py
+++ b/src/fireflymux/_settings_generated.py
@@ -63,6 +63,7 @@
     peer_port: int
     store_address: str
     seeds: str = ''
+    metrics_address: str = ''
     shutdown_timeout_seconds: float = 8.0
     config_apply_milliseconds: int = 2000
     retry_ratio: float = 0.2
--- a/src/fireflymux/cli.py
+++ b/src/fireflymux/cli.py
@@ -64,7 +64,7 @@
     except SettingsError as error:
         fail(str(error), EXIT_USAGE)
     start_logs(checked.observability.log_level, instance=checked.entry.name)
-    trio.run(run_entry, checked)
+    trio.run(run_entry, checked, path)
 
 
 def check_settings(settings: str) -> None:
--- a/src/fireflymux/entry/attempt.py
+++ b/src/fireflymux/entry/attempt.py
@@ -16,6 +16,7 @@
     encode_call,
     keep_answer_fields,
 )
+from .entry_metrics import EntryMetrics
 from .event_relay import EventRelay
 from .state import EntryState, LiveEndpoint
 
@@ -80,6 +81,7 @@
         placement: Load that it counts for on the endpoint.
         ends_at: Time at which the caller's patience or the route's timeout ends, in seconds.
         relay: Takes the events, if the answer is a stream.
+        metrics: Counters of the instance.
         is_reading: Whether the endpoint still reads the prompt.
         sent_at: Time at which the request was sent, in seconds.
     """
@@ -91,6 +93,7 @@
     placement: Placement
     ends_at: float
     relay: EventRelay | None
+    metrics: EntryMetrics
     is_reading: bool = True
     sent_at: float = 0.0
 
@@ -222,8 +225,10 @@
 def _observe_first_event(attempt: Attempt) -> None:
     placement = attempt.placement
     model = attempt.live.model
+    seconds = trio.current_time() - attempt.sent_at
+    attempt.metrics.first_event.observe({'service': attempt.live.endpoint.service}, seconds)
     tokens = placement.tokens + placement.wait_seconds * model.tokens_per_second
-    model.observe(tokens, trio.current_time() - attempt.sent_at)
+    model.observe(tokens, seconds)
 
 
 def _end_reading(state: EntryState, attempt: Attempt) -> None:
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -13,12 +13,12 @@
 from ..http.messages import Request
 from ..http.answer_writer import AnswerWriter
 from ..logs import get_logger
-from ..metrics import Metrics
 from ..platform.call_headers import CallTerms, decode_call, encode_refusal
 from .attempt import Attempt, Broken, NotSent, Outcome, Rejected, Relayed, Whole, run_attempt
 from .calls import Call, admit_call
+from .entry_metrics import EntryMetrics
 from .service_queue import ServiceQueue, engine_chooser, release_placement, slot_chooser
-from .state import EntryState
+from .state import EntryState, LiveEndpoint
 
 _log = get_logger(__name__)
 #: Time for an endpoint's own answer at its deadline to arrive, in seconds.
@@ -37,7 +37,7 @@
         running: Requests that are being answered.
     """
 
-    def __init__(self, state: EntryState, metrics: Metrics) -> None:
+    def __init__(self, state: EntryState, metrics: EntryMetrics) -> None:
         """Starts with no request.
 
         Args:
@@ -55,6 +55,10 @@
         for queue in self._queues.values():
             queue.dispatch()
 
+    def count_waiting(self) -> int:
+        """Counts the requests that wait for an endpoint."""
+        return sum(queue.count_waiting() for queue in self._queues.values())
+
     async def respond(self, request: Request, writer: AnswerWriter) -> None:
         """Answers one request.
 
@@ -69,6 +73,14 @@
             await trio.lowlevel.checkpoint()
             call = admit_call(self._state, request, terms, writer)
             if isinstance(call, Refused):
+                self._metrics.refusals.inc({'kind': call.kind.value})
+                _log.info(
+                    'request_denied',
+                    request=terms.attempt.decode('latin-1'),
+                    kind=call.kind.value,
+                    path=request.path.decode('latin-1'),
+                    version=self._state.configuration_version,
+                )
                 await self._refuse(call, terms, writer)
                 return
             await self._answer(call, writer)
@@ -81,16 +93,22 @@
         with trio.move_on_at(call.ends_at + _ANSWER_MARGIN_SECONDS):
             result = await self._run(call)
         if isinstance(result, Whole):
-            self._metrics.requests.inc({'result': 'whole'})
+            self._count(call, 'whole')
             await writer.answer(result.status, result.fields, result.content)
             return
         if isinstance(result, Relayed):
-            self._metrics.requests.inc({'result': 'relayed'})
+            self._count(call, 'relayed')
             return
         await self._fail(call, result or _refuse_overdue(call), writer)
 
+    def _count(self, call: Call, result: str) -> None:
+        self._metrics.requests.inc({'pool': call.service, 'result': result})
+        seconds = trio.current_time() - call.request.received_at
+        self._metrics.latency.observe({'result': result}, seconds)
+
     async def _fail(self, call: Call, refused: Refused, writer: AnswerWriter) -> None:
         self._log_failure(call, refused)
+        self._count(call, refused.kind.value)
         if call.relay is not None and call.relay.is_begun:
             writer.abort()
             return
@@ -140,6 +158,7 @@
         if live is None:
             release_placement(self._state, placement)
             return NotSent('the endpoint is gone')
+        self._log_placed(call, waiting, live)
         call.is_in_flight = True
         outcome = await run_attempt(
             self._state,
@@ -151,10 +170,11 @@
                 placement=placement,
                 ends_at=call.ends_at,
                 relay=call.relay,
+                metrics=self._metrics,
             ),
         )
         call.is_in_flight = False
-        self._metrics.attempts.inc({'result': type(outcome).__name__})
+        self._metrics.attempts.inc({'pool': call.service, 'result': type(outcome).__name__})
         if not isinstance(outcome, Relayed | Whole):
             _log.info(
                 'attempt_ended',
@@ -198,6 +218,26 @@
         self._queues[name] = queue
         return queue
 
+    def _log_placed(self, call: Call, waiting: Waiting, live: LiveEndpoint) -> None:
+        placement = waiting.placement
+        if placement is None:
+            return
+        _log.info(
+            'request_placed',
+            request=call.terms.attempt.decode('latin-1'),
+            route=call.route.name,
+            account=call.account,
+            endpoint=live.endpoint.identifier,
+            attempt=call.history.sends + 1,
+            wait=round(placement.wait_seconds, 3),
+            predicted=round(placement.seconds, 3),
+            tokens=placement.tokens,
+            prompt=waiting.prompt_tokens,
+            running=self._state.loads.total(live.number).running,
+            waited=round(trio.current_time() - waiting.arrived_at, 3),
+            version=self._state.configuration_version,
+        )
+
     def _log_failure(self, call: Call, refused: Refused) -> None:
         self._metrics.refusals.inc({'kind': refused.kind.value})
         _log.info(
--- a/src/fireflymux/entry/instance.py
+++ b/src/fireflymux/entry/instance.py
@@ -9,14 +9,15 @@
 from ..http.messages import HttpLimits, Request
 from ..http.answer_writer import AnswerWriter
 from ..logs import get_logger
-from ..metrics import Metrics
 from ..platform.readiness import READINESS_PATH
 from ..platform.store import StoreClient
 from ..settings import EntryProcessSettings
+from .entry_metrics import EntryMetrics
 from .exchange import Exchanges
 from .listeners import Listener
 from .peer_link import REPORT_SECONDS, PeerLink
 from .peer_snapshot import PeerSnapshots
+from .settings_reload import SettingsReloader
 from .state import EntryState
 from .store_follower import StoreFollower
 
@@ -36,15 +37,17 @@
 class EntryInstance:
     """The parts of one entry instance."""
 
-    def __init__(self, settings: EntryProcessSettings) -> None:
+    def __init__(self, settings: EntryProcessSettings, path: str = '') -> None:
         """Builds the parts.
 
         Args:
             settings: Settings of the process.
+            path: File that they were read from.
         """
         self._settings = settings.entry
         self._state = EntryState(self._settings, random.Random())
-        self._metrics = Metrics()
+        self._metrics = EntryMetrics()
+        self._reloader = SettingsReloader(self._state, path)
         self._exchanges = Exchanges(self._state, self._metrics)
         self._store = StoreFollower(self._state, StoreClient(self._settings.store_address))
         self._peers = PeerLink(self._state)
@@ -68,15 +71,25 @@
             is_stopping=_never,
         )
 
-        self._listeners = (self._callers, readiness, snapshots)
+        self._listeners = [self._callers, readiness, snapshots]
+        if self._settings.metrics_address:
+            metrics = Listener(
+                self._settings.metrics_address,
+                self._answer_metrics,
+                limits=HttpLimits,
+                is_stopping=_never,
+            )
+            self._listeners.append(metrics)
         self._followers = (self._peers.run, self._store.run, self._snapshots.run, self._tick)
 
     async def run(self) -> None:
         """Serves until SIGTERM, then until the requests in progress have ended."""
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async with trio.open_nursery() as nursery:
                 await nursery.start(self.serve)
-                await anext(signals)
+                nursery.start_soon(self._reloader.watch)
+                while await anext(signals) == signal.SIGHUP:
+                    self._reloader.reload()
                 await self._stop()
                 nursery.cancel_scope.cancel()
         _log.info('stopped', running=self._exchanges.running)
@@ -97,7 +110,7 @@
         started = trio.current_time()
         self._state.is_stopping = True
         _log.info('stopping', running=self._exchanges.running)
-        last = started + self._settings.shutdown_timeout_seconds - _EXIT_MARGIN_SECONDS
+        last = started + self._state.settings.shutdown_timeout_seconds - _EXIT_MARGIN_SECONDS
         with trio.move_on_at(last):
             await self._store.unregister()
             await trio.sleep_until(started + _LEAVE_SECONDS)
@@ -139,6 +152,18 @@
             idle_seconds=limits.idle_seconds,
         )
 
+    async def _answer_metrics(self, request: Request, writer: AnswerWriter) -> None:
+        gauges = self._metrics
+        gauges.config_version.set({}, self._state.configuration_version)
+        gauges.endpoints_known.set({}, len(self._state.members.list_endpoints()))
+        gauges.instances_heard.set({}, self._peers.count_heard())
+        gauges.connections.set({}, self._callers.count_open())
+        gauges.running.set({}, self._exchanges.running)
+        gauges.waiting.set({}, self._exchanges.count_waiting())
+        content, fields = gauges.render(('text/plain',))
+        lines = [(name.encode(), text.encode()) for name, text in fields.items()]
+        await writer.answer(_OK, lines, content)
+
     async def _answer_readiness(self, request: Request, writer: AnswerWriter) -> None:
         if request.path != READINESS_PATH:
             await writer.answer(_NOT_FOUND, (), b'')
@@ -152,10 +177,11 @@
     return False
 
 
-async def run_entry(settings: EntryProcessSettings) -> None:
+async def run_entry(settings: EntryProcessSettings, path: str) -> None:
     """Runs an entry instance until it is told to stop.
 
     Args:
         settings: Settings of the process.
+        path: File that they were read from, which may change.
     """
-    await EntryInstance(settings).run()
+    await EntryInstance(settings, path).run()
--- a/src/fireflymux/entry/listeners.py
+++ b/src/fireflymux/entry/listeners.py
@@ -47,6 +47,10 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    def count_open(self) -> int:
+        """Counts the open connections."""
+        return len(self._connections)
+
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Listens until cancelled."""
         sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/src/fireflymux/entry/peer_link.py
+++ b/src/fireflymux/entry/peer_link.py
@@ -71,6 +71,10 @@
             for known, heard in self._heard.values()
         )
 
+    def count_heard(self) -> int:
+        """Counts the instances that sent a report lately."""
+        return sum(self.is_heard(host) for host, _ in self._heard.values())
+
     async def _send(self, sock: trio.socket.SocketType) -> None:
         while True:
             await trio.sleep(REPORT_SECONDS)
--- a/src/fireflymux/entry/service_queue.py
+++ b/src/fireflymux/entry/service_queue.py
@@ -61,6 +61,10 @@
             self._waiting.discard(waiting)
         return waiting.placement is not None
 
+    def count_waiting(self) -> int:
+        """Counts the requests that wait."""
+        return len(self._waiting)
+
     def dispatch(self) -> None:
         """Places whatever fits now, unless that was tried a moment ago."""
         now = trio.current_time()
--- a/src/fireflymux/logs.py
+++ b/src/fireflymux/logs.py
@@ -8,6 +8,8 @@
 import logbook
 import orjson
 
+from .log_stream import LineBudget, LogStream
+
 _LEVELS: Mapping[str, int] = MappingProxyType(
     {
         'debug': logbook.DEBUG,
@@ -38,12 +40,24 @@
         level: Lowest level that is written; a key of the settings schema.
         instance: Name that every line carries.
     """
-    handler = logbook.StreamHandler(sys.stdout, level=_LEVELS[level])
+    budget = LineBudget()
+
+    def is_within_budget(record: logbook.LogRecord, handler: logbook.Handler) -> bool:
+        return budget.allows(record.message)
+
+    handler = logbook.StreamHandler(
+        LogStream(sys.stdout.fileno()),
+        level=_LEVELS[level],
+        filter=is_within_budget,
+    )
     handler.formatter = _format_record
     handler.push_application()
 
     def add_instance(record: logbook.LogRecord) -> None:
         record.kwargs['instance'] = instance
+        left_out = budget.take_left_out(record.message)
+        if left_out:
+            record.kwargs['left_out'] = left_out
 
     logbook.Processor(add_instance).push_application()
 
--- a/src/fireflymux/metrics.py
+++ b/src/fireflymux/metrics.py
@@ -4,7 +4,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-_LATENCY_BUCKETS_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
+LATENCY_BUCKETS_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
 
 
 class Metrics:
@@ -33,7 +33,7 @@
             'fireflymux_first_token_seconds',
             'Time from arrival to the first byte of the answer',
             registry=self._registry,
-            buckets=list(_LATENCY_BUCKETS_SECONDS),
+            buckets=list(LATENCY_BUCKETS_SECONDS),
         )
 
     def render(self, accept: Sequence[str]) -> tuple[bytes, dict[str, str]]:
