Let requests that come back after a refusal give way to those that can be on time

Ruled out: telling returns by their shorter deadline (callers' patience differs by 15%). Change: instances tell each other checksums of refused requests; a return is placed only where little waits, behind all others.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -59,3 +59,7 @@
   Scenario: An endpoint that fails far more than others is left out, never the whole service
     When endpoints of a service fail at any rates
     Then at most half of them are left out, each failing far more often than the better half
+
+  Scenario: Requests that come back give way to those that can still be on time
+    When an engine is asked for twice what it gives, and each refused caller comes back once
+    Then nine tenths of what the engine gives go to requests on time, more than placed alike
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+import attrs
 import trio
 from behave import then, when
 from hypothesis import given as generate
@@ -254,66 +255,122 @@
     assert context.placed == [True, False], context.placed
 
 
-@when('one account asks for ten times what the engines give and another for a fifth of it')
-def play_flood(context):
-    """Plays 20 s on one engine of 80,000 tokens a second with prompts of 2,000 tokens."""
+@attrs.define
+class _Played:
+    """What became of the requests of a played load.
+
+    Attributes:
+        asked: Requests by account, returns not counted.
+        on_time: Requests placed in time by account.
+        idle: Seconds that the engine had nothing to read.
+    """
+
+    asked: dict[str, int]
+    on_time: dict[str, int]
+    idle: float
+
+
+def _play_load(intervals, *, returns_after=None, knows_returns=True):
+    """Plays 20 s on one engine of 80,000 tokens a second with prompts of 2,000 tokens.
+
+    Args:
+        intervals: Seconds between two requests of each account.
+        returns_after: Seconds after which a refused caller comes back once; None for never.
+        knows_returns: Whether such a request is recognized.
+    """
     shares = FairShares(4.0)
     queue = WaitingRequests()
     engine = []
-    served = {'flood': 0, 'modest': 0}
-    asked = dict.fromkeys(served, 0)
-    idle = 0.0
+    played = _Played(dict.fromkeys(intervals, 0), dict.fromkeys(intervals, 0), 0.0)
+    returning = []
+    waiting_now = []
     step = 0.005
+
+    def arrive(account, now, *, is_return):
+        waiting = Waiting(
+            account=account,
+            parts=(PromptPart(len(waiting_now), 2000),),
+            prompt_tokens=2000,
+            output_tokens=0,
+            arrived_at=now,
+            target_seconds=0.4,
+            is_return=is_return and knows_returns,
+            excluded=set(),
+        )
+        shares.asked.charge(account, 2000, now)
+        queue.add(waiting)
+        waiting_now.append((waiting, is_return))
+
     for tick in range(4000):
         now = tick * step
-        for account, every in (('flood', 0.0025), ('modest', 0.125)):
+        for account, every in intervals.items():
             for _ in range(int((now + step) / every) - int(now / every)):
-                asked[account] += 1
-                shares.asked.charge(account, 2000, now)
-                queue.add(
-                    Waiting(
-                        account=account,
-                        parts=(PromptPart(tick, 2000),),
-                        prompt_tokens=2000,
-                        output_tokens=0,
-                        arrived_at=now,
-                        target_seconds=0.4,
-                        excluded=set(),
-                    )
-                )
+                played.asked[account] += 1
+                arrive(account, now, is_return=False)
+        while returning and returning[0][0] <= now:
+            arrive(returning.pop(0)[1], now, is_return=True)
 
         def choose(waiting, now=now):
             placement = choose_engine([_view(1, sum(engine))], waiting.parts, 2000)
             part = 0.45 if shares.is_over(waiting.account, now) else 0.75
-            spent = now - waiting.arrived_at
-            if not is_worth_placing(placement, spent_seconds=spent, limit_seconds=part * 0.4):
+            if not is_worth_placing(
+                placement,
+                spent_seconds=now - waiting.arrived_at,
+                limit_seconds=part * 0.4,
+                is_late=waiting.is_return,
+            ):
                 return None
             engine.append(2000)
             shares.charge(waiting.account, 2000, now)
-            served[waiting.account] += 1
             return placement
 
         queue.place(choose, lambda account, now=now: shares.usage_of(account, now))
-        for account in list(queue._by_account):
-            for waiting in list(queue._by_account[account]):
-                if now - waiting.arrived_at > 0.1:
-                    queue.discard(waiting)
+        for entry in list(waiting_now):
+            waiting, is_return = entry
+            if waiting.placement is not None:
+                played.on_time[waiting.account] += not is_return
+                waiting_now.remove(entry)
+            elif now - waiting.arrived_at > 0.1:
+                queue.discard(waiting)
+                waiting_now.remove(entry)
+                if returns_after is not None and not is_return:
+                    returning.append((now + returns_after, waiting.account))
         work = step * _SPEED
-        idle += max(work - sum(engine), 0) / _SPEED
+        played.idle += max(work - sum(engine), 0) / _SPEED
         while engine and work > 0:
             done = min(work, engine[0])
             work -= done
             engine[0] -= done
             if engine[0] <= 0:
                 engine.pop(0)
-    context.shares_got = {name: served[name] / asked[name] for name in served}
-    context.idle = idle
+    return played
+
+
+@when('one account asks for ten times what the engines give and another for a fifth of it')
+def play_flood(context):
+    context.played = _play_load({'flood': 0.0025, 'modest': 0.125})
 
 
 @then('the modest account gets nine tenths of what it asks, and no engine idles meanwhile')
 def check_flood(context):
-    assert context.shares_got['modest'] >= 0.9, context.shares_got
-    assert context.idle <= 0.2, context.idle
+    played = context.played
+    assert played.on_time['modest'] >= 0.9 * played.asked['modest'], played
+    assert played.idle <= 0.2, played
+
+
+@when('an engine is asked for twice what it gives, and each refused caller comes back once')
+def play_returns(context):
+    context.played = _play_load({'only': 0.0125}, returns_after=0.7)
+    context.naive = _play_load({'only': 0.0125}, returns_after=0.7, knows_returns=False)
+
+
+@then('nine tenths of what the engine gives go to requests on time, more than placed alike')
+def check_returns(context):
+    played, naive = context.played, context.naive
+    capacity = 20 * _SPEED / 2000
+    assert played.on_time['only'] >= 0.9 * capacity, (played, naive)
+    assert played.on_time['only'] > naive.on_time['only'], (played, naive)
+    assert played.idle <= 0.2, played
 
 
 @when('endpoints of a service fail at any rates')
--- a/src/fireflymux/_messages_generated.py
+++ b/src/fireflymux/_messages_generated.py
@@ -234,6 +234,7 @@
     members_version: int
     loads: list[int]
     placements: list[list[int]]
+    refusals: list[int]
     usage: dict[str, Any] | None
     demand: dict[str, Any] | None
     crashes: dict[str, Any] | None
--- a/src/fireflymux/decisions/engine_choice.py
+++ b/src/fireflymux/decisions/engine_choice.py
@@ -16,9 +16,9 @@
 _REREAD_WEIGHT = 4.0
 #: Wait that another engine must save before a prompt leaves its home, in seconds.
 _HOME_BIAS_SECONDS = 0.03
-#: Wait before reading that a prompt may have which is too long to be on time anywhere, as a
-#: part of its target latency.
-_LONG_PROMPT_WAIT_PART = 0.15
+#: Wait before reading that a prompt may have which can't be on time, as a part of the latency
+#: that it would have to meet.
+_LATE_WAIT_PART = 0.2
 
 
 @attrs.define(frozen=True, kw_only=True)
@@ -99,24 +99,33 @@
     return best
 
 
-def is_worth_placing(placement: Placement, *, spent_seconds: float, limit_seconds: float) -> bool:
+def is_worth_placing(
+    placement: Placement,
+    *,
+    spent_seconds: float,
+    limit_seconds: float,
+    is_late: bool = False,
+) -> bool:
     """Tells whether a prompt is placed, or left to wait or be refused.
 
     Args:
         placement: Where it would go.
         spent_seconds: Time since it arrived.
         limit_seconds: Latency that it must meet.
+        is_late: Whether it can't meet that any more.
 
     Returns:
-        Whether its first event is predicted in time; a prompt that is too long for that
-        anywhere is placed while little waits before it.
+        Whether its first event is predicted in time; a prompt that is late already, or too
+        long to be on time anywhere, is placed while little waits before it.
     """
+    if is_late:
+        return placement.wait_seconds <= _LATE_WAIT_PART * limit_seconds
     if spent_seconds + placement.seconds <= limit_seconds:
         return True
     own_seconds = placement.seconds - placement.wait_seconds
     if own_seconds < limit_seconds:
         return False
-    return placement.wait_seconds <= _LONG_PROMPT_WAIT_PART * limit_seconds
+    return placement.wait_seconds <= _LATE_WAIT_PART * limit_seconds
 
 
 def find_home(views: Sequence[EngineView], parts: Sequence[PromptPart]) -> int:
--- a/src/fireflymux/decisions/waiting.py
+++ b/src/fireflymux/decisions/waiting.py
@@ -24,6 +24,7 @@
         output_tokens: Expected length of its answer.
         arrived_at: Time at which it was received, in seconds.
         target_seconds: Latency within which its answer is on time.
+        is_return: Whether it was refused before, so that it is late already.
         excluded: Endpoints that must not be chosen again.
         on_placed: Called once it is placed.
         placement: Where it goes; None while it waits.
@@ -35,6 +36,7 @@
     output_tokens: int
     arrived_at: float
     target_seconds: float
+    is_return: bool
     excluded: set[int]
     on_placed: Callable[[], None] | None = None
     placement: Placement | None = None
@@ -49,12 +51,14 @@
     """Requests by client account; the account with the least usage is served first.
 
     Answers bursts of one account: its requests wait behind those of accounts that were given
-    less, and no place stays free while any request fits it.
+    less, and no place stays free while any request fits it. Requests that come back follow
+    when none of the others fits.
     """
 
     def __init__(self) -> None:
         """Starts empty."""
         self._by_account: dict[str, deque[Waiting]] = {}
+        self._returns: deque[Waiting] = deque()
         self._count = 0
 
     def __len__(self) -> int:
@@ -63,18 +67,17 @@
 
     def add(self, waiting: Waiting) -> None:
         """Adds a request behind the others of its account."""
-        self._by_account.setdefault(waiting.account, deque()).append(waiting)
+        self._queue_of(waiting).append(waiting)
         self._count += 1
 
     def discard(self, waiting: Waiting) -> None:
         """Removes a request, if it still waits."""
-        queue = self._by_account.get(waiting.account)
-        if queue is None or waiting not in queue:
-            return
-        queue.remove(waiting)
-        self._count -= 1
-        if not queue:
-            self._by_account.pop(waiting.account)
+        queue = self._queue_of(waiting)
+        if waiting in queue:
+            queue.remove(waiting)
+            self._count -= 1
+        if not (queue or waiting.is_return):
+            self._by_account.pop(waiting.account, None)
 
     def place(
         self,
@@ -95,17 +98,28 @@
         while len(stuck) < len(self._by_account):
             ready = [account for account in self._by_account if account not in stuck]
             account = choose_account(ready, usage) or ''
-            waiting = self._place_first(account, choose)
+            waiting = self._place_first(self._by_account[account], choose)
             if waiting is None:
                 stuck.add(account)
                 continue
             placed.append(waiting)
+        returned = self._place_first(self._returns, choose)
+        while returned is not None:
+            placed.append(returned)
+            returned = self._place_first(self._returns, choose)
         return placed
 
+    def _queue_of(self, waiting: Waiting) -> deque[Waiting]:
+        if waiting.is_return:
+            return self._returns
+        return self._by_account.setdefault(waiting.account, deque())
+
     def _place_first(
-        self, account: str, choose: Callable[[Waiting], Placement | None]
+        self,
+        queue: deque[Waiting],
+        choose: Callable[[Waiting], Placement | None],
     ) -> Waiting | None:
-        for waiting in list(self._by_account[account])[:_LOOK_AHEAD]:
+        for waiting in list(queue)[:_LOOK_AHEAD]:
             waiting.placement = choose(waiting)
             if waiting.placement is not None:
                 self.discard(waiting)
--- a/src/fireflymux/entry/calls.py
+++ b/src/fireflymux/entry/calls.py
@@ -1,6 +1,7 @@
 """Admits a caller's request: finds its route, its account and its service."""
 
 import hashlib
+import zlib
 
 import attrs
 
@@ -49,6 +50,11 @@
         """Whether an endpoint can have run the request."""
         return self.is_in_flight or self.history.may_have_run
 
+    def checksum(self) -> int:
+        """Returns a short digest of the same, for what may be mistaken now and then."""
+        caller = '{0} {1}'.format(self.account, self.request.path.decode('latin-1'))
+        return zlib.crc32(self.request.content, zlib.crc32(caller.encode()))
+
     def fingerprint(self) -> int:
         """Digests what makes a request the same when its caller sends it again."""
         digest = hashlib.blake2b(self.request.content, digest_size=_FINGERPRINT_BYTES)
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -140,14 +140,23 @@
             output_tokens=call.terms.output_tokens,
             arrived_at=call.request.received_at,
             target_seconds=call.route.target_seconds,
+            is_return=self._comes_back(call),
             excluded=call.tried,
         )
         patience = _PATIENCE_PART * call.route.target_seconds
         until = min(trio.current_time() + patience, call.ends_at)
         if not call.history.sends:
             self._state.shares.asked.charge(call.account, waiting.cost_tokens, trio.current_time())
-        placed = await self._queue_of(call.service).place(waiting, until=until)
-        return waiting if placed else None
+        if await self._queue_of(call.service).place(waiting, until=until):
+            return waiting
+        if call.terms.parts:
+            self._state.refused.record(call.checksum(), trio.current_time())
+        return None
+
+    def _comes_back(self, call: Call) -> bool:
+        if not call.terms.parts:
+            return False
+        return self._state.refused.was_refused(call.checksum(), trio.current_time())
 
     async def _attempt(self, call: Call, waiting: Waiting) -> Outcome:
         placement = waiting.placement
--- a/src/fireflymux/entry/peer_link.py
+++ b/src/fireflymux/entry/peer_link.py
@@ -27,6 +27,8 @@
 _REPORT_FIELDS = tuple(field.name for field in attrs.fields(PeerReport))
 #: Prompts named in one report; the rest follow with the next one.
 _MAXIMUM_PLACEMENTS = 40
+#: Refused requests named in one report; older ones are left out.
+_MAXIMUM_REFUSALS = 200
 
 
 class PeerLink:
@@ -95,20 +97,25 @@
     def _list_due(self) -> list[str]:
         """Lists the hosts to report to; silent ones are tried more rarely."""
         hosts = self.list_hosts()
-        if self._count % _REPEAT_EVERY == 0:
+        if self._is_due():
             return hosts
         return [host for host in hosts if self.is_heard(host)]
 
+    def _is_due(self) -> bool:
+        return self._count % _REPEAT_EVERY == 0
+
     def _build_report(self) -> PeerReport | None:
         state = self._state
         loads: list[int] = []
         for load in state.loads.report():
             loads.extend((load.endpoint, load.pending_tokens, load.running))
         placements = state.placements[:_MAXIMUM_PLACEMENTS]
-        if loads == self._sent_loads and not placements and self._count % _REPEAT_EVERY:
+        refusals = state.refused.unreported
+        if not (placements or refusals or loads != self._sent_loads or self._is_due()):
             return None
         self._sent_loads = loads
         state.placements = state.placements[_MAXIMUM_PLACEMENTS:]
+        state.refused.unreported = []
         has_usage = self._count % _USAGE_EVERY == 0
         now = trio.current_time()
         return PeerReport(
@@ -118,6 +125,7 @@
             members_version=state.members_version,
             loads=loads,
             placements=placements,
+            refusals=refusals[-_MAXIMUM_REFUSALS:],
             usage=_round(state.shares.given.report(now)) if has_usage else None,
             demand=_round(state.shares.asked.report(now)) if has_usage else None,
             crashes={str(key): count for key, count in state.crashes.report(now).items()}
@@ -149,6 +157,7 @@
         self._state.loads.merge(name, _decode_loads(report.loads), now)
         for placement in report.placements:
             self._take_placement(*placement)
+        self._state.refused.merge(report.refusals, now)
         self._take_shares(report, now)
         self._state.notify()
 
--- a/src/fireflymux/entry/service_queue.py
+++ b/src/fireflymux/entry/service_queue.py
@@ -129,6 +129,7 @@
             placement,
             spent_seconds=now - waiting.arrived_at,
             limit_seconds=part * waiting.target_seconds,
+            is_late=waiting.is_return,
         )
         return placement if is_placed else None
 
--- a/src/fireflymux/entry/state.py
+++ b/src/fireflymux/entry/state.py
@@ -16,6 +16,7 @@
 from ..decisions.prompts import PrefixCache
 from ..decisions.reading import FirstEventModel
 from ..decisions.retry_allowance import RetryAllowance
+from ..decisions.returning import RefusedRequests
 from ..decisions.routes import Configuration, Service
 from ..endpoint_health import EndpointHealth
 from ..http.connection_pool import ConnectionPool
@@ -85,6 +86,7 @@
         loads: Work outstanding on endpoints.
         shares: Tokens that accounts asked for and were given.
         crashes: Requests that broke off.
+        refused: Requests that were refused and may come back.
         placements: Prompts sent since the last report to other instances.
         instances: Addresses of other entry instances by name.
         is_stopping: Whether the instance is shutting down: it isn't ready, and connections
@@ -110,6 +112,7 @@
         self.loads = FleetLoads()
         self.shares = FairShares(settings.share_window_seconds)
         self.crashes = CrashCounts()
+        self.refused = RefusedRequests()
         self.placements: list[list[int]] = []
         self.instances: dict[str, str] = {}
         self.is_stopping = False
