Tell a request's story from the logs of all processes

Cause: nothing led from a request's identifier to its cause. Change: fireflymux explain ID FILE...; scenarios for the story, for a reader that stops reading and for a flood of lines. Before: no such command.

--- /dev/null
+++ b/features/steps/log_steps.py
@@ -0,0 +1,85 @@
+"""Steps for structured logs: the story of a request, slow readers and floods."""
+
+import os
+
+import orjson
+from behave import given, then, when
+
+from fireflymux.explain import explain_request, parse_lines
+from fireflymux.log_stream import LineBudget, LogStream
+
+
+def _line(second, instance, event, **fields):
+    record = {'time': '2026-12-04T01:00:{0:09.6f}Z'.format(second), 'event': event}
+    return orjson.dumps(record | {'instance': instance} | fields).decode()
+
+
+@given('the logs of two processes, one with a request that was placed, broke off and failed')
+def two_logs(context):
+    context.lines = [
+        _line(5.2, 'entry-1', 'request_failed', request='a1', kind='endpoint_crashed'),
+        '   5.0000 entry-1 {0}'.format(
+            _line(5.0, 'entry-1', 'request_placed', request='a1', endpoint='e7')
+        ),
+        _line(4.0, 'entry-1', 'endpoint_ejected', endpoint='e9'),
+        _line(5.1, 'entry-1', 'attempt_ended', request='a1', result='Broken'),
+        _line(1.0, 'entry-1', 'started'),
+        _line(5.0, 'entry-2', 'endpoint_gone', endpoint='e9'),
+        _line(5.1, 'entry-1', 'request_placed', request='b2', endpoint='e7'),
+        'no record at all',
+        '{"broken": ',
+    ]
+
+
+@when('its story is asked for')
+def ask_story(context):
+    context.story = explain_request('a1', parse_lines(context.lines))
+
+
+@then("it has the request's lines and the changes of state before them, in order of time")
+def check_story(context):
+    events = [line.event for line in context.story]
+    assert events == ['endpoint_ejected', 'request_placed', 'attempt_ended', 'request_failed']
+    assert explain_request('c3', parse_lines(context.lines)) == []
+
+
+@given('a process that writes to a pipe that nobody reads')
+def unread_pipe(context):
+    context.reader, writer = os.pipe()
+    context.stream = LogStream(writer)
+
+
+@when('it writes {count:d} lines')
+def write_lines(context, count):
+    for number in range(count):
+        context.stream.write('line {0}\n'.format(number))
+    context.count = count
+
+
+@then('it did not wait, and says how many lines are missing once the pipe is read')
+def check_dropped(context):
+    dropped = context.stream.dropped
+    assert 0 < dropped < context.count, dropped
+    received = os.read(context.reader, 1 << 20)
+    assert received.count(b'\n') == context.count - dropped, dropped
+    context.stream.write('again\n')
+    note, last = os.read(context.reader, 1 << 20).splitlines()
+    assert orjson.loads(note)['count'] == dropped, note
+    assert last == b'again', last
+
+
+@when('1000 lines of one kind and one of another come within a second')
+def flood(context):
+    now = [7.0]
+    budget = LineBudget(clock=lambda: now[0])
+    written = sum(budget.allows('many') for _ in range(1000))
+    context.flood = written, budget.allows('one')
+    now[0] = 8.0
+    assert budget.allows('many')
+    context.left_out = budget.take_left_out('many'), budget.take_left_out('many')
+
+
+@then('200 and 1 are written, and the next one says that 800 were left out')
+def check_flood(context):
+    assert context.flood == (200, True), context.flood
+    assert context.left_out == (800, 0), context.left_out
--- a/src/fireflymux/cli.py
+++ b/src/fireflymux/cli.py
@@ -3,6 +3,7 @@
 A role imports what it runs only, so that it starts fast and small.
 """
 
+import fileinput
 import logging
 import os
 import sys
@@ -12,7 +13,7 @@
 import fire
 import trio
 
-from .console import EXIT_USAGE, fail, write
+from .console import EXIT_NOT_FOUND, EXIT_USAGE, fail, write
 from .logs import start_logs
 from .settings import EntryProcessSettings, ProcessSettings, SettingsError
 
@@ -67,6 +68,23 @@
     trio.run(run_entry, checked, path)
 
 
+def explain(request: str, *files: str) -> None:
+    """Tells what became of a request, from the logs of all processes.
+
+    Args:
+        request: Identifier of the caller's attempt, as in its header or in an answer.
+        files: Log files; standard input if none is named.
+    """
+    from .explain import explain_request, parse_lines
+
+    lines = fileinput.input(files or ('-',), encoding='utf-8', errors='replace')
+    story = explain_request(str(request), parse_lines(lines))
+    if not story:
+        fail('no line names the request {0}'.format(request), EXIT_NOT_FOUND)
+    for line in story:
+        write(str(line))
+
+
 def check_settings(settings: str) -> None:
     """Checks a settings file and lists every problem.
 
@@ -96,6 +114,7 @@
         'router': router,
         'sidecar': sidecar,
         'entry': entry,
+        'explain': explain,
         'check-settings': check_settings,
     }
     if len(sys.argv) < 2 or sys.argv[1] not in commands:
--- a/src/fireflymux/console.py
+++ b/src/fireflymux/console.py
@@ -2,6 +2,7 @@
 
 import sys
 
+EXIT_NOT_FOUND = 1
 EXIT_USAGE = 2
 
 
