Group the modules so that folders tell the architecture

Cause: 45 modules stood in one flat list beside the new folders. Ruled out: one folder for each role with its own copies of shared parts. Change: observability, wire, web, store, router, sidecar; decisions takes the older decisions that need no network. Imports rewritten by a script; nothing else changed.

--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -211,8 +211,8 @@
 
     def add_contracts(self, contracts: Sequence[Mapping[str, Any]]) -> None:
         """Commits many contracts directly to the table, without the command line."""
-        from fireflymux import codec
-        from fireflymux.credentials import digest_key
+        from fireflymux.wire import codec
+        from fireflymux.web.credentials import digest_key
         from fireflymux.messages import ConfigChange, ConfigHead, Contract
 
         puts = []
--- a/emulator/variants.py
+++ b/emulator/variants.py
@@ -26,7 +26,7 @@
     run_client,
     sidecar,
 )
-from fireflymux.account_shares import AccountShares, Charge
+from fireflymux.decisions.account_shares import AccountShares, Charge
 
 
 def charge_at_end() -> None:
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -10,8 +10,8 @@
 
 from emulator.callers import chat
 from emulator.fleet import wait_until
-from fireflymux.configuration import Configuration
-from fireflymux.credentials import digest_key
+from fireflymux.store.configuration import Configuration
+from fireflymux.web.credentials import digest_key
 from fireflymux.messages import ConfigChange, Contract
 
 
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -12,7 +12,7 @@
 
 from emulator.callers import CHAT, Answer, at_once, authorization, chat, send
 from emulator.small_fleet import start_small_fleet
-from fireflymux.crash_registry import GUILTY, CrashRegistry
+from fireflymux.decisions.crash_registry import GUILTY, CrashRegistry
 
 
 @given('a small fleet of {engines:d} engines')
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -17,7 +17,7 @@
 from fireflymux.decisions.retry_allowance import RetryAllowance
 from fireflymux.decisions.routes import Repeatability, index_routes
 from fireflymux.decisions.waiting import Waiting, WaitingRequests
-from fireflymux.endpoint_health import EndpointHealth
+from fireflymux.decisions.endpoint_health import EndpointHealth
 from fireflymux.entry.event_relay import EventRelay
 from fireflymux.http.messages import HttpLimits
 from fireflymux.http.request_parser import RequestParser
--- a/features/steps/draining_steps.py
+++ b/features/steps/draining_steps.py
@@ -9,8 +9,8 @@
 from emulator.callers import CHAT, Answer, chat, send
 from emulator.fleet import FLEET_KEY
 from emulator.small_fleet import start_small_fleet
-from fireflymux import codec
-from fireflymux.headers import ORDER
+from fireflymux.wire import codec
+from fireflymux.wire.headers import ORDER
 from fireflymux.messages import RunOrder
 
 
--- a/features/steps/log_steps.py
+++ b/features/steps/log_steps.py
@@ -5,8 +5,8 @@
 import orjson
 from behave import given, then, when
 
-from fireflymux.explain import explain_request, parse_lines
-from fireflymux.log_stream import LineBudget, LogStream
+from fireflymux.observability.explain import explain_request, parse_lines
+from fireflymux.observability.log_stream import LineBudget, LogStream
 
 
 def _line(second, instance, event, **fields):
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -10,7 +10,7 @@
 from emulator.callers import chat
 from emulator.fleet import Fleet, wait_until
 from emulator.small_fleet import ACCOUNTS
-from fireflymux.admission_window import AdmissionWindow
+from fireflymux.decisions.admission_window import AdmissionWindow
 
 
 @given('an admission window of {slots:d} slots with a target of {target:d} second')
--- a/features/steps/shares_steps.py
+++ b/features/steps/shares_steps.py
@@ -5,10 +5,10 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies
 
-from fireflymux.account_choice import choose_account
-from fireflymux.account_shares import AccountShares
+from fireflymux.decisions.account_choice import choose_account
+from fireflymux.decisions.account_shares import AccountShares
 from fireflymux.messages import ServiceTotal
-from fireflymux.service_totals import RETIRE_SECONDS, ServiceTotals
+from fireflymux.decisions.service_totals import RETIRE_SECONDS, ServiceTotals
 
 _FIXED = hypothesis_settings(max_examples=300, derandomize=True, deadline=None, database=None)
 _COSTS = strategies.integers(0, 500)
--- a/src/fireflymux/cli.py
+++ b/src/fireflymux/cli.py
@@ -14,7 +14,7 @@
 import trio
 
 from .console import EXIT_NOT_FOUND, EXIT_USAGE, fail, write
-from .logs import start_logs
+from .observability.logs import start_logs
 from .settings import EntryProcessSettings, ProcessSettings, SettingsError
 
 
@@ -34,7 +34,7 @@
     Args:
         settings: Path of the INI file with a section [router].
     """
-    from .router import run_router
+    from .router.router import run_router
 
     _run_role(settings, run_router)
 
@@ -45,7 +45,7 @@
     Args:
         settings: Path of the INI file with a section [sidecar].
     """
-    from .sidecar import run_sidecar
+    from .sidecar.sidecar import run_sidecar
 
     _run_role(settings, run_sidecar)
 
@@ -75,7 +75,7 @@
         request: Identifier of the caller's attempt, as in its header or in an answer.
         files: Log files; standard input if none is named.
     """
-    from .explain import explain_request, parse_lines
+    from .observability.explain import explain_request, parse_lines
 
     lines = fileinput.input(files or ('-',), encoding='utf-8', errors='replace')
     story = explain_request(str(request), parse_lines(lines))
--- a/src/fireflymux/account_shares.py
+++ b/src/fireflymux/decisions/account_shares.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from .messages import ServiceTotal
+from ..messages import ServiceTotal
 
 _ESTIMATE_GAIN = 0.2
 _NEVER = float('-inf')
--- a/src/fireflymux/crash_registry.py
+++ b/src/fireflymux/decisions/crash_registry.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable, Iterable
 
-from .messages import CrashVerdict
+from ..messages import CrashVerdict
 
 SUSPECT = 'suspect'
 GUILTY = 'guilty'
--- a/src/fireflymux/decisions/ejection.py
+++ b/src/fireflymux/decisions/ejection.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ..endpoint_health import EndpointHealth
+from .endpoint_health import EndpointHealth
 
 #: Weight of the newest result in the failure rate.
 _RATE_WEIGHT = 0.12
--- a/src/fireflymux/limits.py
+++ b/src/fireflymux/decisions/limits.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from .messages import Contract
+from ..messages import Contract
 
 _BURST_SECONDS = 1.0
 
--- a/src/fireflymux/reservations.py
+++ b/src/fireflymux/decisions/reservations.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from .messages import Heartbeat
+from ..messages import Heartbeat
 
 
 @attrs.define
--- a/src/fireflymux/service_totals.py
+++ b/src/fireflymux/decisions/service_totals.py
@@ -10,8 +10,8 @@
 
 import attrs
 
-from .messages import ReporterTotals, ServiceTotal, TotalsSnapshot, TotalsTable
-from .totals_table import pack_totals, unpack_totals
+from ..messages import ReporterTotals, ServiceTotal, TotalsSnapshot, TotalsTable
+from ..wire.totals_table import pack_totals, unpack_totals
 
 #: Time without growth after which a report is only kept in the sums.
 RETIRE_SECONDS = 900.0
--- a/src/fireflymux/decisions/waiting.py
+++ b/src/fireflymux/decisions/waiting.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from ..account_choice import choose_account
+from .account_choice import choose_account
 from .engine_choice import Placement
 from .prompts import PromptPart
 
--- a/src/fireflymux/entry/calls.py
+++ b/src/fireflymux/entry/calls.py
@@ -8,8 +8,8 @@
 from ..decisions.retry import AttemptHistory
 from ..decisions.routes import Route
 from ..errors import ErrorKind, Refused
-from ..http.messages import Request, find_field
 from ..http.answer_writer import AnswerWriter
+from ..http.messages import Request, find_field
 from ..platform.call_headers import CallTerms
 from .event_relay import EventRelay
 from .state import EntryState
--- a/src/fireflymux/entry/entry_metrics.py
+++ b/src/fireflymux/entry/entry_metrics.py
@@ -4,7 +4,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-from ..metrics import LATENCY_BUCKETS_SECONDS
+from ..observability.metrics import LATENCY_BUCKETS_SECONDS
 
 
 class EntryMetrics:
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -10,9 +10,9 @@
 from ..decisions.retry import Ending, may_try_again
 from ..decisions.waiting import Waiting
 from ..errors import ANSWERS, ErrorKind, Ran, Refused
-from ..http.messages import Request
 from ..http.answer_writer import AnswerWriter
-from ..logs import get_logger
+from ..http.messages import Request
+from ..observability.logs import get_logger
 from ..platform.call_headers import CallTerms, decode_call, encode_refusal
 from .attempt import Attempt, Broken, NotSent, Outcome, Rejected, Relayed, Whole, run_attempt
 from .calls import Call, admit_call
--- a/src/fireflymux/entry/instance.py
+++ b/src/fireflymux/entry/instance.py
@@ -6,9 +6,9 @@
 import orjson
 import trio
 
-from ..http.messages import HttpLimits, Request
 from ..http.answer_writer import AnswerWriter
-from ..logs import get_logger
+from ..http.messages import HttpLimits, Request
+from ..observability.logs import get_logger
 from ..platform.readiness import READINESS_PATH
 from ..platform.store import StoreClient
 from ..settings import EntryProcessSettings
--- a/src/fireflymux/entry/listeners.py
+++ b/src/fireflymux/entry/listeners.py
@@ -8,7 +8,7 @@
 
 from ..http.messages import HttpLimits
 from ..http.server_connection import Handler, ServerConnection
-from ..logs import get_logger
+from ..observability.logs import get_logger
 
 _log = get_logger(__name__)
 _BACKLOG = 1024
--- a/src/fireflymux/entry/peer_link.py
+++ b/src/fireflymux/entry/peer_link.py
@@ -11,7 +11,7 @@
 from .._messages_generated import PeerReport
 from ..decisions.loads import LoadReport
 from ..decisions.prompts import PromptPart
-from ..logs import get_logger
+from ..observability.logs import get_logger
 from .state import EntryState
 
 _log = get_logger(__name__)
--- a/src/fireflymux/entry/peer_snapshot.py
+++ b/src/fireflymux/entry/peer_snapshot.py
@@ -12,7 +12,7 @@
 from ..http.answer_writer import AnswerWriter
 from ..http.client_connection import ClientConnection, ConnectFailed, ConnectionBroken
 from ..http.messages import Request
-from ..logs import get_logger
+from ..observability.logs import get_logger
 from ..platform.configuration_row import MalformedRow, decode_configuration
 from ..platform.store import Row
 from .peer_link import PeerLink
--- a/src/fireflymux/entry/settings_reload.py
+++ b/src/fireflymux/entry/settings_reload.py
@@ -5,7 +5,7 @@
 import attrs
 import trio
 
-from ..logs import get_logger
+from ..observability.logs import get_logger
 from ..settings import EntryProcessSettings, SettingsError
 from .state import EntryState
 
--- a/src/fireflymux/entry/state.py
+++ b/src/fireflymux/entry/state.py
@@ -10,6 +10,7 @@
 from .._settings_generated import EntrySettings
 from ..decisions.crash_counts import CrashCounts
 from ..decisions.ejection import EndpointRecord, eject_outliers
+from ..decisions.endpoint_health import EndpointHealth
 from ..decisions.fair_shares import FairShares
 from ..decisions.loads import FleetLoads
 from ..decisions.membership import Endpoint, Membership
@@ -18,9 +19,8 @@
 from ..decisions.retry_allowance import RetryAllowance
 from ..decisions.returning import RefusedRequests
 from ..decisions.routes import Configuration, Service
-from ..endpoint_health import EndpointHealth
 from ..http.connection_pool import ConnectionPool
-from ..logs import get_logger
+from ..observability.logs import get_logger
 
 _log = get_logger(__name__)
 _CONNECT_SECONDS = 0.4
--- a/src/fireflymux/entry/store_follower.py
+++ b/src/fireflymux/entry/store_follower.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from ..logs import get_logger
+from ..observability.logs import get_logger
 from ..platform.configuration_row import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
--- a/src/fireflymux/operator_cli.py
+++ b/src/fireflymux/operator_cli.py
@@ -11,14 +11,14 @@
 import attrs
 import orjson
 
-from .codec import to_plain
-from .config_commit import Accepted, CommitUnknown, Conflict
 from .console import EXIT_USAGE, fail, write
-from .credentials import digest_key
 from .messages import Contract
-from .operator import CURRENT, InvalidChange, OperatorSession
-from .platform_client import PlatformError
 from .settings import OperatorSettings, SettingsError
+from .store.config_commit import Accepted, CommitUnknown, Conflict
+from .store.operator import CURRENT, InvalidChange, OperatorSession
+from .store.platform_client import PlatformError
+from .web.credentials import digest_key
+from .wire.codec import to_plain
 
 EXIT_PLATFORM = 1
 EXIT_CONFLICT = 3
--- a/src/fireflymux/caller_requests.py
+++ b/src/fireflymux/router/caller_requests.py
@@ -7,11 +7,11 @@
 import attrs
 import orjson
 
-from .configuration import Configuration
-from .credentials import matches_digest, split_key
-from .errors import ErrorKind, Refused
-from .headers import keep_end_to_end
-from .messages import Contract
+from ..errors import ErrorKind, Refused
+from ..messages import Contract
+from ..store.configuration import Configuration
+from ..web.credentials import matches_digest, split_key
+from ..wire.headers import keep_end_to_end
 
 CHAT_PATH = '/v1/chat/completions'
 SERVICE_PREFIX = '/services/'
--- a/src/fireflymux/dispatch.py
+++ b/src/fireflymux/router/dispatch.py
@@ -7,14 +7,14 @@
 import attrs
 import trio
 
+from ..decisions.crash_registry import GUILTY, SUSPECT, CrashRegistry
+from ..decisions.retry_budget import RetryBudget, backoff_seconds
+from ..errors import ErrorKind, Ran, Refused
+from ..messages import GrantOffer, RunOrder
+from ..observability.metrics import Metrics
 from .backlog import Backlog, Placement, Ticket
 from .caller_requests import CallerRequest
-from .crash_registry import GUILTY, SUSPECT, CrashRegistry
-from .errors import ErrorKind, Ran, Refused
-from .messages import GrantOffer, RunOrder
-from .metrics import Metrics
 from .peers import Peer, Peers
-from .retry_budget import RetryBudget, backoff_seconds
 from .run_client import RunClient, Stream, Whole
 
 #: Refusals after which another sidecar is tried without a delay.
--- a/src/fireflymux/peers.py
+++ b/src/fireflymux/router/peers.py
@@ -7,18 +7,18 @@
 import httpx
 import trio
 
-from . import codec, headers
+from ..decisions.crash_registry import CrashRegistry
+from ..decisions.service_totals import ServiceTotals
+from ..messages import Heartbeat, HeartbeatReply, LiveInstance
+from ..observability.logs import get_logger
+from ..observability.metrics import Metrics
+from ..store.configuration import Configuration
+from ..store.platform_client import LiveListClient, PlatformError
+from ..web.links import LINK_TIMEOUT_SECONDS, LinkClients
+from ..wire import codec, headers
+from ..wire.totals_table import pack_totals, unpack_totals
+from ..wire.wire_size import received_bytes, sent_bytes
 from .backlog import Backlog
-from .configuration import Configuration
-from .crash_registry import CrashRegistry
-from .links import LINK_TIMEOUT_SECONDS, LinkClients
-from .logs import get_logger
-from .messages import Heartbeat, HeartbeatReply, LiveInstance
-from .metrics import Metrics
-from .platform_client import LiveListClient, PlatformError
-from .service_totals import ServiceTotals
-from .totals_table import pack_totals, unpack_totals
-from .wire_size import received_bytes, sent_bytes
 
 _log = get_logger(__name__)
 #: Heartbeats in a row without answer after which a sidecar counts as down.
--- a/src/fireflymux/router.py
+++ b/src/fireflymux/router/router.py
@@ -12,30 +12,30 @@
 from quart_trio import QuartTrio
 from werkzeug.exceptions import RequestEntityTooLarge
 
-from . import codec
-from ._settings_generated import RouterSettings
+from .._settings_generated import RouterSettings
+from ..decisions.crash_registry import CrashRegistry
+from ..decisions.limits import RateLimiter, share_of
+from ..decisions.service_totals import ServiceTotals
+from ..errors import ErrorKind, Refused, to_problem
+from ..messages import GrantOffer, GrantReply, TotalsSnapshot
+from ..observability.logs import get_logger
+from ..observability.metrics import Metrics
+from ..observability.tracing import create_tracer, start_span, to_traceparent
+from ..settings import ProcessSettings
+from ..store.config_reader import ConfigReader, build_update
+from ..store.configuration import Configuration
+from ..store.platform_client import PlatformClients
+from ..web.credentials import is_fleet_key
+from ..web.http_answers import answer_message, answer_problem, answer_stream, read_body
+from ..web.links import LinkClients, create_platform_client
+from ..web.serving import Server, catch_stop_signals, drain
+from ..wire import codec
+from ..wire.wire_size import received_bytes, sent_bytes
 from .backlog import Backlog, Placement
 from .caller_requests import CallerRequest, ReceivedRequest, authenticate, parse_request
-from .config_reader import ConfigReader, build_update
-from .configuration import Configuration
-from .crash_registry import CrashRegistry
-from .credentials import is_fleet_key
 from .dispatch import Dispatcher, DispatchParts
-from .errors import ErrorKind, Refused, to_problem
-from .http_answers import answer_message, answer_problem, answer_stream, read_body
-from .limits import RateLimiter, share_of
-from .links import LinkClients, create_platform_client
-from .logs import get_logger
-from .messages import GrantOffer, GrantReply, TotalsSnapshot
-from .metrics import Metrics
 from .peers import PeerParts, Peers
-from .platform_client import PlatformClients
 from .run_client import RunClient, Stream, Whole, is_whole
-from .service_totals import ServiceTotals
-from .serving import Server, catch_stop_signals, drain
-from .settings import ProcessSettings
-from .tracing import create_tracer, start_span, to_traceparent
-from .wire_size import received_bytes, sent_bytes
 
 _log = get_logger(__name__)
 _READINESS_DELAY_SECONDS = 1.0
--- a/src/fireflymux/run_client.py
+++ b/src/fireflymux/router/run_client.py
@@ -7,12 +7,12 @@
 import httpx
 import trio
 
-from . import codec, headers
+from ..errors import ErrorKind, Ran, Refused, from_problem
+from ..messages import Problem, RunOrder
+from ..observability.metrics import Metrics
+from ..web.links import LinkClients
+from ..wire import codec, headers
 from .backlog import Placement
-from .errors import ErrorKind, Ran, Refused, from_problem
-from .links import LinkClients
-from .messages import Problem, RunOrder
-from .metrics import Metrics
 from .peers import Peer, Peers
 
 _RESUME_LIMIT = 5
--- a/src/fireflymux/answer_buffer.py
+++ b/src/fireflymux/sidecar/answer_buffer.py
@@ -5,7 +5,7 @@
 import attrs
 import trio
 
-from .errors import Refused
+from ..errors import Refused
 
 UNLIMITED = 1 << 62
 
--- a/src/fireflymux/claims.py
+++ b/src/fireflymux/sidecar/claims.py
@@ -12,14 +12,21 @@
 import attrs
 import trio
 
-from . import codec
+from ..errors import ErrorKind, Ran, Refused
+from ..messages import ClaimRow, RunOrder
+from ..observability.logs import get_logger
+from ..observability.metrics import Metrics
+from ..store.platform_client import (
+    ObjectClient,
+    PlatformClients,
+    PlatformError,
+    Put,
+    Row,
+    TableClient,
+)
+from ..store.table_batch import PutResult, TableBatch
+from ..wire import codec
 from .answer_buffer import AnswerHead
-from .errors import ErrorKind, Ran, Refused
-from .logs import get_logger
-from .messages import ClaimRow, RunOrder
-from .metrics import Metrics
-from .platform_client import ObjectClient, PlatformClients, PlatformError, Put, Row, TableClient
-from .table_batch import PutResult, TableBatch
 
 _log = get_logger(__name__)
 _ATTEMPT_LIMIT = 4
--- a/src/fireflymux/endpoint_call.py
+++ b/src/fireflymux/sidecar/endpoint_call.py
@@ -7,10 +7,10 @@
 import orjson
 import trio
 
+from ..errors import ErrorKind, Ran, Refused
+from ..messages import RunOrder
+from ..wire.headers import EVENT_STREAM, STREAM_END, keep_end_to_end
 from .answer_buffer import AnswerBuffer, AnswerHead
-from .errors import ErrorKind, Ran, Refused
-from .headers import EVENT_STREAM, STREAM_END, keep_end_to_end
-from .messages import RunOrder
 
 REQUEST_HEADER = 'X-Request-Id'
 _EVENT_END = b'\n\n'
--- a/src/fireflymux/engine_orders.py
+++ b/src/fireflymux/sidecar/engine_orders.py
@@ -14,10 +14,10 @@
 import httpx
 import trio
 
-from . import codec
-from .logs import get_logger
-from .messages import EngineOrder, OrderRow
-from .platform_client import CommitResult, PlatformError, Put, TableClient
+from ..messages import EngineOrder, OrderRow
+from ..observability.logs import get_logger
+from ..store.platform_client import CommitResult, PlatformError, Put, TableClient
+from ..wire import codec
 
 _log = get_logger(__name__)
 _POLL_SECONDS = 0.2
--- a/src/fireflymux/grants.py
+++ b/src/fireflymux/sidecar/grants.py
@@ -12,13 +12,13 @@
 import attrs
 import trio
 
-from .account_choice import choose_account
-from .account_shares import AccountShares, Charge
-from .admission_window import AdmissionWindow
-from .errors import ErrorKind, Refused
-from .messages import GrantOffer, GrantReply
-from .metrics import Metrics
-from .reservations import Reservations, RouterReservations
+from ..decisions.account_choice import choose_account
+from ..decisions.account_shares import AccountShares, Charge
+from ..decisions.admission_window import AdmissionWindow
+from ..decisions.reservations import Reservations, RouterReservations
+from ..errors import ErrorKind, Refused
+from ..messages import GrantOffer, GrantReply
+from ..observability.metrics import Metrics
 
 #: Longest wait for the request after a router accepted a grant.
 GRANT_TIMEOUT_SECONDS = 2.0
--- a/src/fireflymux/sidecar.py
+++ b/src/fireflymux/sidecar/sidecar.py
@@ -10,38 +10,38 @@
 from quart import Response, request
 from quart_trio import QuartTrio
 
-from . import codec, headers
-from ._settings_generated import SidecarSettings
-from .account_shares import AccountShares
-from .admission_window import AdmissionWindow
-from .claims import ClaimBook
-from .config_reader import ConfigReader
-from .configuration import Configuration
-from .crash_registry import CrashRegistry
-from .credentials import is_fleet_key
-from .endpoint_call import EndpointClient
-from .endpoint_health import EndpointHealth
-from .engine_orders import OrderDriver, OrderTarget, PortLock
-from .errors import ErrorKind, Refused
-from .grants import GrantIdentity, GrantScheduler, Slot
-from .http_answers import answer_message, answer_problem, answer_stream, read_body
-from .links import (
+from .._settings_generated import SidecarSettings
+from ..decisions.account_shares import AccountShares
+from ..decisions.admission_window import AdmissionWindow
+from ..decisions.crash_registry import CrashRegistry
+from ..decisions.endpoint_health import EndpointHealth
+from ..decisions.reservations import Reservations
+from ..errors import ErrorKind, Refused
+from ..messages import GrantOffer, GrantReply, Heartbeat, HeartbeatReply, RunOrder
+from ..observability.logs import get_logger
+from ..observability.metrics import Metrics
+from ..observability.tracing import create_tracer, start_span, to_traceparent
+from ..settings import ProcessSettings
+from ..store.config_reader import ConfigReader
+from ..store.configuration import Configuration
+from ..store.platform_client import PlatformClients
+from ..store.table_batch import TableBatch
+from ..web.credentials import is_fleet_key
+from ..web.http_answers import answer_message, answer_problem, answer_stream, read_body
+from ..web.links import (
     LINK_TIMEOUT_SECONDS,
     LinkClients,
     create_endpoint_client,
     create_platform_client,
 )
-from .logs import get_logger
-from .messages import GrantOffer, GrantReply, Heartbeat, HeartbeatReply, RunOrder
-from .metrics import Metrics
-from .platform_client import PlatformClients
-from .reservations import Reservations
-from .serving import Server, catch_stop_signals, drain
-from .settings import ProcessSettings
+from ..web.serving import Server, catch_stop_signals, drain
+from ..wire import codec, headers
+from ..wire.totals_table import pack_totals, unpack_totals
+from .claims import ClaimBook
+from .endpoint_call import EndpointClient
+from .engine_orders import OrderDriver, OrderTarget, PortLock
+from .grants import GrantIdentity, GrantScheduler, Slot
 from .sidecar_runs import Run, RunParts, SidecarRuns
-from .table_batch import TableBatch
-from .totals_table import pack_totals, unpack_totals
-from .tracing import create_tracer, start_span, to_traceparent
 
 _log = get_logger(__name__)
 _MAXIMUM_HEADER_BYTES = 65536
--- a/src/fireflymux/sidecar_runs.py
+++ b/src/fireflymux/sidecar/sidecar_runs.py
@@ -6,18 +6,18 @@
 import trio
 from opentelemetry.trace import Tracer
 
-from .account_shares import AccountShares
-from .admission_window import AdmissionWindow
+from ..decisions.account_shares import AccountShares
+from ..decisions.admission_window import AdmissionWindow
+from ..decisions.crash_registry import CrashRegistry
+from ..decisions.endpoint_health import EndpointHealth
+from ..errors import ErrorKind, Ran, Refused
+from ..messages import RunOrder
+from ..observability.metrics import Metrics
+from ..observability.tracing import start_span
 from .answer_buffer import UNLIMITED, AnswerBuffer
 from .claims import ClaimBook, Claimed, Replay
-from .crash_registry import CrashRegistry
 from .endpoint_call import EndpointCall, EndpointClient
-from .endpoint_health import EndpointHealth
-from .errors import ErrorKind, Ran, Refused
 from .grants import GrantScheduler, Slot
-from .messages import RunOrder
-from .metrics import Metrics
-from .tracing import start_span
 
 
 @attrs.define(eq=False)
--- /dev/null
+++ b/src/fireflymux/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's table service, object store and live list, and the configuration in them."""
--- a/src/fireflymux/config_commit.py
+++ b/src/fireflymux/store/config_commit.py
@@ -6,10 +6,10 @@
 
 import trio
 
-from . import codec
+from ..messages import ConfigChange, ConfigHead, ConfigSnapshot
+from ..wire import codec
 from .config_rows import CHANGE_PREFIX, HEAD_KEY, change_key, snapshot_name
 from .configuration import Configuration
-from .messages import ConfigChange, ConfigHead, ConfigSnapshot
 from .platform_client import (
     CommitResult,
     ObjectClient,
--- a/src/fireflymux/config_reader.py
+++ b/src/fireflymux/store/config_reader.py
@@ -11,13 +11,13 @@
 import httpx
 import trio
 
-from . import codec
+from ..messages import ConfigUpdate
+from ..observability.logs import get_logger
+from ..observability.metrics import Metrics
+from ..web.links import LinkClients
+from ..wire import codec
 from .config_commit import load_configuration
 from .configuration import Configuration
-from .links import LinkClients
-from .logs import get_logger
-from .messages import ConfigUpdate
-from .metrics import Metrics
 from .platform_client import PlatformClients, PlatformError
 
 _log = get_logger(__name__)
--- a/src/fireflymux/configuration.py
+++ b/src/fireflymux/store/configuration.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from .messages import ConfigChange, ConfigSnapshot, Contract, EndpointAnnouncement
+from ..messages import ConfigChange, ConfigSnapshot, Contract, EndpointAnnouncement
 
 _RECENT_LIMIT = 1024
 LEAVING_STATES = frozenset(('leaving', 'maintenance'))
--- a/src/fireflymux/operator.py
+++ b/src/fireflymux/store/operator.py
@@ -6,6 +6,9 @@
 import attrs
 import trio
 
+from ..messages import ConfigChange, Contract, EndpointAnnouncement
+from ..settings import OperatorSettings
+from ..web.links import create_platform_client
 from .config_commit import (
     Accepted,
     ChangeBuilder,
@@ -15,10 +18,7 @@
     load_configuration,
 )
 from .configuration import ENDPOINT_STATES, Configuration
-from .links import create_platform_client
-from .messages import ConfigChange, Contract, EndpointAnnouncement
 from .platform_client import PlatformClients
-from .settings import OperatorSettings
 
 #: Version that stands for the one that the command reads first.
 CURRENT = -1
--- a/src/fireflymux/platform_client.py
+++ b/src/fireflymux/store/platform_client.py
@@ -9,9 +9,9 @@
 import httpx
 import orjson
 
-from . import codec
-from ._settings_generated import PlatformSettings
-from .messages import LiveInstance
+from .._settings_generated import PlatformSettings
+from ..messages import LiveInstance
+from ..wire import codec
 
 _CONFLICT = 409
 _NOT_FOUND = 404
--- a/src/fireflymux/table_batch.py
+++ b/src/fireflymux/store/table_batch.py
@@ -5,7 +5,7 @@
 import attrs
 import trio
 
-from .metrics import Metrics
+from ..observability.metrics import Metrics
 from .platform_client import CommitResult, PlatformError, Put, TableClient
 
 _BATCH_LIMIT = 64
--- /dev/null
+++ b/src/fireflymux/web/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP between routers, sidecars and their callers, by quart, hypercorn and httpx."""
--- a/src/fireflymux/http_answers.py
+++ b/src/fireflymux/web/http_answers.py
@@ -5,9 +5,9 @@
 
 from quart import Response, request
 
-from . import codec
-from .errors import ANSWERS, Refused, to_problem
-from .headers import JSON, PROBLEM
+from ..errors import ANSWERS, Refused, to_problem
+from ..wire import codec
+from ..wire.headers import JSON, PROBLEM
 
 
 async def read_body() -> bytes:
--- a/src/fireflymux/links.py
+++ b/src/fireflymux/web/links.py
@@ -4,7 +4,7 @@
 
 import httpx
 
-from ._settings_generated import FleetSettings, PlatformSettings, TlsSettings
+from .._settings_generated import FleetSettings, PlatformSettings, TlsSettings
 from .credentials import BEARER
 
 _CONNECT_TIMEOUT_SECONDS = 1.0
--- a/src/fireflymux/serving.py
+++ b/src/fireflymux/web/serving.py
@@ -10,7 +10,7 @@
 from hypercorn.trio import serve
 from quart_trio import QuartTrio
 
-from ._settings_generated import InstanceSettings, TlsSettings
+from .._settings_generated import InstanceSettings, TlsSettings
 
 _KEEP_ALIVE_SECONDS = 120
 _BACKLOG = 1024
--- /dev/null
+++ b/src/fireflymux/wire/__init__.py
@@ -0,0 +1,1 @@
+"""What travels between routers and sidecars, and how it is encoded."""
--- a/src/fireflymux/totals_table.py
+++ b/src/fireflymux/wire/totals_table.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from .messages import ServiceTotal, TotalsTable
+from ..messages import ServiceTotal, TotalsTable
 
 
 def pack_totals(totals: Iterable[ServiceTotal]) -> TotalsTable:
