--- a/src/fireflymux/_messages_generated.py
+++ b/src/fireflymux/_messages_generated.py
@@ -237,7 +237,7 @@
     refusals: list[int]
     usage: dict[str, Any] | None
     demand: dict[str, Any] | None
-    crashes: dict[str, Any] | None
+    crashes: list[list[int]] | None
 
 
 @define(frozen=True, kw_only=True)
--- a/src/fireflymux/entry/peer_link.py
+++ b/src/fireflymux/entry/peer_link.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 
 import attrs
-import orjson
+import msgspec
 import trio
 
 from .._messages_generated import PeerReport
@@ -21,7 +21,7 @@
 #: Reports without a change in between are left out, but for one in this many.
 _REPEAT_EVERY = 10
 #: Reports that carry the usage of accounts and the crash counts.
-_USAGE_EVERY = 5
+_USAGE_EVERY = 10
 _LOAD_FIELDS = 3
 _SILENT_SECONDS = 1.0
 _REPORT_FIELDS = tuple(field.name for field in attrs.fields(PeerReport))
@@ -84,7 +84,7 @@
             report = self._build_report()
             if report is None:
                 continue
-            content = orjson.dumps(attrs.astuple(report, recurse=False))
+            content = msgspec.msgpack.encode(attrs.astuple(report, recurse=False))
             for host in self._list_due():
                 await self._send_to(sock, host, content)
 
@@ -128,7 +128,7 @@
             refusals=refusals[-_MAXIMUM_REFUSALS:],
             usage=_round(state.shares.given.report(now)) if has_usage else None,
             demand=_round(state.shares.asked.report(now)) if has_usage else None,
-            crashes={str(key): count for key, count in state.crashes.report(now).items()}
+            crashes=[list(entry) for entry in state.crashes.report(now).items()]
             if has_usage
             else None,
         )
@@ -142,7 +142,7 @@
                 continue
             try:
                 self._take(_decode_report(received), address[0])
-            except (ValueError, TypeError, AttributeError) as error:
+            except (msgspec.MsgspecError, ValueError, TypeError, AttributeError) as error:
                 _log.debug('report_malformed', host=address[0], reason=repr(error))
 
     def _take(self, report: PeerReport, host: str) -> None:
@@ -174,12 +174,13 @@
         state = self._state
         state.shares.given.merge(report.instance, report.usage, now)
         state.shares.asked.merge(report.instance, report.demand, now)
-        crashes = {int(key): count for key, count in report.crashes.items()}
-        state.crashes.merge(report.instance, crashes)
+        state.crashes.merge(
+            report.instance, {fingerprint: count for fingerprint, count in report.crashes}
+        )
 
 
 def _decode_report(received: bytes) -> PeerReport:
-    columns = orjson.loads(received)
+    columns = msgspec.msgpack.decode(received)
     return PeerReport(**dict(zip(_REPORT_FIELDS, columns, strict=True)))
 
 
--- a/src/fireflymux/entry/store_follower.py
+++ b/src/fireflymux/entry/store_follower.py
@@ -19,7 +19,7 @@
 #: Table in which entry instances name their addresses to each other.
 INSTANCE_TABLE = 'fireflymux-instances'
 #: Longest wait of one call for a change; a connection gone silent shows after it.
-_FOLLOW_SECONDS = 1.0
+_FOLLOW_SECONDS = 2.0
 _FOLLOW_INSTANCES_SECONDS = 5.0
 _FIRST_DELAY_SECONDS = 0.1
 _DELAY_LIMIT_SECONDS = 0.8
