--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -20,18 +20,18 @@
 from bench.probe import cpu_seconds, fit_line, resident_megabytes
 from emulator.callers import at_once, call
 from emulator.small_fleet import start_small_fleet
-from fireflymux.wire import codec
 from fireflymux.decisions.account_choice import choose_account
 from fireflymux.decisions.account_shares import AccountShares
-from fireflymux.store.configuration import Configuration
-from fireflymux.web.credentials import digest_key
+from fireflymux.decisions.service_totals import ServiceTotals
 from fireflymux.messages import (
     ConfigChange,
     Contract,
     Heartbeat,
     ServiceTotal,
 )
-from fireflymux.decisions.service_totals import ServiceTotals
+from fireflymux.store.configuration import Configuration
+from fireflymux.web.credentials import digest_key
+from fireflymux.wire import codec
 from fireflymux.wire.totals_table import pack_totals
 
 _REPEATS = 5
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -211,9 +211,9 @@
 
     def add_contracts(self, contracts: Sequence[Mapping[str, Any]]) -> None:
         """Commits many contracts directly to the table, without the command line."""
-        from fireflymux.wire import codec
-        from fireflymux.web.credentials import digest_key
         from fireflymux.messages import ConfigChange, ConfigHead, Contract
+        from fireflymux.web.credentials import digest_key
+        from fireflymux.wire import codec
 
         puts = []
         for version, terms in enumerate(contracts, start=1):
--- a/emulator/variants.py
+++ b/emulator/variants.py
@@ -10,23 +10,18 @@
 
 import attrs
 
-from fireflymux import (
+from fireflymux import cli
+from fireflymux.decisions import (
     account_shares,
     admission_window,
-    claims,
-    cli,
-    config_reader,
-    configuration,
     crash_registry,
     endpoint_health,
-    engine_orders,
-    grants,
     limits,
-    router,
-    run_client,
-    sidecar,
 )
 from fireflymux.decisions.account_shares import AccountShares, Charge
+from fireflymux.router import router, run_client
+from fireflymux.sidecar import claims, engine_orders, grants, sidecar
+from fireflymux.store import config_reader, configuration
 
 
 def charge_at_end() -> None:
