--- a/src/fireflymux/decisions/engine_choice.py
+++ b/src/fireflymux/decisions/engine_choice.py
@@ -86,29 +86,43 @@
         The placement, or None if every engine is full.
     """
     shared_tokens = sum(part.tokens for part in parts[:-1])
-    near = [view for view in views if view.is_near]
-    is_small = shared_tokens <= _SMALL_SHARED_TOKENS
-    home = find_home(near if is_small and near else views, parts)
+    home = _choose_home(views, parts, shared_tokens)
     best: Placement | None = None
     best_cost = float('inf')
     for view in views:
         if view.running >= view.slots:
             continue
-        tokens = max(prompt_tokens - view.cached_tokens, 1)
-        wait = view.wait_seconds
-        seconds = FIRST_EVENT_SECONDS + wait + tokens / view.tokens_per_second
+        placement = _predict(view, prompt_tokens)
         missing = max(shared_tokens - view.cached_tokens, 0)
-        cost = seconds + _REREAD_WEIGHT * missing / view.tokens_per_second
+        cost = placement.seconds + _REREAD_WEIGHT * missing / view.tokens_per_second
         if view.number != home:
             cost += _HOME_BIAS_SECONDS
         if not view.is_near:
             cost += _REMOTE_BIAS_SECONDS
         if cost < best_cost:
             best_cost = cost
-            best = Placement(view.number, tokens, wait, seconds)
+            best = placement
     return best
 
 
+def _predict(view: EngineView, prompt_tokens: int) -> Placement:
+    tokens = max(prompt_tokens - view.cached_tokens, 1)
+    wait = view.wait_seconds
+    seconds = FIRST_EVENT_SECONDS + wait + tokens / view.tokens_per_second
+    return Placement(view.number, tokens, wait, seconds)
+
+
+def _choose_home(
+    views: Sequence[EngineView],
+    parts: Sequence[PromptPart],
+    shared_tokens: int,
+) -> int:
+    near = [view for view in views if view.is_near]
+    if near and shared_tokens <= _SMALL_SHARED_TOKENS:
+        return find_home(near, parts)
+    return find_home(views, parts)
+
+
 def is_worth_placing(
     placement: Placement,
     *,
