Log what a request that was not placed was judged by

Cause: a refusal under load did not say what decided it. Change: a line with the best prediction, the limit, whether it came back, how many wait and how many instances were heard. Before: the cause could not be told from the log.

--- a/src/fireflymux/decisions/loads.py
+++ b/src/fireflymux/decisions/loads.py
@@ -46,6 +46,10 @@
         self._reports: dict[str, list[LoadReport]] = {}
         self._heard: dict[str, float] = {}
 
+    def list_reporters(self) -> list[str]:
+        """Lists the instances whose reports count."""
+        return list(self._reports)
+
     def total(self, endpoint: int) -> EndpointLoad:
         """Returns the load of an endpoint over all instances."""
         return self._total.get(endpoint) or EndpointLoad()
--- a/src/fireflymux/decisions/waiting.py
+++ b/src/fireflymux/decisions/waiting.py
@@ -27,6 +27,8 @@
         is_return: Whether it was refused before, so that it is late already.
         excluded: Endpoints that must not be chosen again.
         on_placed: Called once it is placed.
+        predicted_seconds: Predicted time to the first event, when it was last looked at.
+        limit_seconds: Time by which that had to come.
         placement: Where it goes; None while it waits.
     """
 
@@ -40,6 +42,8 @@
     excluded: set[int]
     on_placed: Callable[[], None] | None = None
     placement: Placement | None = None
+    predicted_seconds: float = 0.0
+    limit_seconds: float = 0.0
 
     @property
     def cost_tokens(self) -> int:
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -155,6 +155,16 @@
             return waiting
         if call.terms.parts:
             self._state.refused.record(call.checksum(), trio.current_time())
+        _log.info(
+            'request_not_placed',
+            request=call.terms.attempt.decode('latin-1'),
+            predicted=round(waiting.predicted_seconds, 3),
+            limit=round(waiting.limit_seconds, 3),
+            came_back=waiting.is_return,
+            waiting=self.count_waiting(),
+            instances_heard=len(self._state.loads.list_reporters()),
+            members_version=self._state.members_version,
+        )
         return None
 
     def _comes_back(self, call: Call) -> bool:
--- a/src/fireflymux/entry/service_queue.py
+++ b/src/fireflymux/entry/service_queue.py
@@ -125,10 +125,12 @@
             return None
         now = trio.current_time()
         part = _OVER_SHARE_PART if state.shares.is_over(waiting.account, now) else _TARGET_PART
+        waiting.predicted_seconds = placement.seconds
+        waiting.limit_seconds = part * waiting.target_seconds
         is_placed = is_worth_placing(
             placement,
             spent_seconds=now - waiting.arrived_at,
-            limit_seconds=part * waiting.target_seconds,
+            limit_seconds=waiting.limit_seconds,
             is_late=waiting.is_return,
         )
         return placement if is_placed else None
--- a/src/fireflymux/observability/explain.py
+++ b/src/fireflymux/observability/explain.py
@@ -12,7 +12,14 @@
 _PLAIN_FIELDS = frozenset(('time', 'level', 'module', 'event', 'instance', 'request'))
 #: Events that concern single requests; all others change what a process believes.
 _REQUEST_EVENTS = frozenset(
-    ('request_placed', 'request_failed', 'request_denied', 'attempt_ended', 'caller_left')
+    (
+        'request_placed',
+        'request_failed',
+        'request_denied',
+        'request_not_placed',
+        'attempt_ended',
+        'caller_left',
+    )
 )
 
 
