--- /dev/null
+++ b/bench/reports.py
@@ -0,0 +1,101 @@
+"""Measures what reports between entry instances cost, by endpoints with work on them."""
+
+import random
+import time
+
+import attrs
+import msgspec
+import trio
+
+from fireflymux._messages_generated import PeerReport
+from fireflymux._settings_generated import EntrySettings
+from fireflymux.entry.peer_link import PeerLink, _decode_report
+from fireflymux.entry.state import EntryState
+
+_SIZES = (10, 100, 1000, 3700)
+_ACCOUNTS = 330
+_PLACEMENTS = 2
+_ROUNDS = 300
+
+
+def build_report(endpoints: int, *, has_usage: bool) -> PeerReport:
+    """Builds the report of a busy instance.
+
+    Args:
+        endpoints: Endpoints with requests of the instance on them.
+        has_usage: Whether it carries the usage of accounts.
+
+    Returns:
+        The report.
+    """
+    rng = random.Random(1)
+    loads = []
+    for _ in range(endpoints):
+        loads.extend((rng.getrandbits(32), rng.randrange(20000), rng.randrange(64)))
+    placements = [
+        [rng.getrandbits(32), *(number for _ in range(3) for number in (rng.getrandbits(32), 900))]
+        for _ in range(_PLACEMENTS)
+    ]
+    usage = {'account-{0}'.format(number): 1000.0 for number in range(_ACCOUNTS)}
+    return PeerReport(
+        instance='entry-1',
+        host='10.0.0.1',
+        failure_domain='a',
+        is_relayed=False,
+        config_version=7,
+        members_version=9,
+        loads=loads,
+        placements=placements,
+        refusals=[],
+        usage=usage if has_usage else None,
+        demand=usage if has_usage else None,
+        crashes=[] if has_usage else None,
+    )
+
+
+def measure(report: PeerReport, link: PeerLink) -> tuple[int, float, float]:
+    """Measures one kind of report.
+
+    Args:
+        report: The report.
+        link: Takes it.
+
+    Returns:
+        Bytes, and microseconds of processor time to encode it and to take it.
+    """
+    content = msgspec.msgpack.encode(attrs.astuple(report, recurse=False))
+    started = time.process_time()
+    for _ in range(_ROUNDS):
+        msgspec.msgpack.encode(attrs.astuple(report, recurse=False))
+    encoded = time.process_time()
+    for _ in range(_ROUNDS):
+        link._take(_decode_report(content))
+    taken = time.process_time()
+    return (
+        len(content),
+        (encoded - started) / _ROUNDS * 1e6,
+        (taken - encoded) / _ROUNDS * 1e6,
+    )
+
+
+async def main() -> None:
+    """Prints a row for each size."""
+    settings = EntrySettings(
+        name='entry-2',
+        failure_domain='b',
+        caller_address='127.0.0.1:1',
+        readiness_address='127.0.0.1:2',
+        peer_host='127.0.0.1',
+        peer_port=3,
+        store_address='127.0.0.1:4',
+    )
+    link = PeerLink(EntryState(settings, random.Random(1)))
+    print('endpoints  usage  bytes  us to encode  us to take')
+    for endpoints in _SIZES:
+        for has_usage in (False, True):
+            row = measure(build_report(endpoints, has_usage=has_usage), link)
+            print('{0:9} {1!s:>6} {2:6} {3:13.1f} {4:11.1f}'.format(endpoints, has_usage, *row))
+
+
+if __name__ == '__main__':
+    trio.run(main)
