Show the entry role in the demo

Cause: make demo showed routers and sidecars only. Change: two entry instances, an engine that cuts its streams and one that goes on, a charge, and a refusal with the time to come back, in one process on loopback.

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 
 demo: $(VENV)/.installed  ## Starts a small fleet, sends two calls as a caller would, stops it.
 	$(BIN)/python -m emulator.demo
+	$(BIN)/python -W ignore -m emulator.entry_demo
 
 test: $(VENV)/.installed  ## Runs every feature; closes with `N passed, N failed`.
 	$(BIN)/python tools/run_features.py
--- /dev/null
+++ b/emulator/entry_demo.py
@@ -0,0 +1,64 @@
+"""Shows the entry role: two instances, a store of rows, and endpoints without sidecars."""
+
+import sys
+
+import trio
+
+from .entry_fleet import EntryFleet, Reply, configuration, open_fleet, route
+
+
+_BACKENDS = (
+    ('engine-1', 'stylist', 'stream and cut'),
+    ('engine-2', 'stylist', 'stream'),
+    ('orders-1', 'orders', 'answer'),
+)
+
+
+def _show(title: str, reply: Reply) -> None:
+    print('== {0}: status {1}'.format(title, reply.status))
+    print(reply.content.decode().strip())
+
+
+async def _build(fleet: EntryFleet) -> None:
+    for name, service, behaviour in _BACKENDS:
+        await fleet.add_backend(name, service, behaviour)
+    routes = [
+        route('/chats/', 'streaming', 'stylist', stream_resume=True),
+        route('/charges/', 'unsafe', 'orders'),
+    ]
+    fleet.store.put('op', 'config', configuration(1, routes))
+    address = await fleet.start_store()
+    for number in range(2):
+        await fleet.add_instance(address)
+        await fleet.wait_ready(number)
+
+
+async def _play() -> bool:
+    async with open_fleet() as fleet:
+        await _build(fleet)
+        chats = [await fleet.call('/chats/1', number) for number in range(2)]
+        for number, chat in enumerate(chats):
+            _show('chat through entry-{0}, one engine cuts its streams'.format(number + 1), chat)
+        charge = await fleet.call('/charges/7', content=b'{"box": 7}')
+        _show('box charge', charge)
+        fleet.backends['orders-1'].behaviour = 'full'
+        refused = await fleet.call('/charges/8')
+        _show('box charge while the service is full', refused)
+        print('come back after {0} s'.format(refused.fields['retry-after']))
+        is_whole = all(chat.is_whole and chat.content == chats[0].content for chat in chats)
+        return is_whole and charge.status == 200 and refused.status == 503
+
+
+def main() -> int:
+    """Plays the demonstration.
+
+    Returns:
+        Exit code.
+    """
+    is_right = trio.run(_play)
+    print('right' if is_right else 'wrong')
+    return 0 if is_right else 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
