Forget instances that have been silent for long; drop idle connections after a pause

After a freeze idle connections to endpoints were used although the endpoints may have lost them. Ruled out: forgetting after the second in which reports count (links lose packets). Before: no bound. Rows of instances that died without a stop stay in the store: open.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -158,3 +158,8 @@
     Given the entry role as a process of its own
     When its file names other seeds and it gets SIGHUP, and then holds a mistake
     Then it says what it took over, what was wrong, and goes on
+
+  Scenario: An instance that has been silent for long is forgotten
+    Given two instances, one of which the store answers with "busy"
+    When one of them has not been heard for 61 seconds
+    Then the other one sends it nothing and keeps nothing of it
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -606,3 +606,25 @@
     assert state == 200, state
     assert '"taken":["seeds"],"need_restart":["retry_ratio"]' in lines, lines
     assert '"event":"settings_invalid"' in lines, lines
+
+
+@when('one of them has not been heard for {seconds:d} seconds')
+def fall_silent(context, seconds):
+    async def act(fleet):
+        link = fleet.instances[0]._peers
+        state = fleet.instances[0]._state
+        while not link._heard:
+            await trio.sleep(0.05)
+        (host,) = link._heard
+        state.shares.given.merge('entry-2', {'mothers': 9.0}, trio.current_time())
+        state.instances.clear()
+        link._heard[host] -= seconds
+        link.forget_gone()
+        return host in link.list_hosts(), state.shares.given.total('mothers', 0.0)
+
+    _play(context, act)
+
+
+@then('the other one sends it nothing and keeps nothing of it')
+def check_forgotten(context):
+    assert context.result == (False, 0.0), context.result
--- a/src/fireflymux/decisions/account_usage.py
+++ b/src/fireflymux/decisions/account_usage.py
@@ -46,6 +46,10 @@
         """
         self._others[instance] = (now, usage)
 
+    def forget(self, instance: str) -> None:
+        """Drops what another instance gave."""
+        self._others.pop(instance, None)
+
     def report(self, now: float) -> dict[str, float]:
         """Lists what this instance gave.
 
--- a/src/fireflymux/decisions/crash_counts.py
+++ b/src/fireflymux/decisions/crash_counts.py
@@ -42,6 +42,10 @@
         """
         self._others[instance] = counts
 
+    def forget(self, instance: str) -> None:
+        """Drops the counts of another instance."""
+        self._others.pop(instance, None)
+
     def report(self, now: float) -> dict[int, int]:
         """Lists this instance's own counts that may matter to others.
 
--- a/src/fireflymux/entry/instance.py
+++ b/src/fireflymux/entry/instance.py
@@ -129,12 +129,15 @@
             now = trio.current_time()
             if now - last > _FREEZE_SECONDS:
                 _log.warning('resumed_after_pause', seconds=round(now - last, 3))
+                # Endpoints may have closed or lost them meanwhile.
+                state.close_idle_connections()
             last = now
             before = len(state.members.list_endpoints())
             state.members.expire(now)
             if len(state.members.list_endpoints()) != before:
                 state.update_endpoints()
             state.loads.expire(now)
+            self._peers.forget_gone()
             self._exchanges.dispatch()
 
     def _is_stopping(self) -> bool:
--- a/src/fireflymux/entry/peer_link.py
+++ b/src/fireflymux/entry/peer_link.py
@@ -23,6 +23,8 @@
 _REPEAT_EVERY = 10
 _LOAD_FIELDS = 3
 _SILENT_SECONDS = 1.0
+#: Instances not heard for this long are forgotten.
+_FORGET_SECONDS = 60.0
 _REPORT_FIELDS = tuple(field.name for field in attrs.fields(PeerReport))
 #: Prompts named in one report; the rest follow with the next one.
 _MAXIMUM_PLACEMENTS = 40
@@ -67,6 +69,15 @@
         hosts.discard(state.settings.peer_host)
         return sorted(hosts)
 
+    def forget_gone(self) -> None:
+        """Forgets the instances that have been silent for long."""
+        now = trio.current_time()
+        gone = [host for host, heard in self._heard.items() if now - heard > _FORGET_SECONDS]
+        for host in gone:
+            self._heard.pop(host)
+            report = self.newest.pop(host)
+            self._state.forget_instance(report.instance)
+
     def is_heard(self, host: str) -> bool:
         """Tells whether a report of an instance came lately."""
         return trio.current_time() - self._heard.get(host, float('-inf')) < _SILENT_SECONDS
--- a/src/fireflymux/entry/state.py
+++ b/src/fireflymux/entry/state.py
@@ -186,6 +186,17 @@
             self._by_service.setdefault(live.endpoint.service, []).append(live)
         self.notify()
 
+    def forget_instance(self, name: str) -> None:
+        """Forgets what another instance reported."""
+        self.shares.given.forget(name)
+        self.shares.asked.forget(name)
+        self.crashes.forget(name)
+
+    def close_idle_connections(self) -> None:
+        """Closes the connections to endpoints that carry no request."""
+        for live in self._endpoints.values():
+            live.pool.close()
+
     def find_endpoint(self, number: int) -> LiveEndpoint | None:
         """Finds an endpoint by its number."""
         return self._endpoints.get(number)
