Give accounts their shares before any priority counts

Ruled out: dropping the room for urgent requests whole, since the played load of urgent requests beside bulk work of the same accounts then fails. Change: an account's requests yield only to more urgent ones of the same account. Between accounts, those within their share go first, and of these the more urgent; whoever waits beyond its share does not hold others up. Test: "Priorities take no account's share", red before (8 of 32 in a second for the bulk account).

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -88,6 +88,10 @@
     When an engine is asked for three times what it gives, a twelfth of it urgent
     Then nine tenths of the urgent requests are on time, and both accounts get the same
 
+  Scenario: Priorities take no account's share
+    When an urgent and a bulk account each ask for all that an engine gives
+    Then in any 6 seconds the bulk account gets at least half of what the urgent one got
+
   Scenario: Two instances of each failure domain follow the store, and somebody always does
     When instances of any failure domains hear any of the others, some of them turned away
     Then of those that all hear each other two of each failure domain follow, else some do
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -277,11 +277,23 @@
         asked: Requests by sender, returns not counted.
         on_time: Requests placed in time by sender.
         idle: Seconds that the engine had nothing to read.
+        by_second: Requests placed in time by sender, for each second.
     """
 
     asked: dict[str, int]
     on_time: dict[str, int]
     idle: float
+    by_second: dict[str, list[int]]
+
+    def least_ratio(self, sender, other, seconds):
+        """Returns how much less a sender got than another in the worst of all windows."""
+        pairs = zip(self.by_second[sender], self.by_second[other], strict=True)
+        columns = list(pairs)
+        windows = [columns[first : first + seconds] for first in range(len(columns) - seconds + 1)]
+        return min(
+            sum(own for own, _ in window) / max(sum(more for _, more in window), 1)
+            for window in windows
+        )
 
 
 def _work_off(engine, tokens):
@@ -307,7 +319,12 @@
     shares = FairShares(4.0)
     queue = WaitingRequests()
     engine = []
-    played = _Played(dict.fromkeys(intervals, 0), dict.fromkeys(intervals, 0), 0.0)
+    played = _Played(
+        asked=dict.fromkeys(intervals, 0),
+        on_time=dict.fromkeys(intervals, 0),
+        idle=0.0,
+        by_second={sender: [0] * 20 for sender in intervals},
+    )
     returning = []
     waiting_now = []
     step = 0.005
@@ -354,11 +371,16 @@
             shares.charge(waiting.account, 2000, now)
             return placement
 
-        queue.place(choose, lambda account, now=now: shares.usage_of(account, now))
+        queue.place(
+            choose,
+            usage=lambda account, now=now: shares.usage_of(account, now),
+            is_over=lambda account, now=now: shares.is_over(account, now),
+        )
         for entry in list(waiting_now):
             waiting, sender, is_return = entry
             if waiting.placement is not None:
                 played.on_time[sender] += not is_return
+                played.by_second[sender][int(now)] += not is_return
                 waiting_now.remove(entry)
             elif now - waiting.arrived_at > 0.1:
                 queue.discard(waiting)
@@ -422,6 +444,19 @@
     assert played.idle <= 0.2, played
 
 
+@when('an urgent and a bulk account each ask for all that an engine gives')
+def play_ranked_accounts(context):
+    context.played = _play_load({'urgent': 0.025, 'bulk': 0.025}, priorities={'bulk': 1})
+
+
+@then('in any {seconds:d} seconds the bulk account gets at least half of what the urgent one got')
+def check_ranked_accounts(context, seconds):
+    played = context.played
+    assert played.least_ratio('bulk', 'urgent', seconds) >= 0.5, played
+    assert played.least_ratio('urgent', 'bulk', seconds) >= 0.5, played
+    assert played.idle <= 0.2, played
+
+
 @when('endpoints of a service fail at any rates')
 def eject(context):
     @_FIXED
--- a/src/fireflymux/decisions/placing_policy.py
+++ b/src/fireflymux/decisions/placing_policy.py
@@ -13,8 +13,8 @@
             after the instances have heard of it.
         target_part: Part of the target latency by which the first event is to come.
         over_share_part: The same for accounts that were given their share already.
-        yield_ratio: What is left of these parts while more urgent requests come, so that room
-            is left for those.
+        yield_ratio: What is left of these parts while the same account sends more urgent
+            requests, so that room is left for those.
         size_part: Part of a prompt's own reading that does not count against its target, so
             that long prompts are not the first to be refused.
         patience_part: Part of the target latency after which a request is refused.
@@ -44,7 +44,7 @@
         """Returns the part of its target latency by which a first event is to come.
 
         Args:
-            yields: Whether more urgent requests come.
+            yields: Whether the account sends more urgent requests.
             is_over: Whether the account was given its share already.
         """
         part = self.over_share_part if is_over else self.target_part
--- a/src/fireflymux/decisions/waiting.py
+++ b/src/fireflymux/decisions/waiting.py
@@ -1,11 +1,10 @@
 """Requests that wait for an endpoint, and the order in which they are placed."""
 
-from collections import deque
+from bisect import insort
 from collections.abc import Callable, Iterator
 
 import attrs
 
-from .account_choice import choose_account
 from .engine_choice import Placement
 from .prompts import PromptPart
 
@@ -33,7 +32,7 @@
         predicted_seconds: Least predicted time to the first event, when it was last looked at.
         limit_seconds: Time by which that had to come.
         placement: Where it goes; None while it waits.
-        yields: Whether more urgent requests came lately.
+        yields: Whether its account sent more urgent requests lately.
         gives_up_at: Time from which it must not be placed any more, in seconds.
     """
 
@@ -59,134 +58,119 @@
         return self.prompt_tokens + 2 * self.output_tokens
 
 
-@attrs.define
-class _Rank:
-    """Waiting requests of one priority.
-
-    Attributes:
-        accounts: Requests that can still be on time, by account.
-        returns: Requests that came back after a refusal.
-    """
-
-    accounts: dict[str, deque[Waiting]] = attrs.field(factory=dict)
-    returns: deque[Waiting] = attrs.field(factory=deque)
-
-
 class WaitingRequests:
-    """Requests by priority, then by account; the account that was given least goes first.
+    """Requests by account; accounts within their share go first, the more urgent before others.
 
     Answers bursts of one account: its requests wait behind those of accounts that were given
     less, and no place stays free while any request fits it. Answers bulk work beside urgent
-    requests as well: nothing is placed while something more urgent waits. Requests that come
-    back follow when none of the others fits.
+    requests as well: of one account nothing is placed while something more urgent of it waits,
+    and accounts whose requests are more urgent go first until they were given their share.
+    Requests that come back follow when none of the others fits.
     """
 
     def __init__(self) -> None:
         """Starts empty."""
-        self._ranks: dict[int, _Rank] = {}
-        self._seen: dict[int, float] = {}
-        self._count = 0
+        self._accounts: dict[str, list[Waiting]] = {}
+        self._returns: list[Waiting] = []
+        self._seen: dict[str, dict[int, float]] = {}
 
     def __len__(self) -> int:
         """Returns the number of waiting requests."""
-        return self._count
+        return sum(map(len, self._accounts.values())) + len(self._returns)
 
-    def goes_before(self, waiting: Waiting) -> bool:
+    def goes_before(self, waiting: Waiting, *, is_over: Callable[[str], bool]) -> bool:
         """Tells whether a request waits already that must be placed before a new one.
 
         Args:
             waiting: The new request.
+            is_over: Tells whether an account was given its share.
 
         Returns:
-            Whether one can still be on time that is more urgent, or that did not come back
-            while the new one does.
+            Whether one can still be on time while the new one came back, or is more urgent and
+            of the same account, or of one that was not given its share yet.
         """
+        if waiting.is_return:
+            return bool(self._accounts)
         return any(
-            rank.accounts and (waiting.is_return or priority < waiting.priority)
-            for priority, rank in self._ranks.items()
+            queue[0].priority < waiting.priority
+            and (account == waiting.account or not is_over(account))
+            for account, queue in self._accounts.items()
         )
 
     def note_urgency(self, waiting: Waiting, now: float) -> None:
-        """Notes that a request came, and whether more urgent ones came lately.
+        """Notes that a request came, and whether its account sent more urgent ones lately.
 
         Args:
             waiting: The request; `yields` is set.
             now: Time in seconds.
         """
-        self._seen[waiting.priority] = now
+        seen = self._seen.setdefault(waiting.account, {})
+        seen[waiting.priority] = now
         waiting.yields = any(
-            priority < waiting.priority and now - seen < _URGENT_SECONDS
-            for priority, seen in self._seen.items()
+            priority < waiting.priority and now - last < _URGENT_SECONDS
+            for priority, last in seen.items()
         )
 
     def add(self, waiting: Waiting) -> None:
-        """Adds a request behind the others of its account."""
-        self._queue_of(waiting).append(waiting)
-        self._count += 1
+        """Adds a request behind those of its account that are as urgent."""
+        queue = self._returns
+        if not waiting.is_return:
+            queue = self._accounts.setdefault(waiting.account, [])
+        insort(queue, waiting, key=_get_priority)
 
     def discard(self, waiting: Waiting) -> None:
         """Removes a request, if it still waits."""
-        queue = self._queue_of(waiting)
+        if waiting.is_return:
+            if waiting in self._returns:
+                self._returns.remove(waiting)
+            return
+        queue = self._accounts.get(waiting.account, [])
         if waiting in queue:
             queue.remove(waiting)
-            self._count -= 1
-        if not (queue or waiting.is_return):
-            self._ranks[waiting.priority].accounts.pop(waiting.account, None)
+        if not queue:
+            self._accounts.pop(waiting.account, None)
 
     def place(
         self,
         choose: Callable[[Waiting], Placement | None],
+        *,
         usage: Callable[[str], float],
+        is_over: Callable[[str], bool],
     ) -> list[Waiting]:
         """Places requests until none fits.
 
         Args:
             choose: Chooses an endpoint and takes its place, or returns None.
             usage: Returns what an account was given lately.
+            is_over: Tells whether that is its share already.
 
         Returns:
             The placed requests.
         """
-        placed: list[Waiting] = []
-        tried: list[_Rank] = []
-        for priority in sorted(self._ranks):
-            rank = self._ranks[priority]
-            tried.append(rank)
-            placed.extend(self._place_accounts(rank.accounts, choose, usage))
-            # A newer but less urgent request would fit, since it has waited for less.
-            if rank.accounts:
-                break
-        for rank in tried:
-            placed.extend(self._place_all(rank.returns, choose))
-        return placed
 
-    def _queue_of(self, waiting: Waiting) -> deque[Waiting]:
-        rank = self._ranks.get(waiting.priority)
-        if rank is None:
-            rank = _Rank()
-            self._ranks[waiting.priority] = rank
-        if waiting.is_return:
-            return rank.returns
-        return rank.accounts.setdefault(waiting.account, deque())
+        def rank(account: str) -> tuple[bool, int, float]:
+            return is_over(account), self._accounts[account][0].priority, usage(account)
+
+        placed = list(self._place_accounts(choose, rank))
+        placed.extend(self._place_all(self._returns, choose))
+        return placed
 
     def _place_accounts(
         self,
-        accounts: dict[str, deque[Waiting]],
         choose: Callable[[Waiting], Placement | None],
-        usage: Callable[[str], float],
+        rank: Callable[[str], tuple[bool, int, float]],
     ) -> Iterator[Waiting]:
         stuck: set[str] = set()
-        while len(stuck) < len(accounts):
-            ready = [account for account in accounts if account not in stuck]
-            account = choose_account(ready, usage) or ''
-            waiting = self._place_first(accounts[account], choose)
+        while len(stuck) < len(self._accounts):
+            account = min(set(self._accounts) - stuck, key=rank)
+            waiting = self._place_first(self._accounts[account], choose)
             if waiting is None:
                 stuck.add(account)
                 continue
             yield waiting
 
     def _place_all(
-        self, queue: deque[Waiting], choose: Callable[[Waiting], Placement | None]
+        self, queue: list[Waiting], choose: Callable[[Waiting], Placement | None]
     ) -> Iterator[Waiting]:
         waiting = self._place_first(queue, choose)
         while waiting is not None:
@@ -195,12 +179,19 @@
 
     def _place_first(
         self,
-        queue: deque[Waiting],
+        queue: list[Waiting],
         choose: Callable[[Waiting], Placement | None],
     ) -> Waiting | None:
-        for waiting in list(queue)[:_LOOK_AHEAD]:
+        for waiting in queue[:_LOOK_AHEAD]:
+            # A newer but less urgent request would fit, since it has waited for less.
+            if waiting.priority > queue[0].priority:
+                return None
             waiting.placement = choose(waiting)
             if waiting.placement is not None:
                 self.discard(waiting)
                 return waiting
         return None
+
+
+def _get_priority(waiting: Waiting) -> int:
+    return waiting.priority
--- a/src/fireflymux/entry/service_queue.py
+++ b/src/fireflymux/entry/service_queue.py
@@ -47,9 +47,10 @@
             Whether it was placed.
         """
         waiting.gives_up_at = until
-        self._waiting.note_urgency(waiting, trio.current_time())
+        now = trio.current_time()
+        self._waiting.note_urgency(waiting, now)
         # What waits already fitted nowhere a moment ago: only the new request is tried.
-        if not self._waiting.goes_before(waiting):
+        if not self._waiting.goes_before(waiting, is_over=self._is_over_at(now)):
             waiting.placement = self._take_place(waiting)
         if waiting.placement is not None:
             return True
@@ -78,12 +79,17 @@
             return
         self._next_dispatch = now + _DISPATCH_SECONDS
         placed = self._waiting.place(
-            self._take_place, lambda account: self._state.shares.usage_of(account, now)
+            self._take_place,
+            usage=lambda account: self._state.shares.usage_of(account, now),
+            is_over=self._is_over_at(now),
         )
         for waiting in placed:
             if waiting.on_placed is not None:
                 waiting.on_placed()
 
+    def _is_over_at(self, now: float) -> Callable[[str], bool]:
+        return lambda account: self._state.shares.is_over(account, now)
+
     def _take_place(self, waiting: Waiting) -> Placement | None:
         now = trio.current_time()
         # After a pause of the process this can run before the timeout of the request does.
