--- a/bench/reports.py
+++ b/bench/reports.py
@@ -47,6 +47,7 @@
         instance='entry-1',
         config_version=7,
         is_whole=has_usage,
+        members_era=0,
         members_version=9,
         store_age_milliseconds=100,
         loads=loads,
@@ -55,6 +56,7 @@
         usage=usage if has_usage else None,
         demand=usage if has_usage else None,
         crashes=[] if has_usage else None,
+        leaving=[] if has_usage else None,
     )
 
 
--- a/emulator/backend.py
+++ b/emulator/backend.py
@@ -12,6 +12,7 @@
 _EVENT_SECONDS = 0.02
 #: Longer than routes call on time, shorter than callers wait.
 _SOUND_PAUSE_SECONDS = 1.2
+_MISDIRECTED = ('misdirected', 'misdirected and leaving')
 
 
 class Backend:
@@ -22,11 +23,15 @@
         behaviour: What it does with a request: a key of `_BEHAVIOURS`.
         requests: Requests that it ran.
         left: Attempts whose connection ended while it worked on them.
+        rest: What it states in `Retry-After` when it is full.
+        turned_away: Requests that it did not run.
     """
 
     def __init__(self, name: str, behaviour: str = 'answer') -> None:
         self.name = name
         self.behaviour = behaviour
+        self.rest = ''
+        self.turned_away = 0
         self.requests: list[Request] = []
         self.left: list[bytes] = []
 
@@ -34,18 +39,25 @@
         """Answers one request."""
         attempt = find_field(request.fields, b'x-attempt-id')
         expected = find_field(request.fields, b'x-expect-instance')
-        if expected != self.name.encode() or self.behaviour == 'misdirected':
-            await writer.answer(421, [(b'X-Attempt-Id', attempt)], b'')
+        if expected != self.name.encode() or self.behaviour in _MISDIRECTED:
+            self.turned_away += 1
+            fields = [(b'X-Attempt-Id', attempt)]
+            if self.behaviour == 'misdirected and leaving':
+                fields.append((b'Server-Leaving', b'1'))
+            await writer.answer(421, fields, b'')
             return
         if self.behaviour == 'full':
+            self.turned_away += 1
             fields = [(b'X-Attempt-Id', attempt), (b'X-Not-Executed', b'1')]
+            if self.rest:
+                fields.append((b'Retry-After', self.rest.encode()))
             await writer.answer(503, fields, b'')
             return
         self.requests.append(request)
         fields = [(b'X-Attempt-Id', attempt), (b'X-Server-Signature', self.name.encode())]
         try:
             await _BEHAVIOURS[self.behaviour](request, writer, fields)
-        except trio.Cancelled:
+        except BaseException:
             self.left.append(attempt)
             raise
 
@@ -58,6 +70,10 @@
     await writer.answer(200, fields, _content_of(fields))
 
 
+async def _answer_and_leave(request: Request, writer: AnswerWriter, fields: Fields) -> None:
+    await writer.answer(200, [*fields, (b'Server-Leaving', b'1')], _content_of(fields))
+
+
 async def _fail(request: Request, writer: AnswerWriter, fields: Fields) -> None:
     await writer.answer(500, fields, b'failed')
 
@@ -153,9 +169,80 @@
     await writer.end()
 
 
+def _endlessly(
+    begin: Callable[[Fields], bytes], again: bytes
+) -> Callable[[Request, AnswerWriter, Fields], Any]:
+    """Returns a behaviour that sends a beginning, and then the same bytes until it is closed."""
+
+    async def behave(request: Request, writer: AnswerWriter, fields: Fields) -> None:
+        await writer.send(begin(fields))
+        while True:
+            await writer.send(again)
+
+    return behave
+
+
+def _head(fields: Fields, more: bytes) -> bytes:
+    lines = b''.join(b'%b: %b\r\n' % field for field in fields)
+    return b'HTTP/1.1 200 OK\r\n' + lines + more
+
+
+def _whole(fields: Fields) -> bytes:
+    content = _content_of(fields)
+    return _head(fields, b'Content-Length: %d\r\n\r\n' % len(content)) + content
+
+
+_PIECE = b'x' * 8192
+_CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
+_STRAY = b'HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 8192\r\n\r\n' + _PIECE
+
+
+async def _answer_and_rave(request: Request, writer: AnswerWriter, fields: Fields) -> None:
+    await writer.answer(200, fields, _content_of(fields))
+    # The connection is idle by then.
+    await trio.sleep(0.1)
+    while True:
+        await writer.send(_PIECE)
+
+
+_ENDLESS = MappingProxyType(
+    {
+        'noise without end': _endlessly(lambda _: b'', _PIECE),
+        'a field without end': _endlessly(lambda fields: _head(fields, b'X-Long: '), _PIECE),
+        'fields without end': _endlessly(lambda fields: _head(fields, b''), b'X-A: b\r\n' * 999),
+        'interim answers without end': _endlessly(
+            lambda _: b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 400
+        ),
+        'answers to others without end': _endlessly(lambda _: b'', _STRAY),
+        'a body without end': _endlessly(lambda fields: _head(fields, b'\r\n'), _PIECE),
+        'chunks without end': _endlessly(
+            lambda fields: _head(fields, _CHUNKED), b'2000\r\n' + _PIECE + b'\r\n'
+        ),
+        'a chunk size without end': _endlessly(
+            lambda fields: _head(fields, _CHUNKED), b'0' * 8192
+        ),
+        'a chunk extension without end': _endlessly(
+            lambda fields: _head(fields, _CHUNKED + b'1;'), _PIECE
+        ),
+        'trailers without end': _endlessly(
+            lambda fields: _head(fields, _CHUNKED + b'1\r\nx\r\n0\r\n'), b'X-A: b\r\n' * 999
+        ),
+        'a length beyond all bounds': _endlessly(
+            lambda fields: _head(fields, b'Content-Length: 99999999999\r\n\r\n'), _PIECE
+        ),
+        'an answer and then bytes without end': _endlessly(_whole, _PIECE),
+        'an answer, a pause and bytes without end': _answer_and_rave,
+        'an event without end': _endlessly(
+            lambda fields: _head(fields, b'\r\nid: 0\ndata: piece 0\n\ndata: '), _PIECE
+        ),
+    }
+)
+
+
 _BEHAVIOURS: Mapping[str, Callable[[Request, AnswerWriter, Fields], Any]] = MappingProxyType(
     {
         'answer': _answer,
+        'answer and leave': _answer_and_leave,
         'fail': _fail,
         'break off': _break_off,
         'hang': _hang,
@@ -170,5 +257,6 @@
         'stream slowly': _stream_slowly,
         'stream and trickle': _trickle,
         'stream with pauses': _stream_with_pauses,
+        **_ENDLESS,
     }
 )
--- a/emulator/row_store.py
+++ b/emulator/row_store.py
@@ -1,6 +1,7 @@
 """Stand-in of the users' store: rows of tables, followed as they change, with outages."""
 
 import base64
+import copy
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -8,7 +9,7 @@
 import trio
 
 from fireflymux.http.answer_writer import AnswerWriter
-from fireflymux.http.messages import Request
+from fireflymux.http.messages import Fields, Request
 
 _OK = 200
 _GONE = 410
@@ -20,11 +21,13 @@
 
     Attributes:
         version: Version of the newest change.
+        era: How often it came back from a copy; stated in every answer.
         calls: Calls answered so far.
     """
 
     def __init__(self) -> None:
         self.version = 1
+        self.era = 0
         self.calls = 0
         self._rows: dict[str, dict[str, tuple[bytes, int]]] = {}
         self._changes: list[tuple[str, str, bytes | None, int]] = []
@@ -50,6 +53,19 @@
         self._oldest = self.version
         self._wake()
 
+    def take_copy(self) -> tuple[int, dict]:
+        """Returns a copy of all tables for `go_back`."""
+        return self.version, copy.deepcopy(self._rows)
+
+    def go_back(self, taken: tuple[int, dict]) -> None:
+        """Comes back from a copy: what was written since is gone, and numbers go back."""
+        version, rows = copy.deepcopy(taken)
+        self.version = version
+        self._rows = rows
+        self.era += 1
+        self._changes = [change for change in self._changes if change[-1] <= self.version]
+        self._wake()
+
     def keys(self, table: str) -> list[str]:
         """Lists the keys of a table."""
         return sorted(self._rows.get(table, {}))
@@ -69,7 +85,7 @@
             writer.abort()
             return
         if outage == 'busy':
-            await writer.answer(_BUSY, (), b'')
+            await writer.answer(_BUSY, self._fields(), b'')
             return
         query = {name: texts[0] for name, texts in parse_qs(request.query.decode()).items()}
         name = request.path.rpartition(b'/')[2]
@@ -80,7 +96,10 @@
         else:
             answer = await self._follow(query)
         status = _GONE if answer is None else _OK
-        await writer.answer(status, (), orjson.dumps(answer or {}))
+        await writer.answer(status, self._fields(), orjson.dumps(answer or {}))
+
+    def _fields(self) -> Fields:
+        return [(b'Store-Era', b'%d' % self.era)]
 
     def _write(self, change: dict[str, Any]) -> dict[str, Any]:
         for row in change['writes']:
@@ -98,14 +117,20 @@
 
     async def _follow(self, query: dict[str, str]) -> dict[str, Any] | None:
         after = int(query['after'])
+        era = self.era
         with trio.move_on_after(int(query['wait_ms']) / 1000):
-            while after >= self._oldest and not self._since(query['table'], after):
+            while self._has(after) and not self._since(query['table'], after):
                 await self._changed.wait()
-        if after < self._oldest:
+                if self.era != era:
+                    break
+        if self.era != era or not self._has(after):
             return None
         rows = self._since(query['table'], after)
         return {'rows': rows, 'ver': self.version, 'now_ms': 0}
 
+    def _has(self, version: int) -> bool:
+        return self._oldest <= version <= self.version
+
     def _since(self, table: str, after: int) -> list[dict[str, Any]]:
         return [
             _encode(table, key, raw, version)
--- a/emulator/variants.py
+++ b/emulator/variants.py
@@ -18,11 +18,21 @@
     crash_registry,
     endpoint_health,
     limits,
+    membership,
     retry,
     routes,
 )
 from fireflymux.decisions.account_shares import AccountShares, Charge
-from fireflymux.entry import exchange, report_datagrams, state, store_follower
+from fireflymux.entry import (
+    attempt,
+    event_relay,
+    exchange,
+    report_datagrams,
+    state,
+    store_follower,
+)
+from fireflymux.http import client_connection, connection_pool
+from fireflymux.platform import store
 from fireflymux.router import router, run_client
 from fireflymux.sidecar import claims, engine_orders, grants, sidecar
 from fireflymux.store import config_reader, configuration
@@ -230,6 +240,37 @@
     store_follower.decode_endpoint = decode
 
 
+def forget_departures() -> None:
+    """Takes endpoints for ready again as soon as the store shows them so."""
+    membership.Membership.is_leaving = lambda _members, _number: False
+    membership._LAPSE_SECONDS = 0.0
+
+
+def no_wishes() -> None:
+    """Passes over what endpoints say of the work that they want."""
+    attempt.note_wishes = lambda _state, _live, _terms: None
+
+
+def no_last_look() -> None:
+    """Sends what was placed, whatever the endpoint said since."""
+    state.LiveEndpoint.takes_work = lambda live, _now: not live.endpoint.is_leaving
+
+
+def no_bounds() -> None:
+    """Reads from endpoints without a bound on the bytes."""
+    client_connection._MAXIMUM_FRAMING_BYTES = float('inf')
+    event_relay._MAXIMUM_EVENT_BYTES = float('inf')
+    attempt._MAXIMUM_UNSTATED_BYTES = float('inf')
+    attempt._MAXIMUM_SKIPPED = 10**9
+    attempt._MAXIMUM_SKIPPED_BYTES = 10**12
+    connection_pool.ConnectionPool.close_unusable = lambda _pool: None
+
+
+def no_era() -> None:
+    """Takes the numbers of the store's versions as if they never went back."""
+    store.StoreClient._read_era = lambda _client, _head: 0
+
+
 def first_configuration() -> None:
     """Keeps the first version of the configuration."""
     original = state.EntryState.apply_configuration
@@ -292,6 +333,11 @@
             repeat_anything,
             forget_leaving,
             first_configuration,
+            forget_departures,
+            no_wishes,
+            no_last_look,
+            no_bounds,
+            no_era,
             no_stall,
             no_generation,
             any_report,
--- /dev/null
+++ b/features/steps/endpoint_wishes_steps.py
@@ -0,0 +1,163 @@
+"""Steps of endpoints that say that they leave, or that they want no work for a while."""
+
+import trio
+from behave import then, when
+
+from features.steps.entry_steps import _count_calls, _play
+from features.steps.store_copy_steps import _find_used
+
+
+def _live(fleet, name, number=0):
+    state = fleet.instances[number]._state
+    return next(live for live in state._endpoints.values() if live.endpoint.identifier == name)
+
+
+@when('the one that is used says in an answer that it leaves, and the store says nothing of it')
+def say_leaving(context):
+    async def act(fleet):
+        last = len(fleet.instances) - 1
+        used = await _find_used(fleet, last)
+        for name, backend in fleet.backends.items():
+            backend.behaviour = 'answer and leave' if name == used else 'full'
+        reply = await fleet.call('/a')
+        for backend in fleet.backends.values():
+            backend.behaviour = 'answer'
+        await trio.sleep(0.5)
+        return used, reply, await _count_calls(fleet), await _count_calls(fleet, number=last)
+
+    _play(context, act)
+
+
+@then('it gets nothing more, the other one answers, and callers do not see the field')
+def check_left(context):
+    used, reply, (statuses, runs), _ = context.result
+    assert reply.status == 200 and reply.content.decode().endswith(used), reply
+    assert 'server-leaving' not in reply.fields, reply
+    assert set(statuses) == {200} and not runs[used], (used, runs)
+
+
+@then('the other instance does not use it either')
+def check_told(context):
+    used, _, _, (statuses, runs) = context.result
+    assert set(statuses) == {200} and not runs[used], (used, runs)
+
+
+@when('another endpoint at the address of one says that it leaves')
+def say_misdirected(context):
+    async def act(fleet):
+        used = await _find_used(fleet)
+        backend = fleet.backends[used]
+        backend.behaviour = 'misdirected and leaving'
+        await fleet.call('/a')
+        return _live(fleet, used).endpoint.is_leaving, backend.turned_away
+
+    _play(context, act)
+
+
+@then('that one is not taken for leaving')
+def check_not_leaving(context):
+    is_leaving, turned_away = context.result
+    assert turned_away, turned_away
+    assert not is_leaving
+
+
+@when('the one that is used turns a request away for {seconds:g} s, and callers go on')
+def rest_one(context, seconds):
+    async def act(fleet):
+        used = await _find_used(fleet)
+        backend = fleet.backends[used]
+        backend.rest = str(seconds)
+        backend.behaviour = 'full'
+        statuses = [(await fleet.call('/a')).status]
+        backend.behaviour = 'answer'
+        backend.requests.clear()
+        rested_until = trio.current_time() + seconds
+        while trio.current_time() < rested_until - 0.05:
+            statuses.append((await fleet.call('/a')).status)
+        meanwhile = len(backend.requests)
+        await trio.sleep(0.2)
+        other = next(name for name in fleet.backends if name != used)
+        fleet.change_endpoint(other, state='draining')
+        await trio.sleep(0.3)
+        statuses.append((await fleet.call('/a')).status)
+        return statuses, meanwhile, len(backend.requests)
+
+    _play(context, act)
+
+
+@then('it gets nothing for 0.8 s and requests after that, and all are answered')
+def check_rested(context):
+    statuses, meanwhile, after = context.result
+    assert set(statuses) == {200}, statuses
+    assert meanwhile == 0, meanwhile
+    assert after == 1, after
+
+
+@when('both turn requests away for {seconds:g} s, and callers go on')
+def rest_all(context, seconds):
+    async def act(fleet):
+        for backend in fleet.backends.values():
+            backend.rest = str(seconds)
+            backend.behaviour = 'full'
+        first = await fleet.call('/a')
+        turned_away = sum(backend.turned_away for backend in fleet.backends.values())
+        started = trio.current_time()
+        refused = await fleet.call('/a')
+        took = trio.current_time() - started
+        turned_away -= sum(backend.turned_away for backend in fleet.backends.values())
+        return first, refused, took, turned_away
+
+    _play(context, act)
+
+
+@then('they are refused as not run within 50 ms, with the time at which the first one is back')
+def check_refused(context):
+    first, refused, took, turned_away = context.result
+    assert first.status == 503, first
+    assert refused.status == 503, refused
+    assert 1.2 < float(refused.fields['retry-after']) <= 1.5, refused
+    assert took <= 0.05, took
+    assert turned_away == 0, turned_away
+
+
+@when('the one that is used turns a request away for "{stated}"')
+def rest_oddly(context, stated):
+    async def act(fleet):
+        used = await _find_used(fleet)
+        backend = fleet.backends[used]
+        backend.rest = stated
+        backend.behaviour = 'full'
+        before = trio.current_time()
+        await fleet.call('/a')
+        return max(_live(fleet, used).record.rests_until - before, 0)
+
+    _play(context, act)
+
+
+@then('it rests for {seconds:g} s')
+def check_rest(context, seconds):
+    assert seconds <= context.result <= seconds + 0.2, context.result
+
+
+@when('an endpoint asks for a rest while a connection to it is being opened')
+def rest_meanwhile(context):
+    async def act(fleet):
+        used = await _find_used(fleet)
+        live = _live(fleet, used)
+        original = live.pool.take
+
+        async def take():
+            live.record.rest(trio.current_time() + 2.0)
+            return await original()
+
+        live.pool.take = take
+        fleet.backends[used].requests.clear()
+        reply = await fleet.call('/a')
+        return reply.status, len(fleet.backends[used].requests)
+
+    _play(context, act)
+
+
+@then('the request is answered by the other one')
+def check_elsewhere(context):
+    assert context.result == (200, 0), context.result
--- /dev/null
+++ b/features/steps/store_copy_steps.py
@@ -0,0 +1,176 @@
+"""Steps of a store that comes back from a copy."""
+
+import trio
+from behave import then, when
+
+from emulator.entry_fleet import configuration, open_fleet, route
+from fireflymux.decisions.membership import Endpoint, Membership
+from fireflymux.platform.store import StoreClient, StoreUnavailable
+
+from features.steps.entry_steps import _count_calls, _play
+
+_NEW_KEY = 'new-key'
+_TABLE = 'fireflymux-instances'
+
+
+def _write_elsewhere(fleet, changes):
+    for number in range(changes):
+        fleet.store.put('other', 'row', {'number': number})
+
+
+async def _find_used(fleet, number=0):
+    """Returns the endpoint that gets calls made one by one."""
+    _, runs = await _count_calls(fleet, 1, number)
+    return max(runs, key=runs.get)
+
+
+@when('one of them drains and the store comes back from a copy of before')
+def drain_before(context):
+    async def act(fleet):
+        used = await _find_used(fleet)
+        taken = fleet.store.take_copy()
+        fleet.change_endpoint(used, state='draining')
+        await trio.sleep(0.3)
+        fleet.store.go_back(taken)
+        await trio.sleep(1.0)
+        return used, await _count_calls(fleet)
+
+    _play(context, act)
+
+
+@when(
+    'the store comes back from a copy {changes:d} changes old, and an endpoint and a key are new'
+)
+def change_after(context, changes):
+    async def act(fleet):
+        taken = fleet.store.take_copy()
+        _write_elsewhere(fleet, changes)
+        if changes:
+            # The instance follows both tables up to here.
+            fleet.change_endpoint('e0', sequence=3)
+        await trio.sleep(0.3)
+        fleet.store.go_back(taken)
+        # The numbers have caught up before the instance asks again.
+        await fleet.add_backend('e2', 'pool')
+        for name in ('e0', 'e1'):
+            fleet.change_endpoint(name, state='draining')
+        accounts = [{'name': 'mothers', 'api_keys': [_NEW_KEY], 'priority': 1}]
+        routes = [route('/', 'safe', 'pool')]
+        fleet.store.put('op', 'config', configuration(9, routes, tenants=accounts))
+        await trio.sleep(1.0)
+        reply = await fleet.call('/a', key=_NEW_KEY)
+        return reply.status, len(fleet.backends['e2'].requests)
+
+    _play(context, act)
+
+
+@then('the new endpoint and the new key are used within a second')
+def check_changed(context):
+    assert context.result == (200, 1), context.result
+
+
+@when('the store comes back from a copy {changes:d} changes old and one endpoint drains')
+def drain_after(context, changes):
+    async def act(fleet):
+        used = await _find_used(fleet, 1)
+        taken = fleet.store.take_copy()
+        _write_elsewhere(fleet, changes)
+        fleet.change_endpoint(used, sequence=3)
+        await trio.sleep(0.5)
+        fleet.store.go_back(taken)
+        await trio.sleep(0.5)
+        fleet.change_endpoint(used, state='draining')
+        await trio.sleep(1.5)
+        return used, await _count_calls(fleet, number=1)
+
+    _play(context, act)
+
+
+@then('the endpoint that drained gets nothing more, and the other one answers')
+def check_drained(context):
+    used, (statuses, runs) = context.result
+    assert set(statuses) == {200}, statuses
+    assert not runs[used], runs
+
+
+@when('the store comes back from a copy of before the instance registered')
+def lose_row(context):
+    async def act(fleet):
+        number, rows = fleet.store.take_copy()
+        rows.pop(_TABLE)
+        fleet.store.go_back((number, rows))
+        with trio.move_on_after(1.0):
+            while not fleet.store.keys(_TABLE):
+                await trio.sleep(0.05)
+        return fleet.store.keys(_TABLE)
+
+    _play(context, act)
+
+
+@then('it is registered again within a second')
+def check_registered(context):
+    assert context.result == ['entry-1'], context.result
+
+
+def _endpoint(identifier):
+    return Endpoint(
+        identifier=identifier,
+        service='pool',
+        host='127.0.0.1',
+        port=1,
+        failure_domain='a',
+        slots=8,
+        is_leaving=False,
+        incarnation=7,
+    )
+
+
+@when('an endpoint vanished, and the list of a new era shows it again')
+def show_again(context):
+    gone, kept = _endpoint('e0'), _endpoint('e1')
+
+    def play(*, is_anew):
+        members = Membership()
+        members.replace([gone, kept], 0.0, era=0)
+        members.remove('e0', 1.0)
+        members.replace([gone, kept], 2.0, era=1)
+        if is_anew:
+            members.put(gone, 3.0)
+        seen = {}
+        for now in (2.0, 4.0, 7.9, 8.1):
+            members.expire(now)
+            seen[now] = sorted(members.list_endpoints())
+        return seen
+
+    context.copied, context.anew = play(is_anew=False), play(is_anew=True)
+
+
+@then('it is out of use for 6 s, unless the store shows it anew')
+def check_shown(context):
+    assert context.copied[7.9] == ['e1'], context.copied
+    assert context.copied[8.1] == ['e0', 'e1'], context.copied
+    assert context.anew[4.0] == ['e0', 'e1'], context.anew
+
+
+@when('the store answers a call late with an older era')
+def answer_late(context):
+    async def run():
+        async with open_fleet() as fleet:
+            fleet.store.era = 2
+            client = StoreClient(await fleet.start_store())
+            await client.read_table('op')
+            fleet.store.era = 1
+            try:
+                await client.read_table('op')
+            except StoreUnavailable as error:
+                return client.era, str(error)
+            return client.era, ''
+
+    context.late = trio.run(run)
+
+
+@then('the call counts as not answered, and the newer era stays')
+def check_late(context):
+    era, error = context.late
+    assert era == 2, era
+    assert error, 'the late answer was taken'
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -8,6 +8,8 @@
 from .history import Disturbance, Exchange, History, Stop
 
 DRAIN_SECONDS = 2.0
+#: Time in which an instance has read what the store accepted.
+FOLLOW_SECONDS = 1.0
 CONFIGURATION_SECONDS = 2.0
 #: How long requests of an older version may still arrive after one of a newer version.
 DOWNGRADE_SECONDS = 0.25
@@ -76,7 +78,9 @@
         if exchange is None or arrival.at <= left_at + DRAIN_SECONDS:
             continue
         targets = {exchange.instance, arrival.endpoint}
-        if history.is_calm(targets, left_at, arrival.at):
+        # What an instance has seen leave stays so when the store comes back from a copy.
+        faults = _without_drills(history, left_at + FOLLOW_SECONDS)
+        if faults.is_calm(targets, left_at, arrival.at):
             yield 'reached an endpoint {0:.2f} s after it announced its leave: {1}'.format(
                 arrival.at - left_at, exchange
             )
@@ -217,6 +221,16 @@
     return min((item for item in history.accepted if item > version), default=0)
 
 
+def _without_drills(history: History, since: float) -> History:
+    """Returns the disturbances but for those by a store that came back from a copy later."""
+    kept = [
+        fault
+        for fault in history.disturbances
+        if fault.kind != 'store_back' or fault.start < since
+    ]
+    return History(disturbances=kept)
+
+
 def _is_calm_but(history: History, own: list[Disturbance], stop: Stop) -> bool:
     others = [fault for fault in history.disturbances if fault not in own]
     calm = History(disturbances=others)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,9 @@
 _STAY_SECONDS = 0.5
 #: Time until the entry of an endpoint that crashed is removed.
 _LAPSE_SECONDS = 1.0
+#: Time that the store is away before it comes back from a copy, and until all is written again.
+_AWAY_SECONDS = 0.2
+_REWRITE_SECONDS = 0.6
 #: Time until the address of an endpoint that has ended is used again.
 _REUSE_SECONDS = 0.5
 
@@ -39,6 +42,17 @@
     world.store.forget_history()
 
 
+async def _go_back(world: World, event: Event) -> None:
+    """Brings the store back from a copy; the operator and the endpoints write theirs again."""
+    world.disturb(event.kind, '', _AWAY_SECONDS + _REWRITE_SECONDS)
+    world.turn_away(world.instances, 'reset')
+    await trio.sleep(_AWAY_SECONDS)
+    world.store.go_back(world.find_copy(event.seconds))
+    world.turn_away(world.instances, '')
+    await trio.sleep(_REWRITE_SECONDS)
+    world.write_again()
+
+
 async def _turn_away(world: World, event: Event) -> None:
     instances = world.instances if event.target < 0 else [world.instances[event.target]]
     world.disturb(event.kind, '' if event.target < 0 else instances[0].name, event.seconds)
@@ -113,7 +127,7 @@
     world.announce(place, endpoint, 'draining')
     world.history.left[endpoint.name] = trio.current_time()
     await trio.sleep(_LEAVE_SECONDS)
-    world.store.remove('servers', endpoint.name)
+    world.withdraw(endpoint)
     await trio.sleep(_STAY_SECONDS)
     _end_endpoint(world, place, endpoint, event.kind)
     await _replace(world, place)
@@ -127,7 +141,7 @@
     place.endpoint = None
     _end_endpoint(world, place, endpoint, event.kind)
     await trio.sleep(_LAPSE_SECONDS)
-    world.store.remove('servers', endpoint.name)
+    world.withdraw(endpoint)
     await _replace(world, place)
 
 
@@ -172,6 +186,7 @@
 _FAULTS = {
     'configure': _configure,
     'forget_history': _forget_history,
+    'store_back': _go_back,
     'store_busy': _turn_away,
     'store_reset': _turn_away,
     'store_silent': _turn_away,
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -11,6 +11,10 @@
 _INSTANCES = 3
 _ENDPOINTS_EACH = 3
 _EVENTS = (6, 14)
+#: Part of the soaks in which the store comes back from a copy.
+_DRILL_PART = 0.6
+#: Age of that copy in seconds.
+_COPY_SECONDS = (0.5, 3.0)
 
 #: Kinds of faults with what they happen to.
 INSTANCE_KINDS = (
@@ -98,6 +102,9 @@
             Event(at=rng.uniform(0, FAULT_SECONDS), kind='configure', target=-1, seconds=0.0)
             for _ in range(rng.randint(2, 5))
         )
+        # Drawn last, so that earlier seeds keep their other faults.
+        if rng.random() < _DRILL_PART:
+            events.append(_draw_drill(rng))
         return cls(
             seed=seed,
             instances=instances,
@@ -119,3 +126,13 @@
     elif kinds is ENDPOINT_KINDS:
         target = rng.randrange(endpoints)
     return Event(at=at, kind=rng.choice(kinds), target=target, seconds=seconds)
+
+
+def _draw_drill(rng: random.Random) -> Event:
+    """Draws a moment at which the store comes back from a copy; `seconds` is the copy's age."""
+    return Event(
+        at=rng.uniform(_COPY_SECONDS[1], FAULT_SECONDS - 1.5),
+        kind='store_back',
+        target=-1,
+        seconds=rng.uniform(*_COPY_SECONDS),
+    )
--- a/soak/world.py
+++ b/soak/world.py
@@ -1,6 +1,7 @@
 """Store, endpoints, proxies and instances of one soak."""
 
 import random
+from collections import deque
 from collections.abc import Mapping
 from pathlib import Path
 from types import MappingProxyType
@@ -44,6 +45,9 @@
 )
 _READY_SECONDS = 20.0
 _POLL_SECONDS = 0.25
+#: Time between two copies of the store, and how many are kept.
+_COPY_SECONDS = 0.25
+_COPIES = 20
 _OK = 200
 #: Purposes of addresses.
 _INSTANCES = 1
@@ -70,6 +74,19 @@
     return configuration(version, routes, tenants=accounts)
 
 
+@attrs.define(frozen=True)
+class _Copy:
+    """A copy of the store.
+
+    Attributes:
+        taken_at: Time in seconds.
+        content: What `RowStore.go_back` takes.
+    """
+
+    taken_at: float
+    content: tuple[int, dict]
+
+
 @attrs.define(kw_only=True)
 class Place:
     """An address at which one endpoint after the other serves.
@@ -130,6 +147,8 @@
         self._mutant = mutant
         self._block = AddressBlock()
         self._outages: dict[str, str] = {}
+        self._entries: dict[str, dict[str, Any]] = {}
+        self._copies: deque[_Copy] = deque(maxlen=_COPIES)
         self._names = 0
         self._version = 10
 
@@ -140,6 +159,7 @@
         for place in self.places:
             await self.add_endpoint(place, SERVICES[place.number % len(SERVICES)])
         self.configure()
+        self._nursery.start_soon(self._copy_store)
         await self._add_instances()
         for instance in self.instances:
             instance.start()
@@ -173,8 +193,28 @@
             'sequence': 1,
             'born': 1700000000000,
         }
+        self._entries[endpoint.name] = entry
         self.store.put('servers', endpoint.name, entry)
 
+    def withdraw(self, endpoint: SoakEndpoint) -> None:
+        """Removes an endpoint from the store."""
+        self._entries.pop(endpoint.name, None)
+        self.store.remove('servers', endpoint.name)
+
+    def find_copy(self, age_seconds: float) -> tuple[int, dict]:
+        """Returns the newest copy of the store that is of some age, or the oldest one."""
+        last = trio.current_time() - age_seconds
+        fitting = [copy for copy in self._copies if copy.taken_at <= last]
+        return (fitting[-1] if fitting else self._copies[0]).content
+
+    def write_again(self) -> None:
+        """Writes what the operator and the endpoints wrote, after the store went back."""
+        self.store.put('op', 'config', _configuration(self._version))
+        for name, entry in self._entries.items():
+            self.store.put('servers', name, entry)
+        for gone in set(self.store.keys('servers')) - set(self._entries):
+            self.store.remove('servers', gone)
+
     def turn_away(self, instances: list[InstanceProcess], outage: str) -> None:
         """Begins or ends an outage of the store for some instances."""
         for instance in instances:
@@ -235,6 +275,11 @@
                 )
             )
 
+    async def _copy_store(self) -> None:
+        while True:
+            self._copies.append(_Copy(trio.current_time(), self.store.take_copy()))
+            await trio.sleep(_COPY_SECONDS)
+
     async def _listen_store(self, address: str) -> None:
         async def respond(request: Request, writer: AnswerWriter) -> None:
             await self.store.respond(request, writer, self._outages.get(address, ''))
--- a/src/fireflymux/_messages_generated.py
+++ b/src/fireflymux/_messages_generated.py
@@ -230,6 +230,7 @@
 
     instance: str
     config_version: int
+    members_era: int
     members_version: int
     store_age_milliseconds: int
     is_whole: bool
@@ -239,6 +240,7 @@
     usage: dict[str, Any] | None
     demand: dict[str, Any] | None
     crashes: list[list[int]] | None
+    leaving: list[int] | None
 
 
 @define(frozen=True, kw_only=True)
@@ -263,7 +265,9 @@
     config_row: str
     config_version: int
     members: dict[str, str]
+    members_era: int
     members_version: int
+    leaving: list[int]
     instances: dict[str, str]
 
 
--- a/src/fireflymux/decisions/ejection.py
+++ b/src/fireflymux/decisions/ejection.py
@@ -24,12 +24,22 @@
     Attributes:
         reachability: Pauses after connections that it did not accept.
         failure_rate: Recent part of its requests that failed, 0 to 1.
-        ejected_until: Time until which it gets no work, in seconds.
+        ejected_until: Time until which it gets no work while others do, in seconds.
+        rests_until: Time until which it asked for no work at all, in seconds.
     """
 
     reachability: EndpointHealth
     failure_rate: float = 0.0
     ejected_until: float = float('-inf')
+    rests_until: float = float('-inf')
+
+    def rest(self, until: float) -> None:
+        """Notes that the endpoint asked for no work.
+
+        Args:
+            until: End of that time in seconds; an earlier one shortens no rest.
+        """
+        self.rests_until = max(self.rests_until, until)
 
     def record(self, *, failed: bool) -> None:
         """Counts a result.
--- a/src/fireflymux/decisions/membership.py
+++ b/src/fireflymux/decisions/membership.py
@@ -1,5 +1,6 @@
 """Endpoints as the store lists them: which ones may be given work."""
 
+import zlib
 from collections.abc import Iterable, Mapping
 
 import attrs
@@ -8,6 +9,11 @@
 _RETURN_SECONDS = 1.5
 #: How long an outage of the store makes vanished entries doubtful.
 _DOUBT_SECONDS = 3.0
+#: Time in which the entry of an endpoint that is gone lapses: three missed heartbeats of 1.2 s,
+#: and the time until the store notices.
+_LAPSE_SECONDS = 6.0
+#: How long it is remembered of an endpoint that is no longer listed that it was leaving.
+_LEAVING_SECONDS = 60.0
 
 
 @attrs.define(frozen=True, kw_only=True)
@@ -40,15 +46,55 @@
         """What tells this incarnation from all others."""
         return self.identifier, self.incarnation
 
+    @property
+    def number(self) -> int:
+        """Number that instances name this incarnation by among themselves."""
+        return zlib.crc32('{0} {1}'.format(*self.key).encode())
+
+
+@attrs.define(frozen=True)
+class _Removal:
+    """When an endpoint vanished from the list.
+
+    Attributes:
+        era: Era of the store's list.
+        at: Time in seconds.
+    """
+
+    era: int
+    at: float
+
+
+@attrs.define(frozen=True)
+class _Withheld:
+    """An entry that is taken for one of an endpoint that is gone.
+
+    Attributes:
+        endpoint: The endpoint.
+        until: Time from which it counts if it is still there, in seconds.
+    """
+
+    endpoint: Endpoint
+    until: float
+
 
 class Membership:
-    """The endpoints in the store's list, with a short grace around outages of the store."""
+    """The endpoints in the store's list, with a short grace around outages of the store.
+
+    Answers a store that comes back from an older copy as well: an endpoint that was seen to
+    leave stays a leaving one, and one that was seen to vanish stays out until the store shows
+    it anew, or its entry has outlasted the time in which that of a silent endpoint lapses.
+    """
 
     def __init__(self) -> None:
         """Starts with no endpoint."""
         self._endpoints: dict[str, Endpoint] = {}
         self._vanishing: dict[str, float] = {}
         self._doubt_until = float('-inf')
+        self._era = 0
+        self._gone: dict[int, _Removal] = {}
+        self._withheld: dict[str, _Withheld] = {}
+        self._leaving: dict[int, float] = {}
 
     def record_outage(self, now: float) -> None:
         """Notes that the store did not answer.
@@ -58,24 +104,67 @@
         """
         self._doubt_until = now + _DOUBT_SECONDS
 
-    def replace(self, endpoints: Iterable[Endpoint], now: float) -> None:
+    def replace(self, endpoints: Iterable[Endpoint], now: float, *, era: int = 0) -> None:
         """Takes over the whole list.
 
         Args:
             endpoints: Every endpoint in the list.
             now: Time in seconds.
+            era: Era of the store that the list is of.
         """
+        if era > self._era:
+            # What endpoints wrote lately is missing from the copy until they write it again.
+            self.record_outage(now)
         listed = {endpoint.identifier: endpoint for endpoint in endpoints}
-        for missing in set(self._endpoints) - set(listed):
+        for missing in {*self._endpoints, *self._withheld} - set(listed):
             self.remove(missing, now)
+        self._era = max(self._era, era)
         for endpoint in listed.values():
-            self.put(endpoint)
+            removal = self._gone.get(endpoint.number)
+            if removal is not None and removal.era < era and now < removal.at + _LAPSE_SECONDS:
+                until = now + _LAPSE_SECONDS
+                self._withheld[endpoint.identifier] = _Withheld(endpoint, until)
+                continue
+            self.put(endpoint, now)
 
-    def put(self, endpoint: Endpoint) -> None:
-        """Takes over one entry of the list."""
+    def put(self, endpoint: Endpoint, now: float) -> None:
+        """Takes over one entry of the list.
+
+        Args:
+            endpoint: The endpoint.
+            now: Time in seconds.
+        """
         self._vanishing.pop(endpoint.identifier, None)
+        self._withheld.pop(endpoint.identifier, None)
+        self._gone.pop(endpoint.number, None)
+        if endpoint.is_leaving:
+            self._leaving[endpoint.number] = now
+        elif self.is_leaving(endpoint.number):
+            endpoint = attrs.evolve(endpoint, is_leaving=True)
         self._endpoints[endpoint.identifier] = endpoint
 
+    def note_leaving(self, number: int, now: float) -> None:
+        """Notes that an incarnation of an endpoint leaves, whatever the list says of it.
+
+        Args:
+            number: Its number; it need not be listed yet.
+            now: Time in seconds.
+        """
+        self._leaving[number] = now
+        for endpoint in self._endpoints.values():
+            if endpoint.number == number and not endpoint.is_leaving:
+                self.put(endpoint, now)
+                return
+
+    def is_leaving(self, number: int) -> bool:
+        """Tells whether an incarnation of an endpoint was seen to leave."""
+        return number in self._leaving
+
+    def list_leaving(self) -> list[int]:
+        """Returns the numbers of the listed endpoints that leave."""
+        listed = self._endpoints.values()
+        return [endpoint.number for endpoint in listed if endpoint.is_leaving]
+
     def remove(self, identifier: str, now: float) -> None:
         """Notes that an entry vanished.
 
@@ -83,25 +172,51 @@
             identifier: Identifier of the endpoint.
             now: Time in seconds.
         """
-        if identifier not in self._endpoints:
+        self._withheld.pop(identifier, None)
+        endpoint = self._endpoints.get(identifier)
+        if endpoint is None:
             return
-        if now < self._doubt_until and not self._endpoints[identifier].is_leaving:
+        if now < self._doubt_until and not endpoint.is_leaving:
             self._vanishing.setdefault(identifier, now + _RETURN_SECONDS)
             return
-        self._endpoints.pop(identifier)
-        self._vanishing.pop(identifier, None)
+        self._drop(endpoint, now)
 
-    def expire(self, now: float) -> None:
-        """Removes vanished entries that did not come back.
+    def expire(self, now: float) -> bool:
+        """Removes vanished entries that did not come back, and takes in those that stayed.
 
         Args:
             now: Time in seconds.
+
+        Returns:
+            Whether the list changed.
         """
         overdue = [name for name, until in self._vanishing.items() if until <= now]
         for identifier in overdue:
-            self._vanishing.pop(identifier)
-            self._endpoints.pop(identifier, None)
+            self._drop(self._endpoints[identifier], now)
+        outlasting = [entry for entry in self._withheld.values() if entry.until <= now]
+        for withheld in outlasting:
+            self.put(withheld.endpoint, now)
+        self._forget(now)
+        return bool(overdue or outlasting)
 
     def list_endpoints(self) -> Mapping[str, Endpoint]:
         """Returns every endpoint by identifier, leaving ones included."""
         return self._endpoints
+
+    def _forget(self, now: float) -> None:
+        if not (self._gone or self._leaving):
+            return
+        self._gone = {
+            number: removal
+            for number, removal in self._gone.items()
+            if now < removal.at + _LAPSE_SECONDS
+        }
+        self._leaving.update(dict.fromkeys(self.list_leaving(), now))
+        self._leaving = {
+            number: seen for number, seen in self._leaving.items() if now < seen + _LEAVING_SECONDS
+        }
+
+    def _drop(self, endpoint: Endpoint, now: float) -> None:
+        self._endpoints.pop(endpoint.identifier, None)
+        self._vanishing.pop(endpoint.identifier, None)
+        self._gone[endpoint.number] = _Removal(self._era, now)
--- a/src/fireflymux/entry/attempt.py
+++ b/src/fireflymux/entry/attempt.py
@@ -18,6 +18,7 @@
     encode_call,
     keep_answer_fields,
 )
+from .endpoint_wishes import note_wishes
 from .entry_metrics import EntryMetrics
 from .event_relay import EventRelay
 from .state import EntryState, LiveEndpoint
@@ -26,6 +27,8 @@
 _FIRST_SUCCESS = 200
 _FIRST_REDIRECT = 300
 _FIRST_SERVER_ERROR = 500
+#: Another endpoint answers, which speaks for itself.
+_MISDIRECTED_STATUS = 421
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,12 +157,18 @@
     if attempt.has_caller_left():
         live.pool.give_back(connection, None)
         return Abandoned()
+    if not live.takes_work(trio.current_time()):
+        # It said so after the request was placed.
+        live.pool.give_back(connection, None)
+        return NotSent('the endpoint takes no work any more', is_local=True)
     idle_seconds = None
     is_whole = False
     try:
         with attempt.stall_scope:
             await _send(attempt, connection)
             answer, terms = await _match_answer(connection, attempt.terms.attempt)
+            if answer.head.status != _MISDIRECTED_STATUS:
+                note_wishes(state, live, terms)
             outcome = await _take_answer(state, attempt, connection, answer, terms)
             connection.drop(answer)
             idle_seconds = terms.idle_seconds
--- a/src/fireflymux/entry/entry_metrics.py
+++ b/src/fireflymux/entry/entry_metrics.py
@@ -21,6 +21,11 @@
         self.connections = self._gauge('caller_connections', 'Open connections of callers')
         self.instances_heard = self._gauge('instances_heard', 'Other instances heard lately')
         self.endpoints_known = self._gauge('endpoints_known', 'Endpoints in the list')
+        self.endpoints_leaving = self._gauge('endpoints_leaving', 'Listed endpoints that leave')
+        self.endpoints_resting = self._gauge(
+            'endpoints_resting', 'Endpoints that asked for a time without work'
+        )
+        self.store_era = self._gauge('store_era', 'How often the store came back from a copy')
         self.config_version = self._gauge('config_version', 'Configuration version in force')
         self.first_event = self._histogram('first_event_seconds', 'Time to the first event')
         self.latency = self._histogram('request_seconds', 'Time to the end of the answer')
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -26,6 +26,7 @@
     run_attempt,
 )
 from .calls import Call, admit_call
+from .endpoint_wishes import find_rest_end
 from .entry_metrics import EntryMetrics
 from .service_queue import ServiceQueue, engine_chooser, release_placement, slot_chooser
 from .state import EntryState, LiveEndpoint
@@ -144,8 +145,8 @@
             if self._is_crashing(call):
                 return Refused(ErrorKind.endpoint_crashed, 'it broke off on several endpoints')
             waiting = await self._place(call)
-            if waiting is None:
-                return _refuse_unplaced(call)
+            if isinstance(waiting, Refused):
+                return waiting
             outcome = await self._attempt(call, waiting)
             if isinstance(outcome, Relayed | Abandoned) or _is_success(outcome):
                 return outcome
@@ -157,7 +158,7 @@
         crashes = self._state.crashes
         return not crashes.is_empty and crashes.is_refused(call.fingerprint())
 
-    async def _place(self, call: Call) -> Waiting | None:
+    async def _place(self, call: Call) -> Waiting | Refused:
         waiting = Waiting(
             account=call.account,
             priority=call.priority,
@@ -171,6 +172,9 @@
         )
         patience = self._state.policy.patience_part * call.route.target_seconds
         until = min(trio.current_time() + patience, call.ends_at)
+        rest_end = find_rest_end(self._state, call.service)
+        if rest_end is not None and rest_end > until:
+            return _refuse_resting(call, rest_end - trio.current_time())
         if not call.history.sends:
             self._state.shares.asked.charge(call.account, waiting.cost_tokens, trio.current_time())
         if await self._queue_of(call.service).place(waiting, until=until):
@@ -185,9 +189,9 @@
             came_back=waiting.is_return,
             waiting=self.count_waiting(),
             instances_heard=len(self._state.loads.list_reporters()),
-            members_version=self._state.members_version,
+            members_version=str(self._state.members_version),
         )
-        return None
+        return _refuse_unplaced(call)
 
     def _comes_back(self, call: Call) -> bool:
         if not call.terms.parts:
@@ -317,6 +321,8 @@
         if refused.outcome is Ran.no and answer.status == _UNAVAILABLE_STATUS:
             spread = self._state.rng.uniform(_LEAST_RETURN_PART, 1)
             retry_after = answer.retry_after_seconds * spread
+            if refused.retry_after_seconds is not None:
+                retry_after = refused.retry_after_seconds
         content = orjson.dumps({'kind': refused.kind.value, 'title': answer.title})
         await writer.answer(answer.status, encode_refusal(terms.attempt, retry_after), content)
 
@@ -346,6 +352,16 @@
     return Refused(ErrorKind.queue_timeout, 'no endpoint could take it in time')
 
 
+def _refuse_resting(call: Call, seconds: float) -> Refused:
+    if call.may_have_run:
+        return Refused(ErrorKind.endpoint_crashed, 'every other endpoint asked for a rest')
+    return Refused(
+        ErrorKind.endpoints_resting,
+        'every endpoint asked for a rest',
+        retry_after_seconds=seconds,
+    )
+
+
 def _refuse_ended(call: Call, outcome: Outcome) -> Refused:
     detail = str(outcome)
     if call.may_have_run:
--- a/src/fireflymux/entry/instance.py
+++ b/src/fireflymux/entry/instance.py
@@ -13,6 +13,7 @@
 from ..platform.readiness import READINESS_PATH
 from ..platform.store import StoreClient
 from ..settings import EntryProcessSettings
+from .endpoint_wishes import count_resting
 from .entry_metrics import EntryMetrics
 from .exchange import Exchanges
 from .listeners import Listener
@@ -142,11 +143,10 @@
             if now - last > _FREEZE_SECONDS:
                 _log.warning('resumed_after_pause', seconds=round(now - last, 3))
                 # Endpoints may have closed or lost them meanwhile.
-                state.close_idle_connections()
+                for live in state.list_endpoints():
+                    live.pool.close()
             last = now
-            before = len(state.members.list_endpoints())
-            state.members.expire(now)
-            if len(state.members.list_endpoints()) != before:
+            if state.members.expire(now):
                 state.update_endpoints()
             state.loads.expire(now)
             self._peers.forget_gone()
@@ -168,9 +168,8 @@
         )
 
     async def _answer_metrics(self, request: Request, writer: AnswerWriter) -> None:
+        self._measure_beliefs()
         gauges = self._metrics
-        gauges.config_version.set({}, self._state.configuration_version)
-        gauges.endpoints_known.set({}, len(self._state.members.list_endpoints()))
         gauges.instances_heard.set({}, self._peers.count_heard())
         gauges.connections.set({}, self._callers.count_open())
         gauges.running.set({}, self._exchanges.running)
@@ -179,6 +178,15 @@
         lines = [(name.encode(), text.encode()) for name, text in fields.items()]
         await writer.answer(_OK, lines, content)
 
+    def _measure_beliefs(self) -> None:
+        gauges = self._metrics
+        state = self._state
+        gauges.config_version.set({}, state.configuration_version)
+        gauges.store_era.set({}, state.members_version.era)
+        gauges.endpoints_known.set({}, len(state.members.list_endpoints()))
+        gauges.endpoints_leaving.set({}, len(state.members.list_leaving()))
+        gauges.endpoints_resting.set({}, count_resting(state))
+
     async def _answer_readiness(self, request: Request, writer: AnswerWriter) -> None:
         if request.path != READINESS_PATH:
             await writer.answer(_NOT_FOUND, (), b'')
--- a/src/fireflymux/entry/peer_link.py
+++ b/src/fireflymux/entry/peer_link.py
@@ -18,7 +18,9 @@
     choose_neighbours,
     choose_receivers,
 )
+from ..decisions.store_version import StoreVersion
 from ..observability.logs import get_logger
+from .endpoint_wishes import note_leaving
 from .entry_metrics import EntryMetrics
 from .report_datagrams import (
     ReportAssembler,
@@ -63,6 +65,11 @@
         """Whether the store answered it lately for every followed table."""
         return 0 <= self.report.store_age_milliseconds <= FRESH_SECONDS * _MILLISECONDS
 
+    @property
+    def members_version(self) -> StoreVersion:
+        """Version of the endpoint list that it knows."""
+        return StoreVersion(self.report.members_era, self.report.members_version)
+
 
 class PeerLink:
     """Sends this instance's report to the others and takes theirs.
@@ -263,6 +270,7 @@
         if report.usage is None or report.demand is None or report.crashes is None:
             return
         state = self._state
+        note_leaving(state, report.leaving or (), report.instance)
         state.shares.given.merge(report.instance, report.usage, now)
         state.shares.asked.merge(report.instance, report.demand, now)
         state.crashes.merge(
--- a/src/fireflymux/entry/peer_snapshot.py
+++ b/src/fireflymux/entry/peer_snapshot.py
@@ -12,12 +12,13 @@
 import trio
 
 from .._messages_generated import EntrySnapshot
+from ..decisions.store_version import StoreVersion
 from ..http.answer_writer import AnswerWriter
 from ..http.client_connection import ClientConnection, ConnectFailed, ConnectionBroken
 from ..http.messages import Request
 from ..observability.logs import get_logger
 from ..platform.configuration_row import MalformedRow, decode_configuration
-from ..platform.store import Row
+from .endpoint_wishes import note_leaving
 from .peer_link import PeerLink, is_address
 from .state import EntryState
 from .store_follower import replace_endpoint_rows
@@ -26,6 +27,7 @@
 _PATH = b'/v1/snapshot'
 #: Versions that the asking instance has; tables that are no newer are left out.
 _CONFIG_KEY = 'config_version'
+_ERA_KEY = 'members_era'
 _MEMBERS_KEY = 'members_version'
 _POLL_SECONDS = 0.1
 #: Time that the store has to deliver a change before it is fetched from another instance.
@@ -34,6 +36,8 @@
 #: Rounds in which an instance that knows nothing asks those that it has heard of by then.
 _ROUNDS = 2
 _MAXIMUM_SNAPSHOT_BYTES = 16777216
+#: Stands for a version that the asking instance did not state.
+_UNKNOWN = -1
 _OK = 200
 _NOT_FOUND = 404
 
@@ -64,14 +68,19 @@
             return
         state = self._state
         known = parse_qs(request.query.decode('latin-1'))
-        has_config = _is_known(known, _CONFIG_KEY, state.configuration_version)
-        has_members = _is_known(known, _MEMBERS_KEY, state.members_version)
+        has_config = _read_number(known, _CONFIG_KEY) >= state.configuration_version
+        known_members = StoreVersion(
+            _read_number(known, _ERA_KEY), _read_number(known, _MEMBERS_KEY)
+        )
+        has_members = known_members >= state.members_version
         rows = {} if has_members else state.member_rows
         snapshot = EntrySnapshot(
             config_row='' if has_config else state.configuration_row.decode(),
             config_version=state.configuration_version,
             members={name: row.decode() for name, row in rows.items()},
-            members_version=state.members_version,
+            members_era=state.members_version.era,
+            members_version=state.members_version.number,
+            leaving=state.members.list_leaving(),
             instances=state.instances | {state.settings.name: state.host},
         )
         await writer.answer(_OK, (), orjson.dumps(attrs.asdict(snapshot, recurse=False)))
@@ -105,7 +114,7 @@
             if self._link.is_heard(host)
             and (
                 heard.report.config_version > state.configuration_version
-                or heard.report.members_version > state.members_version
+                or heard.members_version > state.members_version
             )
         ]
 
@@ -169,7 +178,8 @@
         try:
             known = {
                 _CONFIG_KEY: self._state.configuration_version,
-                _MEMBERS_KEY: self._state.members_version,
+                _ERA_KEY: self._state.members_version.era,
+                _MEMBERS_KEY: self._state.members_version.number,
             }
             target = b'%b?%b' % (_PATH, urlencode(known).encode())
             await connection.send(b'GET %b HTTP/1.1' % target, [(b'Host', host.encode())], b'')
@@ -182,13 +192,12 @@
         state = self._state
         if snapshot.config_version > state.configuration_version:
             self._apply_configuration(snapshot.config_row.encode(), host)
-        if snapshot.members_version > state.members_version:
-            rows = [
-                Row(name, content.encode(), snapshot.members_version)
-                for name, content in snapshot.members.items()
-            ]
-            _log.info('endpoints_from_peer', host=host, version=snapshot.members_version)
-            replace_endpoint_rows(state, rows, snapshot.members_version)
+        note_leaving(state, snapshot.leaving, host)
+        version = StoreVersion(snapshot.members_era, snapshot.members_version)
+        if version > state.members_version:
+            rows = {name: content.encode() for name, content in snapshot.members.items()}
+            _log.info('endpoints_from_peer', host=host, version=str(version))
+            replace_endpoint_rows(state, rows, version)
         for name, address in snapshot.instances.items():
             if name != state.settings.name:
                 state.instances.setdefault(name, address)
@@ -209,6 +218,6 @@
     return named
 
 
-def _is_known(known: Mapping[str, list[str]], key: str, version: int) -> bool:
+def _read_number(known: Mapping[str, list[str]], key: str) -> int:
     stated = known.get(key, ('',))[0]
-    return stated.isdigit() and int(stated) >= version
+    return int(stated) if stated.isdigit() else _UNKNOWN
--- a/src/fireflymux/entry/report_builder.py
+++ b/src/fireflymux/entry/report_builder.py
@@ -50,7 +50,8 @@
         return PeerReport(
             instance=state.settings.name,
             config_version=state.configuration_version,
-            members_version=state.members_version,
+            members_era=state.members_version.era,
+            members_version=state.members_version.number,
             store_age_milliseconds=_measure_store_age(state, now),
             is_whole=is_whole,
             loads=_encode_loads(loads),
@@ -64,6 +65,7 @@
             ]
             if is_whole
             else None,
+            leaving=state.members.list_leaving() if is_whole else None,
         )
 
 
--- a/src/fireflymux/entry/state.py
+++ b/src/fireflymux/entry/state.py
@@ -1,7 +1,6 @@
 """What one entry instance believes: configuration, endpoints, loads and usage."""
 
 import random
-import zlib
 from collections import defaultdict
 from collections.abc import Callable, Collection
 
@@ -21,6 +20,7 @@
 from ..decisions.retry_allowance import RetryAllowance
 from ..decisions.returning import RefusedRequests
 from ..decisions.routes import Configuration, Service
+from ..decisions.store_version import StoreVersion
 from ..http.connection_pool import ConnectionPool, ServerLinks
 from ..observability.logs import get_logger
 
@@ -69,9 +69,20 @@
         Returns:
             Whether it is neither leaving nor held back.
         """
-        if self.endpoint.is_leaving or self.record.reachability.is_paused:
+        if self.record.reachability.is_paused:
             return False
-        return self.record.ejected_until <= now
+        return self.record.ejected_until <= now and self.takes_work(now)
+
+    def takes_work(self, now: float) -> bool:
+        """Tells whether it may be given work where no other endpoint is left.
+
+        Args:
+            now: Time in seconds.
+
+        Returns:
+            Whether it neither leaves nor asked for a rest.
+        """
+        return not self.endpoint.is_leaving and self.record.rests_until <= now
 
 
 @attrs.define(frozen=True)
@@ -87,11 +98,6 @@
     until: float
 
 
-def number_endpoint(endpoint: Endpoint) -> int:
-    """Returns the number of an endpoint, the same on every instance."""
-    return zlib.crc32('{0} {1}'.format(*endpoint.key).encode())
-
-
 def _open_pool(endpoint: Endpoint) -> ServerLinks:
     return ConnectionPool(endpoint.host, endpoint.port, connect_timeout_seconds=_CONNECT_SECONDS)
 
@@ -144,7 +150,7 @@
         self.configuration_row = b''
         self.members = Membership()
         self.member_rows: dict[str, bytes] = {}
-        self.members_version = 0
+        self.members_version = StoreVersion()
         self.is_listed = False
         self.loads = FleetLoads()
         self.shares = FairShares(settings.share_window_seconds)
@@ -212,8 +218,7 @@
     def update_endpoints(self) -> None:
         """Takes over the list of endpoints after a change of `members`."""
         current = {
-            number_endpoint(endpoint): endpoint
-            for endpoint in self.members.list_endpoints().values()
+            endpoint.number: endpoint for endpoint in self.members.list_endpoints().values()
         }
         for number in set(self._endpoints) - set(current):
             gone = self._endpoints.pop(number)
@@ -242,10 +247,9 @@
         self.shares.asked.forget(name)
         self.crashes.forget(name)
 
-    def close_idle_connections(self) -> None:
-        """Closes the connections to endpoints that carry no request."""
-        for live in self._endpoints.values():
-            live.pool.close()
+    def list_endpoints(self, service: str | None = None) -> Collection[LiveEndpoint]:
+        """Lists the endpoints of a service, or of all, those that take no work included."""
+        return self._endpoints.values() if service is None else self._by_service.get(service, ())
 
     def find_endpoint(self, number: int) -> LiveEndpoint | None:
         """Finds an endpoint by its number."""
@@ -259,7 +263,7 @@
             excluded: Numbers of endpoints that must not be chosen again.
 
         Returns:
-            Those not held back; if all are, those that are not leaving.
+            Those not held back; if all are, those that neither leave nor asked for a rest.
         """
         if excluded:
             return self._find_workers(service, excluded)
@@ -313,7 +317,7 @@
         listed = [
             live
             for live in self._by_service.get(service, ())
-            if live.number not in excluded and not live.endpoint.is_leaving
+            if live.number not in excluded and live.takes_work(now)
         ]
         return [live for live in listed if live.may_work(now)] or listed
 
--- a/src/fireflymux/entry/store_follower.py
+++ b/src/fireflymux/entry/store_follower.py
@@ -1,10 +1,11 @@
 """Keeps an instance's beliefs current with the tables of the store."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import attrs
 import trio
 
+from ..decisions.store_version import StoreVersion
 from ..observability.logs import get_logger
 from ..platform.configuration_row import (
     CONFIGURATION_KEY,
@@ -33,7 +34,7 @@
 _DELAY_LIMIT_SECONDS = 0.8
 _REGISTER_SECONDS = 0.5
 
-Apply = Callable[[Sequence[Row], bool, int], None]
+Apply = Callable[[Sequence[Row], bool, StoreVersion], None]
 
 
 @attrs.define(frozen=True)
@@ -115,8 +116,12 @@
                 await trio.sleep(_REGISTER_SECONDS)
                 continue
             is_registered = self._state.settings.name in names
-            if is_registered:
-                await trio.sleep(_READ_INSTANCES_SECONDS)
+            if not is_registered:
+                continue
+            with trio.move_on_after(_READ_INSTANCES_SECONDS):
+                await self._store.wait_for_new_era()
+                # The copy can lack this instance's row.
+                is_registered = False
 
     async def _register(self) -> None:
         settings = self._state.settings
@@ -131,10 +136,12 @@
 
     async def _follow(self, followed: Followed) -> None:
         table = followed.table
-        version = -1
+        version: StoreVersion | None = None
         delay = _FIRST_DELAY_SECONDS
         while True:
-            if version >= 0 and not self._is_follower():
+            # Others can know of a newer era before the store answers this instance.
+            self._store.note_era(self._state.members_version.era)
+            if version is not None and not self._is_follower():
                 await trio.sleep(_IDLE_SECONDS)
                 continue
             try:
@@ -148,18 +155,18 @@
             delay = _FIRST_DELAY_SECONDS
             if table in self._lost:
                 self._lost.discard(table)
-                _log.info('store_regained', table=table, version=version)
+                _log.info('store_regained', table=table, version=str(version))
 
-    async def _step(self, followed: Followed, version: int) -> int:
+    async def _step(self, followed: Followed, version: StoreVersion | None) -> StoreVersion | None:
         table = followed.table
-        if version < 0:
+        if version is None:
             whole = await self._store.read_table(table)
             followed.apply(whole.rows, True, whole.version)
             return whole.version
         changes = await self._store.follow_table(table, version, followed.wait_seconds)
         if isinstance(changes, HistoryLost):
-            _log.info('history_lost', table=table, version=version)
-            return -1
+            _log.info('history_lost', table=table, version=str(version))
+            return None
         if changes.rows:
             followed.apply(changes.rows, False, changes.version)
             await trio.sleep(followed.gather_seconds)
@@ -173,67 +180,72 @@
             self._lost.add(table)
             _log.warning('store_lost', table=table, reason=str(error))
 
-    def _apply_configuration(self, rows: Sequence[Row], is_whole: bool, version: int) -> None:
+    def _apply_configuration(
+        self, rows: Sequence[Row], is_whole: bool, version: StoreVersion
+    ) -> None:
         for row in rows:
             if row.key != CONFIGURATION_KEY or row.content is None:
                 continue
             try:
                 configuration = decode_configuration(row.content)
             except MalformedRow as error:
-                _log.error('configuration_malformed', reason=str(error), store_version=version)
+                _log.error(
+                    'configuration_malformed', reason=str(error), store_version=str(version)
+                )
                 continue
             self._state.apply_configuration(configuration, row.content, 'store')
 
-    def _apply_endpoints(self, rows: Sequence[Row], is_whole: bool, version: int) -> None:
+    def _apply_endpoints(self, rows: Sequence[Row], is_whole: bool, version: StoreVersion) -> None:
         if not is_whole:
-            change_endpoint_rows(self._state, rows)
+            change_endpoint_rows(self._state, rows, version.era)
             return
         if version >= self._state.members_version:
-            replace_endpoint_rows(self._state, rows, version)
+            known = {row.key: row.content for row in rows if row.content is not None}
+            replace_endpoint_rows(self._state, known, version)
 
 
-def replace_endpoint_rows(state: EntryState, rows: Sequence[Row], version: int) -> None:
+def replace_endpoint_rows(
+    state: EntryState, rows: Mapping[str, bytes], version: StoreVersion
+) -> None:
     """Takes over the whole table of endpoints.
 
     Args:
         state: Beliefs to keep current.
-        rows: Every row of the table.
+        rows: Content of every row of the table by its key.
         version: Version of the store that they are of.
     """
-    listed = {row.key for row in rows}
-    for missing in set(state.member_rows) - listed:
-        _remove_endpoint(state, missing)
-    for row in rows:
-        _put_endpoint(state, row)
+    decoded = [decode_endpoint(key, content) for key, content in rows.items()]
+    endpoints = [endpoint for endpoint in decoded if endpoint is not None]
+    state.member_rows = {endpoint.identifier: rows[endpoint.identifier] for endpoint in endpoints}
+    state.members.replace(endpoints, trio.current_time(), era=version.era)
     state.members_version = version
     state.is_listed = True
     state.update_endpoints()
 
 
-def change_endpoint_rows(state: EntryState, rows: Sequence[Row]) -> None:
+def change_endpoint_rows(state: EntryState, rows: Sequence[Row], era: int) -> None:
     """Takes over changes of the table of endpoints.
 
     Args:
         state: Beliefs to keep current.
         rows: Changed rows in order; those that are known already are passed over.
+        era: Era of the store that they are of.
     """
     for row in rows:
-        if row.version and row.version <= state.members_version:
+        version = StoreVersion(era, row.number)
+        if row.number and version <= state.members_version:
             continue
-        _put_endpoint(state, row)
-        state.members_version = max(state.members_version, row.version)
+        _change_endpoint(state, row)
+        state.members_version = max(state.members_version, version)
     state.update_endpoints()
 
 
-def _put_endpoint(state: EntryState, row: Row) -> None:
+def _change_endpoint(state: EntryState, row: Row) -> None:
+    now = trio.current_time()
     endpoint = None if row.content is None else decode_endpoint(row.key, row.content)
     if endpoint is None or row.content is None:
-        _remove_endpoint(state, row.key)
+        state.member_rows.pop(row.key, None)
+        state.members.remove(row.key, now)
         return
     state.member_rows[row.key] = row.content
-    state.members.put(endpoint)
-
-
-def _remove_endpoint(state: EntryState, identifier: str) -> None:
-    state.member_rows.pop(identifier, None)
-    state.members.remove(identifier, trio.current_time())
+    state.members.put(endpoint, now)
--- a/src/fireflymux/errors.py
+++ b/src/fireflymux/errors.py
@@ -35,6 +35,7 @@
     sidecar_leaving = 'sidecar_leaving'
     sidecar_unconfirmed = 'sidecar_unconfirmed'
     endpoint_unreachable = 'endpoint_unreachable'
+    endpoints_resting = 'endpoints_resting'
     claims_unavailable = 'claims_unavailable'
     call_in_progress = 'call_in_progress'
     outcome_unknown = 'outcome_unknown'
@@ -99,6 +100,12 @@
             'The sidecar could not confirm its state',
         ),
         ErrorKind.endpoint_unreachable: Answer(503, Ran.no, 1, 'The endpoint is unreachable'),
+        ErrorKind.endpoints_resting: Answer(
+            503,
+            Ran.no,
+            1,
+            'Every endpoint asked for a time without work',
+        ),
         ErrorKind.claims_unavailable: Answer(
             503,
             Ran.no,
@@ -157,12 +164,14 @@
         detail: One line for people that names the cause.
         ran: Overrides the table where the holder of the request knows more.
         writer: Sidecar incarnation that claimed the call, where one did.
+        retry_after_seconds: Overrides the table where it is known when to come back.
     """
 
     kind: ErrorKind
     detail: str = ''
     ran: Ran | None = None
     writer: str = ''
+    retry_after_seconds: float | None = None
 
     @property
     def outcome(self) -> Ran:
--- a/src/fireflymux/platform/call_headers.py
+++ b/src/fireflymux/platform/call_headers.py
@@ -1,9 +1,14 @@
 """Header fields of calls and answers, decoded into the product's types and back."""
 
+import math
+
 import attrs
 
 from ..decisions.prompts import PromptPart
 from ..http.messages import AnswerHead, Fields, Request, find_field
+from ..observability.logs import get_logger
+
+_log = get_logger(__name__)
 
 _ATTEMPT = b'x-attempt-id'
 _DEADLINE = b'x-deadline-ms'
@@ -16,6 +21,12 @@
 _SIGNATURE = b'x-server-signature'
 _NOT_RUN = b'x-not-executed'
 _LOAD = b'x-server-load'
+_LEAVING = b'server-leaving'
+_IS_LEAVING = b'1'
+_RETRY_AFTER = b'retry-after'
+_UNAVAILABLE_STATUS = 503
+#: Longest time without work that an endpoint may ask for; a longer one is taken for a mistake.
+_LONGEST_REST_SECONDS = 600.0
 _KEEP_ALIVE = b'keep-alive'
 _KEY_SCHEME = b'token '
 _MISDIRECTED_STATUS = 421
@@ -38,6 +49,8 @@
         b'expect',
     )
 )
+#: Fields by which an endpoint speaks to the system and not to the caller.
+_ENDPOINT_FIELDS = frozenset((_LOAD, _LEAVING))
 #: Fields that only the system itself may send to an endpoint.
 _SYSTEM_FIELDS = frozenset(
     (
@@ -86,12 +99,16 @@
         is_signed: Whether the endpoint vouches for the answer.
         did_not_run: Whether the endpoint says that it did not run the request.
         idle_seconds: How long the endpoint keeps the idle connection; None if not stated.
+        is_leaving: Whether the endpoint says that it leaves.
+        rest_seconds: How long the endpoint wants no work of this instance; zero if not stated.
     """
 
     attempt: bytes
     is_signed: bool
     did_not_run: bool
     idle_seconds: float | None
+    is_leaving: bool
+    rest_seconds: float
 
 
 def decode_call(request: Request) -> CallTerms:
@@ -173,6 +190,8 @@
         is_signed=bool(found.get(_SIGNATURE)),
         did_not_run=_NOT_RUN in found or head.status == _MISDIRECTED_STATUS,
         idle_seconds=_decode_idle(found.get(_KEEP_ALIVE, b'')),
+        is_leaving=found.get(_LEAVING, b'').strip() == _IS_LEAVING,
+        rest_seconds=_decode_rest(head.status, found.get(_RETRY_AFTER, b'')),
     )
 
 
@@ -199,9 +218,7 @@
         The field lines without framing.
     """
     return [
-        field
-        for field in head.fields
-        if field[0].lower() not in _HOP_BY_HOP and field[0].lower() != _LOAD
+        field for field in head.fields if field[0].lower() not in _HOP_BY_HOP | _ENDPOINT_FIELDS
     ]
 
 
@@ -256,6 +273,22 @@
     return None
 
 
+def _decode_rest(status: int, text: bytes) -> float:
+    if status != _UNAVAILABLE_STATUS or not text:
+        return 0.0
+    try:
+        stated = float(text)
+    except ValueError:
+        _log.warning('rest_malformed', stated=text.decode('latin-1'))
+        return 0.0
+    if not math.isfinite(stated) or stated < 0:
+        _log.warning('rest_malformed', stated=text.decode('latin-1'))
+        return 0.0
+    if stated > _LONGEST_REST_SECONDS:
+        _log.warning('rest_bounded', stated=stated, bound=_LONGEST_REST_SECONDS)
+    return min(stated, _LONGEST_REST_SECONDS)
+
+
 def _to_int(text: bytes, default: int) -> int:
     try:
         return int(text)
--- a/src/fireflymux/platform/store.py
+++ b/src/fireflymux/platform/store.py
@@ -8,9 +8,13 @@
 import orjson
 import trio
 
+from ..decisions.store_version import StoreVersion
 from ..http.client_connection import ConnectFailed, ConnectionBroken
 from ..http.connection_pool import ConnectionPool
-from ..http.messages import Fields
+from ..http.messages import AnswerHead, Fields, find_field
+from ..observability.logs import get_logger
+
+_log = get_logger(__name__)
 
 _OK = 200
 _HISTORY_LOST = 410
@@ -20,6 +24,8 @@
 _MAXIMUM_ANSWER_BYTES = 8388608
 _PAGE_ROWS = 500
 _MILLISECONDS = 1000
+#: Rises in every answer each time the store comes back from an older copy.
+_ERA = b'store-era'
 
 
 class StoreUnavailable(Exception):
@@ -33,12 +39,12 @@
     Attributes:
         key: Key of the row.
         content: Its content; None if the row was removed.
-        version: Version of the store at its last change.
+        number: Number of its last change, within the era of the store.
     """
 
     key: str
     content: bytes | None
-    version: int
+    number: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,7 +52,7 @@
     """Rows of a table up to a version of the store."""
 
     rows: tuple[Row, ...]
-    version: int
+    version: StoreVersion
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,8 +60,27 @@
     """The store no longer has the changes since a version; the table must be read whole."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    """An answer of the store.
+
+    Attributes:
+        status: Status code.
+        era: Era of the store that gave it.
+        page: Decoded body; None unless the call succeeded.
+    """
+
+    status: int
+    era: int
+    page: Any
+
+
 class StoreClient:
-    """Calls of one process to the store."""
+    """Calls of one process to the store.
+
+    Attributes:
+        era: Newest era of the store that is known, from its answers or from other instances.
+    """
 
     def __init__(self, address: str) -> None:
         """Prepares the calls.
@@ -64,8 +89,30 @@
             address: IP address and port of the store.
         """
         host, _, port = address.rpartition(':')
+        self.era = 0
         self._address = address
         self._pool = ConnectionPool(host, int(port), connect_timeout_seconds=_CALL_SECONDS)
+        self._follows: set[trio.CancelScope] = set()
+        self._has_gone_back = trio.Event()
+
+    def note_era(self, era: int) -> None:
+        """Takes over the era of the store; a newer one ends the calls that follow tables.
+
+        Args:
+            era: Era that the store, or another instance, stated.
+        """
+        if era <= self.era:
+            return
+        _log.warning('store_went_back', era=era, previous=self.era)
+        self.era = era
+        for scope in self._follows:
+            scope.cancel()
+        self._has_gone_back.set()
+        self._has_gone_back = trio.Event()
+
+    async def wait_for_new_era(self) -> None:
+        """Waits until the store comes back from an older copy."""
+        await self._has_gone_back.wait()
 
     async def read_table(self, table: str) -> TableRows:
         """Reads every row of a table.
@@ -74,28 +121,32 @@
             table: Name of the table.
 
         Returns:
-            The rows.
+            The rows, all of one era.
 
         Raises:
-            StoreUnavailable: The store did not answer.
+            StoreUnavailable: The store did not answer, or went back meanwhile.
         """
         rows: list[Row] = []
-        version = 0
+        version: StoreVersion | None = None
         start = ''
         while True:
             query = {'table': table, 'part': '', 'from': start, 'limit': _PAGE_ROWS}
-            page = await self._call_ok('GET', 'rows-get', query)
-            rows.extend(_decode_row(raw) for raw in page['rows'])
+            reply = await self._call('GET', 'rows-get', query)
+            if reply.status != _OK:
+                raise StoreUnavailable('status {0}'.format(reply.status))
+            rows.extend(_decode_row(raw) for raw in reply.page['rows'])
             # Changes after the first page are followed from there.
-            version = version or page['ver']
-            if not page.get('more_pages'):
+            version = version or StoreVersion(reply.era, reply.page['ver'])
+            if version.era != reply.era:
+                raise StoreUnavailable('the store went back between two pages')
+            if not reply.page.get('more_pages'):
                 return TableRows(tuple(rows), version)
             start = '{0}\0'.format(rows[-1].key)
 
     async def follow_table(
         self,
         table: str,
-        after: int,
+        after: StoreVersion,
         wait_seconds: float,
     ) -> TableRows | HistoryLost:
         """Waits for changes of a table.
@@ -111,14 +162,26 @@
         Raises:
             StoreUnavailable: The store did not answer.
         """
-        query = {'table': table, 'after': after, 'wait_ms': int(wait_seconds * _MILLISECONDS)}
+        query = {
+            'table': table,
+            'after': after.number,
+            'wait_ms': int(wait_seconds * _MILLISECONDS),
+        }
         timeout = wait_seconds + _FOLLOW_SLACK_SECONDS
-        status, page = await self._call('GET', 'rows-feed', query, timeout=timeout)
-        if status == _HISTORY_LOST:
+        reply: _Reply | None = None
+        with trio.CancelScope() as scope:
+            self._follows.add(scope)
+            try:
+                reply = await self._call('GET', 'rows-feed', query, timeout=timeout)
+            finally:
+                self._follows.discard(scope)
+        # The same number names another change in each era.
+        if reply is None or after.era != self.era or reply.status == _HISTORY_LOST:
             return HistoryLost()
-        if status != _OK:
-            raise StoreUnavailable('status {0}'.format(status))
-        return TableRows(tuple(_decode_row(raw) for raw in page['rows']), page['ver'])
+        if reply.status != _OK:
+            raise StoreUnavailable('status {0}'.format(reply.status))
+        rows = tuple(_decode_row(raw) for raw in reply.page['rows'])
+        return TableRows(rows, StoreVersion(reply.era, reply.page['ver']))
 
     async def put_row(self, table: str, key: str, content: bytes) -> None:
         """Writes a row, replacing what is there.
@@ -149,15 +212,9 @@
         await self._write({'expect': [], 'writes': [], 'remove': [row]})
 
     async def _write(self, change: dict[str, Any]) -> None:
-        status, _ = await self._call('POST', 'rows-tx', {}, change=change)
-        if status != _OK:
-            raise StoreUnavailable('status {0}'.format(status))
-
-    async def _call_ok(self, method: str, name: str, query: dict[str, Any]) -> Any:
-        status, page = await self._call(method, name, query)
-        if status != _OK:
-            raise StoreUnavailable('status {0}'.format(status))
-        return page
+        reply = await self._call('POST', 'rows-tx', {}, change=change)
+        if reply.status != _OK:
+            raise StoreUnavailable('status {0}'.format(reply.status))
 
     async def _call(
         self,
@@ -167,18 +224,21 @@
         *,
         change: Any = None,
         timeout: float = _CALL_SECONDS,
-    ) -> tuple[int, Any]:
+    ) -> _Reply:
         target = '/api/{0}'.format(name)
         if query:
             target = '{0}?{1}'.format(target, urlencode(query))
         content = b'' if change is None else orjson.dumps(change)
         try:
             with trio.fail_after(timeout):
-                return await self._exchange('{0} {1} HTTP/1.1'.format(method, target), content)
+                reply = await self._exchange('{0} {1} HTTP/1.1'.format(method, target), content)
         except (ConnectFailed, ConnectionBroken, trio.TooSlowError, ValueError) as error:
             raise StoreUnavailable(repr(error)) from error
+        if reply.era < self.era:
+            raise StoreUnavailable('an answer of era {0}'.format(reply.era))
+        return reply
 
-    async def _exchange(self, start_line: str, content: bytes) -> tuple[int, Any]:
+    async def _exchange(self, start_line: str, content: bytes) -> _Reply:
         connection = await self._pool.take()
         fields: Fields = [(b'Host', self._address.encode())]
         if content:
@@ -196,7 +256,15 @@
             if not is_done:
                 connection.close()
         status = answer.head.status
-        return status, orjson.loads(body) if body and status == _OK else None
+        page = orjson.loads(body) if body and status == _OK else None
+        era = self._read_era(answer.head)
+        self.note_era(era)
+        return _Reply(status, era, page)
+
+    def _read_era(self, head: AnswerHead) -> int:
+        """Returns the era that an answer states; the known one where it states none."""
+        stated = find_field(head.fields, _ERA)
+        return int(stated) if stated.isdigit() else self.era
 
 
 def _decode_row(raw: dict[str, Any]) -> Row:
