Bound what an endpoint may send that is no answer

Cause: an endpoint in trouble may send bytes without an end, in a head or a body. Heads, interim answers, framing and trailers were read until the request's time was over, events and answers to others were collected without a bound, and what came on an idle connection stayed there. Change: 128 KB without a new head or more of a body, an event of 1 MB, a body of 1 MB that states no length, a length beyond 8 MB, or 16 answers to other requests end the connection; the endpoint counts as failing. Idle connections that ended or brought anything are closed within a second.

--- /dev/null
+++ b/features/steps/endless_bytes_steps.py
@@ -0,0 +1,71 @@
+"""Steps of endpoints that send bytes without an end."""
+
+import tracemalloc
+
+import trio
+from behave import then, when
+
+from features.steps.entry_steps import _play
+
+_MEGABYTE = 1048576
+
+
+@when('a caller sends a request, and another one after the endpoint is sound again')
+def send_two(context):
+    async def act(fleet):
+        backend = fleet.backends['e0']
+        state = fleet.instances[0]._state
+        (live,) = state._endpoints.values()
+        tracemalloc.start()
+        try:
+            before, _ = tracemalloc.get_traced_memory()
+            started = trio.current_time()
+            first = await fleet.call('/a')
+            context.took = trio.current_time() - started
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        context.grown = (peak - before) / _MEGABYTE
+        context.failure_rate = live.record.failure_rate
+        # Idle connections are looked at once a second.
+        await trio.sleep(1.2)
+        context.left = len(backend.left)
+        backend.behaviour = 'answer'
+        second = await fleet.call('/a')
+        return first, second
+
+    _play(context, act)
+
+
+@then('the first is answered {status:d} within {milliseconds:d} ms, in {bound:g} MB of memory')
+def check_first(context, status, milliseconds, bound):
+    first, _ = context.result
+    assert first.status == status and first.is_whole, first
+    # The margin is that of an answer at the end of a route's time.
+    assert context.took <= milliseconds / 1000 + 0.15, context.took
+    assert context.grown <= bound, context.grown
+
+
+@then("the endpoint's connection was closed, it counts as failing, and the second is its own")
+def check_failing(context):
+    check_second(context)
+    assert context.failure_rate > 0, context.failure_rate
+
+
+@then("the endpoint's connection was closed, and the second is its own")
+def check_second(context):
+    _, second = context.result
+    assert context.left == 1, context.left
+    assert second.status == 200 and second.content == b'answer of e0', second
+
+
+@then(
+    'the first ends within {milliseconds:d} ms after its whole events, not looking whole, '
+    'in {bound:g} MB of memory'
+)
+def check_event(context, milliseconds, bound):
+    first, _ = context.result
+    assert not first.is_whole, first
+    assert first.content == b'id: 0\ndata: piece 0\n\n', first.content[:99]
+    assert context.took <= milliseconds / 1000 + 0.15, context.took
+    assert context.grown <= bound, context.grown
--- a/src/fireflymux/entry/attempt.py
+++ b/src/fireflymux/entry/attempt.py
@@ -20,10 +20,15 @@
 )
 from .endpoint_wishes import note_wishes
 from .entry_metrics import EntryMetrics
-from .event_relay import EventRelay
+from .event_relay import EventRelay, EventTooLarge
 from .state import EntryState, LiveEndpoint
 
+#: Largest answer that states its length, and one that does not and may have no end.
 _MAXIMUM_ANSWER_BYTES = 8388608
+_MAXIMUM_UNSTATED_BYTES = 1048576
+#: Answers to other requests, and bytes of their bodies, that are skipped on one connection.
+_MAXIMUM_SKIPPED = 16
+_MAXIMUM_SKIPPED_BYTES = 1048576
 _FIRST_SUCCESS = 200
 _FIRST_REDIRECT = 300
 _FIRST_SERVER_ERROR = 500
@@ -173,7 +178,7 @@
             connection.drop(answer)
             idle_seconds = terms.idle_seconds
             is_whole = True
-    except ConnectionBroken as error:
+    except (ConnectionBroken, EventTooLarge) as error:
         return Broken(str(error))
     finally:
         if not is_whole:
@@ -203,13 +208,15 @@
 
 async def _match_answer(connection: ServerLink, attempt_id: bytes) -> tuple[Answer, AnswerTerms]:
     """Skips answers to other requests that arrive late on the connection."""
-    while True:
+    left = _MAXIMUM_SKIPPED_BYTES
+    for _ in range(_MAXIMUM_SKIPPED):
         answer = await connection.next_answer()
         terms = decode_answer(answer.head)
         if terms.attempt == attempt_id:
             return answer, terms
-        await connection.read_whole(answer, _MAXIMUM_ANSWER_BYTES)
+        left -= len(await connection.read_whole(answer, left))
         connection.drop(answer)
+    raise ConnectionBroken('{0} answers to other requests'.format(_MAXIMUM_SKIPPED))
 
 
 async def _take_answer(
@@ -225,7 +232,9 @@
         raise ConnectionBroken('the answer is not signed')
     if is_success and attempt.relay is not None:
         return await _relay_events(state, attempt, connection, answer)
-    content = await connection.read_whole(answer, _MAXIMUM_ANSWER_BYTES)
+    is_stated = head.content_length is not None
+    maximum_bytes = _MAXIMUM_ANSWER_BYTES if is_stated else _MAXIMUM_UNSTATED_BYTES
+    content = await connection.read_whole(answer, maximum_bytes)
     if terms.did_not_run:
         return Rejected(head.status)
     if not terms.is_signed:
--- a/src/fireflymux/entry/event_relay.py
+++ b/src/fireflymux/entry/event_relay.py
@@ -6,6 +6,12 @@
 _EVENT_END = b'\n\n'
 _IDENTIFIER = b'id:'
 _COMMENT = b':'
+#: Largest event; a longer one is taken for bytes without an end.
+_MAXIMUM_EVENT_BYTES = 1048576
+
+
+class EventTooLarge(Exception):
+    """An event has no end within the bound on its size."""
 
 
 class EventRelay:
@@ -48,9 +54,14 @@
             received: The bytes, in order.
             status: Status of the answer.
             fields: Field lines of the answer for the caller.
+
+        Raises:
+            EventTooLarge: The bytes after the last whole event exceed the bound on one.
         """
         content = self._partial + received
         end = content.rfind(_EVENT_END)
+        if len(content) - max(end, 0) > _MAXIMUM_EVENT_BYTES:
+            raise EventTooLarge('{0} bytes without the end of an event'.format(len(content)))
         if end < 0:
             self._partial = content
             return
--- a/src/fireflymux/entry/instance.py
+++ b/src/fireflymux/entry/instance.py
@@ -32,6 +32,8 @@
 _EXIT_MARGIN_SECONDS = 0.6
 _POLL_SECONDS = 0.05
 _TICK_SECONDS = 0.02
+#: Time between two looks at the idle connections to endpoints.
+_CLEANUP_SECONDS = 1.0
 #: Part of the descriptors, and of the memory, that open connections of callers may take.
 _CALLERS_PART = 0.5
 #: Memory of an open connection with its tasks, parser and buffers.
@@ -93,7 +95,13 @@
                 is_stopping=_never,
             )
             self._listeners.append(metrics)
-        self._followers = (self._peers.run, self._store.run, self._snapshots.run, self._tick)
+        self._followers = (
+            self._peers.run,
+            self._store.run,
+            self._snapshots.run,
+            self._tick,
+            self._close_unusable,
+        )
 
     async def run(self) -> None:
         """Serves until SIGTERM, then until the requests in progress have ended."""
@@ -152,6 +160,12 @@
             self._peers.forget_gone()
             self._exchanges.dispatch()
 
+    async def _close_unusable(self) -> None:
+        while True:
+            await trio.sleep(_CLEANUP_SECONDS)
+            for live in self._state.list_endpoints():
+                live.pool.close_unusable()
+
     def _is_stopping(self) -> bool:
         return self._state.is_stopping
 
--- a/src/fireflymux/experiment/links.py
+++ b/src/fireflymux/experiment/links.py
@@ -94,5 +94,8 @@
     def give_back(self, connection: EngineLink, idle_seconds: float | None) -> None:
         """Forgets a connection."""
 
+    def close_unusable(self) -> None:
+        """Does nothing, since no connection is kept."""
+
     def close(self) -> None:
         """Has nothing to close."""
--- a/src/fireflymux/http/client_connection.py
+++ b/src/fireflymux/http/client_connection.py
@@ -14,6 +14,8 @@
 _USER_TIMEOUT_MILLISECONDS = 2000
 _KEEPALIVE_SECONDS = 1
 _KEEPALIVE_PROBES = 2
+#: Bytes that may come without a new head or more of a body: a head, or the framing of a body.
+_MAXIMUM_FRAMING_BYTES = 131072
 _EXHAUSTED = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 
 
@@ -50,6 +52,7 @@
     _socket: trio.socket.SocketType
     _raw_socket: socket.socket
     _parser: ResponseParser = attrs.field(factory=ResponseParser)
+    _framing_bytes: int = 0
     idle_until: float = float('inf')
 
     @classmethod
@@ -173,6 +176,8 @@
         """
         parts: list[bytes] = []
         size = 0
+        if (answer.head.content_length or 0) > maximum_bytes:
+            raise ConnectionBroken('the answer is too large')
         while True:
             part = await self.next_piece(answer)
             if not part:
@@ -190,13 +195,23 @@
         except OSError as error:
             raise ConnectionBroken(repr(error)) from error
         if received:
-            self._parser.feed(received)
+            self._take(received)
             return
         self._parser.feed_end()
         answers = self._parser.answers
         if not answers or not answers[-1].is_whole:
             raise ConnectionBroken('the server closed the connection')
 
+    def _take(self, received: bytes) -> None:
+        progress = self._parser.progress
+        self._parser.feed(received)
+        if self._parser.progress > progress:
+            self._framing_bytes = 0
+            return
+        self._framing_bytes += len(received)
+        if self._framing_bytes > _MAXIMUM_FRAMING_BYTES:
+            raise ConnectionBroken('the server sent bytes that are no answer, without an end')
+
 
 def _set_options(sock: socket.socket) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/src/fireflymux/http/connection_pool.py
+++ b/src/fireflymux/http/connection_pool.py
@@ -52,6 +52,9 @@
     def close(self) -> None:
         """Closes the idle connections."""
 
+    def close_unusable(self) -> None:
+        """Closes the idle connections that can carry no request any more."""
+
 
 class ConnectionPool:
     """Idle connections to one server; the one used last is taken first.
@@ -124,6 +127,17 @@
         while self._idle:
             self._idle.pop().close()
 
+    def close_unusable(self) -> None:
+        """Closes the idle connections that timed out, ended, or brought bytes unasked."""
+        now = trio.current_time()
+        kept: deque[ClientConnection] = deque()
+        for connection in self._idle:
+            if connection.idle_until > now and connection.is_reusable:
+                kept.append(connection)
+                continue
+            connection.close()
+        self._idle = kept
+
     def _drop_unwanted(self) -> None:
         now = trio.current_time()
         while self._idle:
--- a/src/fireflymux/http/response_parser.py
+++ b/src/fireflymux/http/response_parser.py
@@ -35,6 +35,7 @@
         answers: Answers in order of their heads; the taker removes them.
         is_spoiled: Whether bytes came that are no answer.
         keeps_alive: Whether the server keeps the connection after the last whole answer.
+        progress: Final heads, and bytes of bodies, that came so far.
     """
 
     def __init__(self) -> None:
@@ -42,6 +43,7 @@
         self.answers: deque[Answer] = deque()
         self.is_spoiled = False
         self.keeps_alive = True
+        self.progress = 0
         self._parser = httptools.HttpResponseParser(self)
         self._fields: Fields = []
         self._current: Answer | None = None
@@ -92,11 +94,13 @@
             ends_with_connection=not (is_chunked or length or status in _BODYLESS_STATUSES),
         )
         self.answers.append(self._current)
+        self.progress += 1
 
     def on_body(self, part: bytes) -> None:
         """Takes a part of the body; called by the parser."""
         if self._current is not None:
             self._current.pieces.append(part)
+            self.progress += len(part)
 
     def on_message_complete(self) -> None:
         """Ends an answer; called by the parser."""
