Let prompts wait by what they can spare, and meet on the homes of what they share

Change: a prompt may wait for 0.75, and for accounts over their share 0.25, of its target less its own reading and the time since it came; this takes the place of the part of a prompt's own reading that did not count. Engines stand in the order of a prompt's homes, each place costs 90 ms, up to three. Where the best engine is too busy, an account that was given under 0.7 of its share goes wherever it fits. The soak's drills excuse only what the store accepted just before.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -48,6 +48,14 @@
     When prompts of one session are placed while its engine's queue grows
     Then they stay at its engine first and go elsewhere when that saves more than rereading
 
+  Scenario: An account within its share is placed where there is room
+    When prompts of one session meet a full engine that keeps them and an idle one
+    Then an account within its share has the idle one, and one beyond it waits
+
+  Scenario: Prompts that find their engine full meet on one other
+    When prompts of 50 sessions find the engine that keeps them full and the others hardly busy
+    Then those of each session go to one other engine, and sessions are spread over all
+
   Scenario: A prompt that is too long to be on time is placed while nothing waits
     When a prompt that takes longer than its target meets an idle and a busy engine
     Then the idle one takes it and the busy one does not
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -79,7 +79,7 @@
             continue
         targets = {exchange.instance, arrival.endpoint}
         # What an instance has seen leave stays so when the store comes back from a copy.
-        faults = _without_drills(history, left_at + FOLLOW_SECONDS)
+        faults = _without_drills(history, left_at)
         if faults.is_calm(targets, left_at, arrival.at):
             yield 'reached an endpoint {0:.2f} s after it announced its leave: {1}'.format(
                 arrival.at - left_at, exchange
@@ -93,11 +93,13 @@
         newer = history.accepted.get(_next_version(history, exchange.key_version), float('inf'))
         since = history.accepted[exchange.key_version]
         if exchange.status == _OK and exchange.sent_at > newer + CONFIGURATION_SECONDS:
-            if history.is_calm(targets, newer, exchange.ended_at):
+            faults = _without_drills(history, newer)
+            if faults.is_calm(targets, newer, exchange.ended_at):
                 yield 'a dropped key still serves: {0}'.format(exchange)
         is_due = exchange.sent_at > since + CONFIGURATION_SECONDS and exchange.ended_at < newer
         if exchange.status == _UNAUTHENTICATED and is_due:
-            if history.is_calm(targets, since, exchange.ended_at):
+            faults = _without_drills(history, since)
+            if faults.is_calm(targets, since, exchange.ended_at):
                 yield 'a key is not known yet: {0}'.format(exchange)
 
 
@@ -221,12 +223,16 @@
     return min((item for item in history.accepted if item > version), default=0)
 
 
-def _without_drills(history: History, since: float) -> History:
-    """Returns the disturbances but for those by a store that came back from a copy later."""
+def _without_drills(history: History, accepted_at: float) -> History:
+    """Returns the disturbances for what the store accepted at some time.
+
+    A store that comes back from a copy loses what it accepted shortly before, which the instances
+    need not have read; it excuses nothing of what they had read, or was written later.
+    """
     kept = [
         fault
         for fault in history.disturbances
-        if fault.kind != 'store_back' or fault.start < since
+        if fault.kind != 'store_back' or fault.start - FOLLOW_SECONDS <= accepted_at <= fault.end
     ]
     return History(disturbances=kept)
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -44,7 +44,7 @@
 
 async def _go_back(world: World, event: Event) -> None:
     """Brings the store back from a copy; the operator and the endpoints write theirs again."""
-    world.disturb(event.kind, '', _AWAY_SECONDS + _REWRITE_SECONDS)
+    world.disturb(event.kind, '', _AWAY_SECONDS)
     world.turn_away(world.instances, 'reset')
     await trio.sleep(_AWAY_SECONDS)
     world.store.go_back(world.find_copy(event.seconds))
--- a/src/fireflymux/decisions/engine_choice.py
+++ b/src/fireflymux/decisions/engine_choice.py
@@ -5,7 +5,7 @@
 comes late has used up the time of others for little.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 
@@ -86,28 +86,54 @@
         The placement, or None if every engine holds as many requests as it may.
     """
     shared_tokens = sum(part.tokens for part in parts[:-1])
-    home = _choose_home(views, parts, shared_tokens <= policy.small_shared_tokens)
+    prefers_near = shared_tokens <= policy.small_shared_tokens
     best: EngineView | None = None
     best_cost = float('inf')
-    for view in views:
+    for place, view in enumerate(order_homes(views, parts, prefers_near=prefers_near)):
         if view.running >= policy.held_part * view.slots:
             continue
         cost = _weigh(view, prompt_tokens, shared_tokens, policy)
-        if view.number != home:
-            cost += policy.home_bias_seconds
+        if shared_tokens:
+            cost += policy.home_bias_seconds * min(place, policy.home_ranks)
         if cost < best_cost:
             best_cost = cost
             best = view
     return None if best is None else _predict(best, prompt_tokens)
 
 
-def _weigh(
-    view: EngineView, prompt_tokens: int, shared_tokens: int, policy: PlacingPolicy
-) -> float:
-    tokens = float(max(prompt_tokens - view.cached_tokens, 1))
-    tokens += policy.reread_weight * max(shared_tokens - view.cached_tokens, 0)
-    cost = view.wait_seconds + tokens / view.tokens_per_second
-    return cost if view.is_near else cost + policy.remote_bias_seconds
+def choose_fitting_engine(
+    views: Sequence[EngineView],
+    parts: Sequence[PromptPart],
+    prompt_tokens: int,
+    fits: Callable[[Placement], bool],
+    *,
+    may_leave: bool,
+    policy: PlacingPolicy = DEFAULT_POLICY,
+) -> Placement | None:
+    """Chooses an engine on which a prompt is worth placing.
+
+    Answers accounts within their share whose prompts are kept by an engine that others fill: they
+    are not refused for the sake of what it keeps. Those beyond their share wait for it, since
+    what they would have read again costs everybody.
+
+    Args:
+        views: Engines that may be given work.
+        parts: Parts of the prompt in order.
+        prompt_tokens: Length of the prompt.
+        fits: Tells whether a placement is worth it.
+        may_leave: Whether any other engine will do where the best one doesn't.
+        policy: How waiting, rereading and distance are weighed.
+
+    Returns:
+        The placement, or None if there is none.
+    """
+    placement = choose_engine(views, parts, prompt_tokens, policy)
+    if placement is None or fits(placement):
+        return placement
+    if not may_leave:
+        return None
+    roomy = [view for view in views if fits(_predict(view, prompt_tokens))]
+    return choose_engine(roomy, parts, prompt_tokens, policy)
 
 
 def _predict(view: EngineView, prompt_tokens: int) -> Placement:
@@ -117,13 +143,13 @@
     return Placement(view.number, tokens, wait, seconds, view.running >= view.slots)
 
 
-def _choose_home(
-    views: Sequence[EngineView],
-    parts: Sequence[PromptPart],
-    is_small: bool,
-) -> int:
-    near = [view for view in views if view.is_near] if is_small else []
-    return find_home(near or views, parts)
+def _weigh(
+    view: EngineView, prompt_tokens: int, shared_tokens: int, policy: PlacingPolicy
+) -> float:
+    tokens = float(max(prompt_tokens - view.cached_tokens, 1))
+    tokens += policy.reread_weight * max(shared_tokens - view.cached_tokens, 0)
+    cost = view.wait_seconds + tokens / view.tokens_per_second
+    return cost if view.is_near else cost + policy.remote_bias_seconds
 
 
 def find_least_wait(views: Iterable[EngineView], policy: PlacingPolicy = DEFAULT_POLICY) -> float:
@@ -147,7 +173,8 @@
     least_wait_seconds: float,
     *,
     spent_seconds: float,
-    limit_seconds: float,
+    target_seconds: float,
+    part: float,
     is_late: bool = False,
     policy: PlacingPolicy = DEFAULT_POLICY,
 ) -> bool:
@@ -158,25 +185,27 @@
     Args:
         least_wait_seconds: Shortest predicted wait over the engines.
         spent_seconds: Time since it arrived.
-        limit_seconds: Latency that it must meet.
-        is_late: Whether it can't meet that any more.
+        target_seconds: Latency within which its first event is on time.
+        part: Part of the time that it can spare for which it may wait.
+        is_late: Whether it can't be on time any more.
         policy: How much may wait before a prompt that is late.
 
     Returns:
         False only if `is_worth_placing` refuses it on each engine.
     """
-    if least_wait_seconds <= policy.late_wait_part * limit_seconds:
+    if least_wait_seconds <= policy.late_wait_part * part * target_seconds:
         return True
     if is_late:
         return False
-    return spent_seconds + FIRST_EVENT_SECONDS + least_wait_seconds <= limit_seconds
+    return least_wait_seconds <= part * (target_seconds - FIRST_EVENT_SECONDS - spent_seconds)
 
 
 def is_worth_placing(
     placement: Placement,
     *,
     spent_seconds: float,
-    limit_seconds: float,
+    target_seconds: float,
+    part: float,
     is_late: bool = False,
     policy: PlacingPolicy = DEFAULT_POLICY,
 ) -> bool:
@@ -185,39 +214,46 @@
     Args:
         placement: Where it would go.
         spent_seconds: Time since it arrived.
-        limit_seconds: Latency that it must meet.
-        is_late: Whether it can't meet that any more.
+        target_seconds: Latency within which its first event is on time.
+        part: Part of the time that it can spare for which it may wait.
+        is_late: Whether it can't be on time any more.
         policy: How much may wait before a prompt that is late.
 
     Returns:
-        Whether its first event is predicted in time; a prompt that is late already, or too
+        Whether it waits for no longer than that part of what it can still spare; a prompt that is late already, or too
         long to be on time anywhere, is placed while little waits before it.
     """
+    little_seconds = policy.late_wait_part * part * target_seconds
     if is_late:
-        if placement.is_queued:
-            return False
-        return placement.wait_seconds <= policy.late_wait_part * limit_seconds
+        return not placement.is_queued and placement.wait_seconds <= little_seconds
     own_seconds = placement.seconds - placement.wait_seconds
-    own_seconds -= policy.size_part * (own_seconds - FIRST_EVENT_SECONDS)
-    if spent_seconds + placement.wait_seconds + own_seconds <= limit_seconds:
-        return True
-    if own_seconds < limit_seconds:
-        return False
-    return placement.wait_seconds <= policy.late_wait_part * limit_seconds
+    if own_seconds >= target_seconds:
+        return placement.wait_seconds <= little_seconds
+    return placement.wait_seconds <= part * (target_seconds - own_seconds - spent_seconds)
+
 
+def order_homes(
+    views: Sequence[EngineView], parts: Sequence[PromptPart], *, prefers_near: bool = False
+) -> Sequence[EngineView]:
+    """Orders engines as all instances prefer them for a prompt, by rendezvous hashing.
 
-def find_home(views: Sequence[EngineView], parts: Sequence[PromptPart]) -> int:
-    """Finds the engine that all instances prefer for a prompt, by rendezvous hashing.
+    Prompts that find no room on the first engine meet again on the second, so that few engines
+    spend memory on the same part.
 
     Args:
         views: Engines that may be given work.
         parts: Parts of the prompt in order.
+        prefers_near: Whether those in the failure domain of this instance come first.
 
     Returns:
-        Number of the endpoint; -1 if the prompt shares nothing.
+        The engines; in the given order if the prompt shares nothing.
     """
-    if len(parts) < 2 or not views:
-        return -1
+    if len(parts) < 2:
+        return views
     shared = parts[-2].identifier
-    # Hashes of integers are the same in every process.
-    return max((hash((shared, view.number)), view.number) for view in views)[1]
+
+    def rank(view: EngineView) -> tuple[bool, int, int]:
+        # Hashes of integers are the same in every process.
+        return prefers_near and not view.is_near, -hash((shared, view.number)), view.number
+
+    return sorted(views, key=rank)
--- a/src/fireflymux/decisions/fair_shares.py
+++ b/src/fireflymux/decisions/fair_shares.py
@@ -10,6 +10,8 @@
 
 #: Age at which the level is worked out anew, in seconds.
 _LEVEL_SECONDS = 0.05
+#: Part of its share from which on an account does without what costs the others.
+_SHORT_PART = 0.7
 
 
 class FairShares:
@@ -57,6 +59,19 @@
         """
         return self.usage_of(account, now) > self._level
 
+    def is_short(self, account: str, now: float) -> bool:
+        """Tells whether an account was given much less than its max-min share lately.
+
+        Args:
+            account: Client account.
+            now: Time in seconds.
+
+        Returns:
+            Whether it lacks so much that others should do without something for it; true for
+            each account while there is enough for all.
+        """
+        return self.usage_of(account, now) < _SHORT_PART * self._level
+
     def charge(self, account: str, tokens: float, now: float) -> None:
         """Counts tokens given to an account by this instance.
 
--- a/src/fireflymux/decisions/placing_policy.py
+++ b/src/fireflymux/decisions/placing_policy.py
@@ -11,15 +11,16 @@
         held_part: Requests that an engine may hold, as a part of its slots. Those beyond the
             slots wait there, so that a slot is taken at once when it becomes free, not only
             after the instances have heard of it.
-        target_part: Part of the target latency by which the first event is to come.
+        target_part: Part of the time that a prompt can spare, its target latency less the time
+            that it takes on an idle engine, for which it may wait to be read.
         over_share_part: The same for accounts that were given their share already.
         yield_ratio: What is left of these parts while the same account sends more urgent
             requests, so that room is left for those.
-        size_part: Part of a prompt's own reading that does not count against its target, so
-            that long prompts are not the first to be refused.
         patience_part: Part of the target latency after which a request is refused.
         reread_weight: Weight of reading a shared part again, against waiting for as long.
-        home_bias_seconds: Wait that another engine must save before a prompt leaves its home.
+        home_bias_seconds: Wait that an engine must save for each place that it comes later in
+            the order of a prompt's homes.
+        home_ranks: Places of that order that are told apart.
         remote_bias_seconds: Wait that an engine in another failure domain must save, for the
             bytes between the two.
         small_shared_tokens: Shared parts up to this length are read once in each failure
@@ -30,18 +31,18 @@
 
     held_part: float = 1.5
     target_part: float = 0.75
-    over_share_part: float = 0.45
+    over_share_part: float = 0.25
     yield_ratio: float = 0.7
-    size_part: float = 0.35
     patience_part: float = 0.25
     reread_weight: float = 4.0
-    home_bias_seconds: float = 0.03
+    home_bias_seconds: float = 0.09
+    home_ranks: int = 3
     remote_bias_seconds: float = 0.01
     small_shared_tokens: int = 1000
     late_wait_part: float = 0.2
 
     def part_of(self, *, yields: bool, is_over: bool) -> float:
-        """Returns the part of its target latency by which a first event is to come.
+        """Returns the part of the time that a prompt can spare for which it may wait.
 
         Args:
             yields: Whether the account sends more urgent requests.
--- a/src/fireflymux/decisions/waiting.py
+++ b/src/fireflymux/decisions/waiting.py
@@ -29,8 +29,8 @@
         is_return: Whether it was refused before, so that it is late already.
         excluded: Endpoints that must not be chosen again.
         on_placed: Called once it is placed.
-        predicted_seconds: Least predicted time to the first event, when it was last looked at.
-        limit_seconds: Time by which that had to come.
+        predicted_seconds: Least predicted wait on an engine, when it was last looked at.
+        limit_seconds: Longest wait with which it would be placed then, had it nothing to read.
         placement: Where it goes; None while it waits.
         yields: Whether its account sent more urgent requests lately.
         gives_up_at: Time from which it must not be placed any more, in seconds.
--- a/src/fireflymux/entry/service_queue.py
+++ b/src/fireflymux/entry/service_queue.py
@@ -7,7 +7,7 @@
 from ..decisions.engine_choice import (
     EngineView,
     Placement,
-    choose_engine,
+    choose_fitting_engine,
     find_least_wait,
     is_worth_placing,
     may_be_placed,
@@ -138,32 +138,40 @@
         spent = now - waiting.arrived_at
         is_over = state.shares.is_over(waiting.account, now)
         part = policy.part_of(yields=waiting.yields, is_over=is_over)
-        waiting.limit_seconds = part * waiting.target_seconds
+        waiting.limit_seconds = part * (waiting.target_seconds - spent)
         workers = state.list_workers(service, waiting.excluded)
         views = _view_engines(state, workers, terms, state.stays[service].seconds)
         waiting.predicted_seconds = find_least_wait(views, policy)
         if not may_be_placed(
             waiting.predicted_seconds,
             spent_seconds=spent,
-            limit_seconds=waiting.limit_seconds,
+            target_seconds=waiting.target_seconds,
+            part=part,
             is_late=waiting.is_return,
             policy=policy,
         ):
             return None
         for live, view in zip(workers, views, strict=True):
             view.cached_tokens = live.cache.count_cached(waiting.parts)
-        placement = choose_engine(views, waiting.parts, waiting.prompt_tokens, policy)
-        if placement is None:
-            return None
-        waiting.predicted_seconds = placement.seconds
-        is_placed = is_worth_placing(
-            placement,
-            spent_seconds=spent,
-            limit_seconds=waiting.limit_seconds,
-            is_late=waiting.is_return,
+
+        def fits(placement: Placement) -> bool:
+            return is_worth_placing(
+                placement,
+                spent_seconds=spent,
+                target_seconds=waiting.target_seconds,
+                part=part,
+                is_late=waiting.is_return,
+                policy=policy,
+            )
+
+        return choose_fitting_engine(
+            views,
+            waiting.parts,
+            waiting.prompt_tokens,
+            fits,
+            may_leave=state.shares.is_short(waiting.account, now),
             policy=policy,
         )
-        return placement if is_placed else None
 
     return choose
 
