Drop an endpoint that vanished although it said since that it leaves

Cause: found by reading. Noting that an endpoint leaves took its entry for one that the store had shown anew, so that one whose entry had vanished around an outage stayed in the list for good. Change: only its state changes. Test: store_copy.feature, red before.

--- a/features/steps/store_copy_steps.py
+++ b/features/steps/store_copy_steps.py
@@ -152,6 +152,28 @@
     assert context.anew[4.0] == ['e0', 'e1'], context.anew
 
 
+@when(
+    'the entry of an endpoint vanishes around an outage, and the endpoint then says that it leaves'
+)
+def vanish_and_leave(context):
+    members = Membership()
+    endpoint = _endpoint('e0')
+    members.replace([endpoint], 0.0)
+    members.record_outage(1.0)
+    members.remove('e0', 1.1)
+    members.note_leaving(endpoint.number, 1.2)
+    context.leaving = members.list_leaving()
+    members.expire(3.0)
+    context.listed = list(members.list_endpoints())
+    context.number = endpoint.number
+
+
+@then('it is leaving at once, and gone when its entry has not come back')
+def check_gone(context):
+    assert context.leaving == [context.number], context.leaving
+    assert not context.listed, context.listed
+
+
 @when('the store answers a call late with an older era')
 def answer_late(context):
     async def run():
--- a/features/store_copy.feature
+++ b/features/store_copy.feature
@@ -34,3 +34,7 @@
   Scenario: A late answer of the store from before it went back changes nothing
     When the store answers a call late with an older era
     Then the call counts as not answered, and the newer era stays
+
+  Scenario: An endpoint whose entry vanished in an outage is dropped although it says that it leaves
+    When the entry of an endpoint vanishes around an outage, and the endpoint then says that it leaves
+    Then it is leaving at once, and gone when its entry has not come back
--- a/src/fireflymux/decisions/membership.py
+++ b/src/fireflymux/decisions/membership.py
@@ -151,10 +151,9 @@
             now: Time in seconds.
         """
         self._leaving[number] = now
-        for endpoint in self._endpoints.values():
-            if endpoint.number == number and not endpoint.is_leaving:
-                self.put(endpoint, now)
-                return
+        for identifier, endpoint in self._endpoints.items():
+            if endpoint.number == number:
+                self._endpoints[identifier] = attrs.evolve(endpoint, is_leaving=True)
 
     def is_leaving(self, number: int) -> bool:
         """Tells whether an incarnation of an endpoint was seen to leave."""
