--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,7 @@
 
 from .endpoints import SoakEndpoint
 from .history import Stop
-from .plan import Event
+from .plan import AWAY_SECONDS, REWRITE_SECONDS, Event
 from .world import SERVICES, Place, World
 
 _DELAY_SECONDS = 0.15
@@ -17,9 +17,6 @@
 _STAY_SECONDS = 0.5
 #: Time until the entry of an endpoint that crashed is removed.
 _LAPSE_SECONDS = 1.0
-#: Time that the store is away before it comes back from a copy, and until all is written again.
-_AWAY_SECONDS = 0.2
-_REWRITE_SECONDS = 0.6
 #: Time until the address of an endpoint that has ended is used again.
 _REUSE_SECONDS = 0.5
 
@@ -44,12 +41,12 @@
 
 async def _go_back(world: World, event: Event) -> None:
     """Brings the store back from a copy; the operator and the endpoints write theirs again."""
-    world.disturb(event.kind, '', _AWAY_SECONDS)
+    world.disturb(event.kind, '', AWAY_SECONDS)
     world.turn_away(world.instances, 'reset')
-    await trio.sleep(_AWAY_SECONDS)
-    world.store.go_back(world.find_copy(event.seconds))
+    await trio.sleep(AWAY_SECONDS)
+    world.store.go_back(world.find_copy(event.copy_seconds))
     world.turn_away(world.instances, '')
-    await trio.sleep(_REWRITE_SECONDS)
+    await trio.sleep(REWRITE_SECONDS)
     world.write_again()
 
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -13,6 +13,9 @@
 _EVENTS = (6, 14)
 #: Part of the soaks in which the store comes back from a copy.
 _DRILL_PART = 0.6
+#: Time that the store is away before it comes back, and until all is written again, in seconds.
+AWAY_SECONDS = 0.2
+REWRITE_SECONDS = 0.6
 #: Age of that copy in seconds.
 _COPY_SECONDS = (0.5, 3.0)
 
@@ -54,12 +57,14 @@
         kind: What happens.
         target: Number of the instance or of the endpoint; -1 for all or none.
         seconds: How long it lasts.
+        copy_seconds: Age of the copy that the store comes back from.
     """
 
     at: float
     kind: str
     target: int
     seconds: float
+    copy_seconds: float = 0.0
 
 
 @attrs.define(frozen=True, kw_only=True)
@@ -129,10 +134,11 @@
 
 
 def _draw_drill(rng: random.Random) -> Event:
-    """Draws a moment at which the store comes back from a copy; `seconds` is the copy's age."""
+    """Draws a moment at which the store comes back from a copy."""
     return Event(
         at=rng.uniform(_COPY_SECONDS[1], FAULT_SECONDS - 1.5),
         kind='store_back',
         target=-1,
-        seconds=rng.uniform(*_COPY_SECONDS),
+        copy_seconds=rng.uniform(*_COPY_SECONDS),
+        seconds=AWAY_SECONDS + REWRITE_SECONDS,
     )
