One way to write a raw head in the stand-in, and docstrings that say who waits for a full engine

Read once more as a newcomer: the stand-in wrote the same head twice, and the choice of an engine told of shares where it means accounts short of theirs. No behaviour changes; lint, the decisions and the scenarios that use the stand-in's head were run.

--- a/emulator/backend.py
+++ b/emulator/backend.py
@@ -103,8 +103,7 @@
 
 
 async def _answer_without_length(request: Request, writer: AnswerWriter, fields: Fields) -> None:
-    lines = b''.join(b'%b: %b\r\n' % field for field in fields)
-    await writer.send(b'HTTP/1.1 200 OK\r\n' + lines + b'\r\n' + _content_of(fields))
+    await writer.send(_head(fields, b'\r\n') + _content_of(fields))
     writer.must_close = True
 
 
--- a/src/fireflymux/decisions/engine_choice.py
+++ b/src/fireflymux/decisions/engine_choice.py
@@ -112,9 +112,9 @@
 ) -> Placement | None:
     """Chooses an engine on which a prompt is worth placing.
 
-    Answers accounts within their share whose prompts are kept by an engine that others fill: they
-    are not refused for the sake of what it keeps. Those beyond their share wait for it, since
-    what they would have read again costs everybody.
+    Answers accounts short of their share whose prompts are kept by an engine that others fill:
+    they are not refused for the sake of what it keeps. The others wait for it, since what they
+    would have read again costs everybody.
 
     Args:
         views: Engines that may be given work.
@@ -220,8 +220,9 @@
         policy: How much may wait before a prompt that is late.
 
     Returns:
-        Whether it waits for no longer than that part of what it can still spare; a prompt that is late already, or too
-        long to be on time anywhere, is placed while little waits before it.
+        Whether it waits for no longer than that part of what it can still spare; a prompt that
+        is late already, or too long to be on time anywhere, is placed while little waits before
+        it.
     """
     little_seconds = policy.late_wait_part * part * target_seconds
     if is_late:
