Tell from logs and metrics why an account was refused: what it asked for, was given, and its level

Change: both placing lines carry them (and the wait on the engine that suits the prompt best), metrics count tokens by account, 'fireflymux shares' tabulates logs by account and second. No decision changes.

--- a/features/logs.feature
+++ b/features/logs.feature
@@ -5,6 +5,11 @@
     When its story is asked for
     Then it has the request's lines and the changes of state before them, in order of time
 
+  Scenario: What accounts were given and refused is told by second, over all processes
+    Given the logs of two processes, with an account refused over its share and one served
+    When the table of accounts is asked for
+    Then it tells for each second what was given, refused, came back, was over and met a full home
+
   Scenario: A reader that stops reading costs lines, counted, and no time
     Given a process that writes to a pipe that nobody reads
     When it writes 10000 lines
--- a/features/steps/log_steps.py
+++ b/features/steps/log_steps.py
@@ -8,6 +8,7 @@
 import orjson
 from behave import given, then, when
 
+from fireflymux.observability.account_table import tabulate_accounts
 from fireflymux.observability.explain import explain_request, parse_lines
 from fireflymux.observability.log_stream import LineBudget, LogStream
 
@@ -74,6 +75,38 @@
     assert explain_request('c3', parse_lines(context.lines)) == []
 
 
+@given('the logs of two processes, with an account refused over its share and one served')
+def account_logs(context):
+    refusal = {'predicted': 0.03, 'limit': 0.08, 'cost': 9000, 'over': True}
+    placed = {'event': 'request_placed', 'account': 'starved', 'cost': 2000}
+    context.lines = [
+        _line(5.2, 'entry-1', 'request_not_placed', account='starved', preferred=0.2, **refusal),
+        _line(5.8, 'entry-2', 'request_not_placed', account='starved', came_back=True, **refusal),
+        _line(5.1, 'entry-2', **placed),
+        _line(6.1, 'entry-1', **placed),
+        _line(5.3, 'entry-1', 'request_placed', account='served', cost=40000),
+        _line(5.3, 'entry-1', 'endpoint_gone', endpoint='e9'),
+    ]
+
+
+@when('the table of accounts is asked for')
+def ask_accounts(context):
+    context.accounts = tabulate_accounts(parse_lines(context.lines))
+    context.named = tabulate_accounts(parse_lines(context.lines), ['served'])
+
+
+@then('it tells for each second what was given, refused, came back, was over and met a full home')
+def check_accounts(context):
+    rows = [tuple(row.values()) for row in context.accounts]
+    assert rows[:2] == [
+        ('starved', '01:00:05', 2, 18, 2, 1, 2, 1),
+        ('starved', '01:00:06', 2, 0, 0, 0, 0, 0),
+    ], rows
+    assert [tuple(row.values()) for row in context.named] == [
+        ('served', '01:00:05', 40, 0, 0, 0, 0, 0)
+    ], context.named
+
+
 @given('a process that writes to a pipe that nobody reads')
 def unread_pipe(context):
     context.reader, writer = os.pipe()
--- a/src/fireflymux/cli.py
+++ b/src/fireflymux/cli.py
@@ -14,7 +14,7 @@
 import trio
 from fire.decorators import SetParseFn
 
-from .console import EXIT_NOT_FOUND, EXIT_USAGE, fail, write
+from .console import EXIT_NOT_FOUND, EXIT_USAGE, fail, show_table, write
 from .observability.library_logs import redirect_library_logs
 from .observability.logs import start_logs
 from .settings import EntryProcessSettings, ProcessSettings, SettingsError, check_file
@@ -94,6 +94,21 @@
         write(str(line))
 
 
+@SetParseFn(str)
+def shares(*files: str, accounts: str = '') -> None:
+    """Tells what client accounts were given and refused in each second, from all logs.
+
+    Args:
+        files: Log files of all instances; standard input if none is named.
+        accounts: Names of the accounts, separated by commas; those refused most if none is named.
+    """
+    from .observability.account_table import tabulate_accounts
+    from .observability.explain import parse_lines
+
+    lines = fileinput.input(files or ('-',), encoding='utf-8', errors='replace')
+    show_table(tabulate_accounts(parse_lines(lines), filter(None, accounts.split(','))))
+
+
 @SetParseFn(str)
 def check_settings(settings: str) -> None:
     """Checks a settings file and lists every problem.
@@ -139,6 +154,7 @@
         'sidecar': sidecar,
         'entry': entry,
         'explain': explain,
+        'shares': shares,
         'check-settings': check_settings,
         'experiment': experiment,
     }
--- a/src/fireflymux/decisions/fair_shares.py
+++ b/src/fireflymux/decisions/fair_shares.py
@@ -6,6 +6,8 @@
 
 from collections.abc import Mapping
 
+import attrs
+
 from .account_usage import AccountUsage
 
 #: Age at which the level is worked out anew, in seconds.
@@ -14,6 +16,26 @@
 _SHORT_PART = 0.7
 
 
+@attrs.define(frozen=True, kw_only=True)
+class AccountStanding:
+    """What one account asked for and was given lately, beside its max-min share.
+
+    Attributes:
+        asked_tokens: Tokens that it asked for.
+        given_tokens: Tokens that it was given.
+        level_tokens: Share at which accounts that ask for more are cut off; infinite while there
+            is enough for all.
+        is_over: Whether it was given more than its share.
+        is_short: Whether it was given much less.
+    """
+
+    asked_tokens: float
+    given_tokens: float
+    level_tokens: float
+    is_over: bool
+    is_short: bool
+
+
 class FairShares:
     """Tokens that accounts asked for and were given, over all entry instances.
 
@@ -72,6 +94,24 @@
         """
         return self.usage_of(account, now) < _SHORT_PART * self._level
 
+    def standing_of(self, account: str, now: float) -> AccountStanding:
+        """Returns what the decisions about an account are based on.
+
+        Args:
+            account: Client account.
+            now: Time in seconds.
+
+        Returns:
+            Its standing.
+        """
+        return AccountStanding(
+            given_tokens=self.usage_of(account, now),
+            asked_tokens=self.asked.total(account, now),
+            level_tokens=self._level,
+            is_over=self.is_over(account, now),
+            is_short=self.is_short(account, now),
+        )
+
     def charge(self, account: str, tokens: float, now: float) -> None:
         """Counts tokens given to an account by this instance.
 
--- a/src/fireflymux/decisions/waiting.py
+++ b/src/fireflymux/decisions/waiting.py
@@ -30,6 +30,8 @@
         excluded: Endpoints that must not be chosen again.
         on_placed: Called once it is placed.
         predicted_seconds: Least predicted wait on an engine, when it was last looked at.
+        preferred_seconds: Predicted wait on the engine that suits its prompt best; None if it was
+            not worth a look.
         limit_seconds: Longest wait with which it would be placed then, had it nothing to read.
         placement: Where it goes; None while it waits.
         yields: Whether its account sent more urgent requests lately.
@@ -48,6 +50,7 @@
     on_placed: Callable[[], None] | None = None
     placement: Placement | None = None
     predicted_seconds: float = 0.0
+    preferred_seconds: float | None = None
     limit_seconds: float = 0.0
     yields: bool = False
     gives_up_at: float = float('inf')
--- a/src/fireflymux/entry/entry_metrics.py
+++ b/src/fireflymux/entry/entry_metrics.py
@@ -1,10 +1,32 @@
 """Counters, gauges and histograms of an entry instance, rendered for scraping."""
 
+import enum
+
 from ..observability.metrics import MetricSet
 
+#: Accounts that are counted by name; those that come later are counted together.
+_MOST_ACCOUNTS = 500
+_OTHER_ACCOUNTS = 'other'
+
+
+class TokenState(enum.Enum):
+    """What became of tokens that an account asked for."""
+
+    #: Asked for, each attempt of a caller counted.
+    asked = 'asked'
+    #: Counted against the share of the account when a request was placed.
+    given = 'given'
+    #: Given, and the endpoint said that it did not run the request, or knows nothing of it.
+    unused = 'unused'
+    #: Refused, since no endpoint could take the request in time.
+    refused = 'refused'
+
 
 class EntryMetrics(MetricSet):
-    """Every metric of the entry role; labels are services, results and error kinds only."""
+    """Every metric of the entry role.
+
+    Labels are services, results and error kinds, and a bounded number of accounts.
+    """
 
     def __init__(self) -> None:
         """Creates the metrics."""
@@ -13,6 +35,10 @@
         self.attempts = self._counter('attempts_total', 'Attempts by service and result')
         self.refusals = self._counter('refusals_total', 'Requests refused by error kind')
         self.retries = self._counter('retries_total', 'Repeated attempts by what came before')
+        self._account_tokens = self._counter(
+            'account_tokens_total', 'Tokens by account, and whether they were given'
+        )
+        self._accounts: set[str] = set()
         self.unreadable_reports = self._counter(
             'unreadable_reports_total', 'Datagrams that are no report of another instance'
         )
@@ -29,3 +55,16 @@
         self.config_version = self._gauge('config_version', 'Configuration version in force')
         self.first_event = self._histogram('first_event_seconds', 'Time to the first event')
         self.latency = self._histogram('request_seconds', 'Time to the end of the answer')
+
+    def count_tokens(self, account: str, state: TokenState, tokens: float) -> None:
+        """Counts tokens of one request.
+
+        Args:
+            account: Client account.
+            state: What became of them.
+            tokens: Tokens, each one read counted once and each one generated twice.
+        """
+        if account not in self._accounts and len(self._accounts) < _MOST_ACCOUNTS:
+            self._accounts.add(account)
+        label = account if account in self._accounts else _OTHER_ACCOUNTS
+        self._account_tokens.add({'account': label, 'state': state.value}, tokens)
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -27,9 +27,10 @@
 )
 from .calls import Call, admit_call
 from .endpoint_wishes import find_rest_end
-from .entry_metrics import EntryMetrics
+from .entry_metrics import EntryMetrics, TokenState
+from .placement_log import log_not_placed, log_placed
 from .service_queue import ServiceQueue, engine_chooser, release_placement, slot_chooser
-from .state import EntryState, LiveEndpoint
+from .state import EntryState
 
 _log = get_logger(__name__)
 #: Time for an endpoint's own answer at its deadline to arrive, in seconds.
@@ -177,20 +178,13 @@
             return _refuse_resting(call, rest_end - trio.current_time())
         if not call.history.sends:
             self._state.shares.asked.charge(call.account, waiting.cost_tokens, trio.current_time())
+            self._metrics.count_tokens(call.account, TokenState.asked, waiting.cost_tokens)
         if await self._queue_of(call.service).place(waiting, until=until):
             return waiting
         if call.terms.parts:
             self._state.refused.record(call.checksum(), trio.current_time())
-        _log.info(
-            'request_not_placed',
-            request=call.terms.attempt.decode('latin-1'),
-            predicted=round(waiting.predicted_seconds, 3),
-            limit=round(waiting.limit_seconds, 3),
-            came_back=waiting.is_return,
-            waiting=self.count_waiting(),
-            instances_heard=len(self._state.loads.list_reporters()),
-            members_version=str(self._state.members_version),
-        )
+        self._metrics.count_tokens(call.account, TokenState.refused, waiting.cost_tokens)
+        log_not_placed(self._state, call, waiting, queued=self.count_waiting())
         return _refuse_unplaced(call)
 
     def _comes_back(self, call: Call) -> bool:
@@ -207,7 +201,8 @@
         if live is None:
             release_placement(self._state, placement)
             return NotSent('the endpoint is gone')
-        self._log_placed(call, waiting, live)
+        log_placed(self._state, call, waiting, live)
+        self._metrics.count_tokens(call.account, TokenState.given, waiting.cost_tokens)
         call.is_in_flight = True
         started = trio.current_time()
         outcome = await run_attempt(
@@ -228,10 +223,13 @@
         call.is_in_flight = False
         self._count_crash(call, outcome, live.number, started)
         self._metrics.attempts.inc({'pool': call.service, 'result': type(outcome).__name__})
+        if isinstance(outcome, NotSent | Rejected | Abandoned):
+            self._metrics.count_tokens(call.account, TokenState.unused, waiting.cost_tokens)
         if not isinstance(outcome, Relayed | Whole):
             _log.info(
                 'attempt_ended',
                 request=call.terms.attempt.decode('latin-1'),
+                account=call.account,
                 endpoint=live.endpoint.identifier,
                 result=type(outcome).__name__,
                 detail=str(outcome),
@@ -277,26 +275,6 @@
         self._queues[name] = queue
         return queue
 
-    def _log_placed(self, call: Call, waiting: Waiting, live: LiveEndpoint) -> None:
-        placement = waiting.placement
-        if placement is None:
-            return
-        _log.info(
-            'request_placed',
-            request=call.terms.attempt.decode('latin-1'),
-            route=call.route.name,
-            account=call.account,
-            endpoint=live.endpoint.identifier,
-            attempt=call.history.sends + 1,
-            wait=round(placement.wait_seconds, 3),
-            predicted=round(placement.seconds, 3),
-            tokens=placement.tokens,
-            prompt=waiting.prompt_tokens,
-            running=self._state.loads.total(live.number).running,
-            waited=round(trio.current_time() - waiting.arrived_at, 3),
-            version=self._state.configuration_version,
-        )
-
     def _log_failure(self, call: Call, refused: Refused) -> None:
         self._metrics.refusals.inc({'kind': refused.kind.value})
         self._log_end('request_failed', call, kind=refused.kind.value, detail=refused.detail)
--- /dev/null
+++ b/src/fireflymux/entry/placement_log.py
@@ -0,0 +1,87 @@
+"""Log lines that tell where a request was placed, or why it was not."""
+
+import math
+
+import trio
+
+from ..decisions.fair_shares import AccountStanding
+from ..decisions.waiting import Waiting
+from ..observability.logs import get_logger
+from .calls import Call
+from .state import EntryState, LiveEndpoint
+
+_log = get_logger(__name__)
+
+
+def log_placed(state: EntryState, call: Call, waiting: Waiting, live: LiveEndpoint) -> None:
+    """Logs that a request was placed, and what decided it.
+
+    Args:
+        state: Beliefs of the instance.
+        call: The request.
+        waiting: The same, as it waited.
+        live: Where it goes.
+    """
+    placement = waiting.placement
+    if placement is None:
+        return
+    standing = state.shares.standing_of(call.account, trio.current_time())
+    _log.info(
+        'request_placed',
+        request=call.terms.attempt.decode('latin-1'),
+        route=call.route.name,
+        account=call.account,
+        endpoint=live.endpoint.identifier,
+        attempt=call.history.sends + 1,
+        wait=round(placement.wait_seconds, 3),
+        predicted=round(placement.seconds, 3),
+        tokens=placement.tokens,
+        prompt=waiting.prompt_tokens,
+        cost=waiting.cost_tokens,
+        over=standing.is_over,
+        running=state.loads.total(live.number).running,
+        waited=round(trio.current_time() - waiting.arrived_at, 3),
+        version=state.configuration_version,
+    )
+
+
+def log_not_placed(state: EntryState, call: Call, waiting: Waiting, *, queued: int) -> None:
+    """Logs that no endpoint took a request in time, and what decided it.
+
+    Args:
+        state: Beliefs of the instance.
+        call: The request.
+        waiting: The same, as it waited.
+        queued: Requests that wait in this instance.
+    """
+    standing = state.shares.standing_of(call.account, trio.current_time())
+    _log.info(
+        'request_not_placed',
+        request=call.terms.attempt.decode('latin-1'),
+        account=call.account,
+        priority=waiting.priority,
+        cost=waiting.cost_tokens,
+        predicted=round(waiting.predicted_seconds, 3),
+        preferred=_round(waiting.preferred_seconds),
+        limit=round(waiting.limit_seconds, 3),
+        came_back=waiting.is_return,
+        **_to_fields(standing),
+        waiting=queued,
+        instances_heard=len(state.loads.list_reporters()),
+        members_version=str(state.members_version),
+    )
+
+
+def _to_fields(standing: AccountStanding) -> dict[str, object]:
+    level = standing.level_tokens
+    return {
+        'asked': round(standing.asked_tokens),
+        'given': round(standing.given_tokens),
+        'level': None if math.isinf(level) else round(level),
+        'over': standing.is_over,
+        'short': standing.is_short,
+    }
+
+
+def _round(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 3)
--- a/src/fireflymux/entry/service_queue.py
+++ b/src/fireflymux/entry/service_queue.py
@@ -142,6 +142,7 @@
         workers = state.list_workers(service, waiting.excluded)
         views = _view_engines(state, workers, terms, state.stays[service].seconds)
         waiting.predicted_seconds = find_least_wait(views, policy)
+        waiting.preferred_seconds = None
         if not may_be_placed(
             waiting.predicted_seconds,
             spent_seconds=spent,
@@ -155,6 +156,9 @@
             view.cached_tokens = live.cache.count_cached(waiting.parts)
 
         def fits(placement: Placement) -> bool:
+            # The engine that suits the prompt best is looked at first.
+            if waiting.preferred_seconds is None:
+                waiting.preferred_seconds = placement.wait_seconds
             return is_worth_placing(
                 placement,
                 spent_seconds=spent,
--- /dev/null
+++ b/src/fireflymux/observability/account_table.py
@@ -0,0 +1,92 @@
+"""Tells what each client account asked for and was given, second by second, from logs."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from datetime import datetime
+from typing import Any
+
+import attrs
+
+from .explain import LogLine
+
+#: Accounts shown where none is named: those that were refused most.
+_MOST_ACCOUNTS = 8
+_THOUSAND = 1000
+
+
+@attrs.define
+class AccountSecond:
+    """One account in one second.
+
+    Attributes:
+        given_tokens: Tokens of its requests that were placed.
+        refused_tokens: Tokens of those that were not, whether they came back or not.
+        refusals: Requests that were not placed.
+        returns: Those of them that had been refused before.
+        over: Those of them that were refused while the account counted as over its share.
+        full_home: Those of them that an engine had room for, but not the one that suits them.
+    """
+
+    given_tokens: int = 0
+    refused_tokens: int = 0
+    refusals: int = 0
+    returns: int = 0
+    over: int = 0
+    full_home: int = 0
+
+    def add_refusal(self, details: dict[str, Any]) -> None:
+        """Counts a line `request_not_placed`."""
+        self.refused_tokens += details.get('cost', 0)
+        self.refusals += 1
+        self.returns += bool(details.get('came_back'))
+        self.over += bool(details.get('over'))
+        limit = details.get('limit', 0)
+        preferred = details.get('preferred')
+        is_room = details.get('predicted', limit) < limit
+        self.full_home += is_room and preferred is not None and preferred >= limit
+
+
+def tabulate_accounts(
+    lines: Iterable[LogLine], accounts: Iterable[str] = ()
+) -> list[dict[str, Any]]:
+    """Builds the table of accounts by second.
+
+    Args:
+        lines: Lines of all processes.
+        accounts: Accounts to show; by default those that were refused most.
+
+    Returns:
+        Rows in order of account and time, tokens in thousands.
+    """
+    found: defaultdict[str, defaultdict[datetime, AccountSecond]]
+    found = defaultdict(lambda: defaultdict(AccountSecond))
+    refused: Counter[str] = Counter()
+    for line in lines:
+        account = line.details.get('account')
+        if not account:
+            continue
+        entry = found[account][line.time.replace(microsecond=0)]
+        if line.event == 'request_placed':
+            entry.given_tokens += line.details.get('cost', 0)
+        elif line.event == 'request_not_placed':
+            entry.add_refusal(line.details)
+            refused[account] += line.details.get('cost', 0)
+    shown = list(accounts) or [name for name, _ in refused.most_common(_MOST_ACCOUNTS)]
+    return [
+        _to_row(account, second, entry)
+        for account in shown
+        for second, entry in sorted(found[account].items())
+    ]
+
+
+def _to_row(account: str, second: datetime, entry: AccountSecond) -> dict[str, Any]:
+    return {
+        'account': account,
+        'second': '{0:%H:%M:%S}'.format(second),
+        'given_k': round(entry.given_tokens / _THOUSAND),
+        'refused_k': round(entry.refused_tokens / _THOUSAND),
+        'refusals': entry.refusals,
+        'returns': entry.returns,
+        'over': entry.over,
+        'full_home': entry.full_home,
+    }
