--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -100,6 +100,10 @@
     When an urgent and a bulk account each ask for all that an engine gives
     Then in any 6 seconds the bulk account gets at least half of what the urgent one got
 
+  Scenario: What an account was given while others were idle is no debt
+    When an account uses an engine alone for 8 seconds and two more ask for all of it from then on
+    Then in any 6 seconds from then on each of the three gets at least half of what another got
+
   Scenario: Two instances of each failure domain follow the store, and somebody always does
     When instances of any failure domains hear any of the others, some of them turned away
     Then of those that all hear each other two of each failure domain follow, else some do
--- a/features/experiment.feature
+++ b/features/experiment.feature
@@ -30,3 +30,8 @@
     When it is played at one, two and four times what the slots can serve
     Then what is on time at each load is at least 0.8 of what is at the best of them
     And it is at least 1.25 times as much as without requests held beyond the slots
+
+  Scenario: An account that used spare capacity keeps its share once others are busy too
+    Given the experiment of accounts that send many times their usual one after the other
+    When it is played on each of its seeds
+    Then in any 6 seconds each account gets at least half of what the best served one got
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -339,10 +339,10 @@
     idle: float
     by_second: dict[str, list[int]]
 
-    def least_ratio(self, sender, other, seconds):
-        """Returns how much less a sender got than another in the worst of all windows."""
+    def least_ratio(self, sender, other, seconds, start=0):
+        """Returns how much less a sender got than another in the worst window from a second on."""
         pairs = zip(self.by_second[sender], self.by_second[other], strict=True)
-        columns = list(pairs)
+        columns = list(pairs)[start:]
         windows = [columns[first : first + seconds] for first in range(len(columns) - seconds + 1)]
         return min(
             sum(own for own, _ in window) / max(sum(more for _, more in window), 1)
@@ -360,7 +360,7 @@
             engine.pop(0)
 
 
-def _play_load(intervals, *, returns_after=None, knows_returns=True, priorities=None):
+def _play_load(intervals, *, returns_after=None, knows_returns=True, priorities=None, starts=None):
     """Plays 20 s on one engine of 80,000 tokens a second with prompts of 2,000 tokens.
 
     Args:
@@ -369,6 +369,7 @@
         returns_after: Seconds after which a refused caller comes back once; None for never.
         knows_returns: Whether such a request is recognized.
         priorities: Priority of each sender's requests; all are the same without it.
+        starts: Second from which each sender sends; all from the start without it.
     """
     shares = FairShares(4.0)
     queue = WaitingRequests()
@@ -404,6 +405,8 @@
     for tick in range(4000):
         now = tick * step
         for sender, every in intervals.items():
+            if now < (starts or {}).get(sender, 0):
+                continue
             for _ in range(int((now + step) / every) - int(now / every)):
                 played.asked[sender] += 1
                 arrive(sender, now, is_return=False)
@@ -512,6 +515,27 @@
     assert played.idle <= 0.2, played
 
 
+@when(
+    'an account uses an engine alone for {start:d} seconds'
+    ' and two more ask for all of it from then on'
+)
+def play_late_accounts(context, start):
+    context.start = start
+    intervals = {'first': 0.025, 'second': 0.025, 'third': 0.025}
+    context.played = _play_load(intervals, starts={'second': start, 'third': start})
+
+
+@then(
+    'in any {seconds:d} seconds from then on each of the three gets at least half'
+    ' of what another got'
+)
+def check_late_accounts(context, seconds):
+    played = context.played
+    for sender, other in itertools.permutations(played.asked, 2):
+        ratio = played.least_ratio(sender, other, seconds, context.start)
+        assert ratio >= 0.5, (sender, other, ratio, played.by_second)
+
+
 @when('endpoints of a service fail at any rates')
 def eject(context):
     @_FIXED
--- a/features/steps/experiment_steps.py
+++ b/features/steps/experiment_steps.py
@@ -12,6 +12,7 @@
 
 from fireflymux.decisions.placing_policy import PlacingPolicy
 from fireflymux.experiment.engine import SimulatedEngine
+from fireflymux.experiment.fairness import WINDOW_SECONDS, find_least_share
 from fireflymux.experiment.load import draw_prompts
 from fireflymux.experiment.plan import EngineModel, ExperimentPlan, FleetTerms, LoadTerms
 from fireflymux.experiment.play import play
@@ -227,3 +228,22 @@
     pairs = zip(context.served['default'], context.served['slots-only'], strict=True)
     for default, slots_only in pairs:
         assert default >= times * slots_only, context.served
+
+
+@given('the experiment of accounts that send many times their usual one after the other')
+def hot_accounts_plan(context):
+    path = _ROOT / 'deploy' / 'experiments' / 'hot-accounts.ini'
+    context.plan = ExperimentPlan.from_file(str(path))
+
+
+@when('it is played on each of its seeds')
+def play_seeds(context):
+    seeds = range(1, context.plan.fleet.seeds + 1)
+    context.plays = [_play(context.plan, seed=seed) for seed in seeds]
+
+
+@then('in any {seconds:d} seconds each account gets at least half of what the best served one got')
+def check_least_share(context, seconds):
+    assert seconds == WINDOW_SECONDS
+    shares = [find_least_share(item.callers, context.plan.loads) for item in context.plays]
+    assert min(shares) >= 0.5, shares
--- a/src/fireflymux/experiment/summary.py
+++ b/src/fireflymux/experiment/summary.py
@@ -8,6 +8,7 @@
 from hdrh.histogram import HdrHistogram
 
 from .callers import CallerResult
+from .fairness import find_least_share
 from .plan import ExperimentPlan
 from .play import Play
 
@@ -28,6 +29,8 @@
         on_time: Percentage of requests answered on time.
         on_time_by_load: The same for each load.
         worst_account: The same for the account that fares worst.
+        least_share: Percentage that an account got, in its worst window, of what the best served
+            one got that wanted no more.
         whole: Percentage of requests answered at all.
         refused: Refusals for each hundred requests.
         median_milliseconds: Time to the first event that half of the answers keep.
@@ -42,6 +45,7 @@
     on_time: float
     on_time_by_load: Mapping[str, float]
     worst_account: float
+    least_share: float
     whole: float
     refused: float
     median_milliseconds: float
@@ -83,6 +87,7 @@
             for load in plan.loads
         },
         worst_account=min(_by_account(plan, entries)),
+        least_share=_PERCENT * min(find_least_share(item.callers, plan.loads) for item in plays),
         whole=_percentage([entry.is_whole for entry in entries]),
         refused=_PERCENT * sum(entry.refusals for entry in entries) / max(len(entries), 1),
         median_milliseconds=histogram.get_value_at_percentile(_MEDIAN),
