--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -72,10 +72,6 @@
     When an engine is asked for twice what it gives, and each refused caller comes back once
     Then nine tenths of what the engine gives go to requests on time, more than placed alike
 
-  Scenario: Requests that come back are placed by the shares of their accounts
-    When ten returns of an account over its share wait, then one of an account within its share
-    Then of two places the account within its share gets one, and gets it first
-
   Scenario: A report reaches each instance once, with one copy to each other failure domain
     When instances of any failure domains send reports
     Then each of the others gets each report once, and each failure domain one copy from outside
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -16,7 +16,6 @@
 from fireflymux.decisions.ejection import EndpointRecord, eject_outliers
 from fireflymux.decisions.engine_choice import (
     EngineView,
-    Placement,
     choose_engine,
     choose_fitting_engine,
     find_least_wait,
@@ -481,35 +480,6 @@
     assert played.idle <= 0.2, played
 
 
-@when('ten returns of an account over its share wait, then one of an account within its share')
-def place_returns(context):
-    queue = WaitingRequests()
-    for number in range(11):
-        queue.add(
-            Waiting(
-                account='modest' if number == 10 else 'hot',
-                parts=(),
-                prompt_tokens=2000,
-                output_tokens=0,
-                arrived_at=0.0,
-                target_seconds=0.4,
-                is_return=True,
-                excluded=set(),
-            )
-        )
-    places = [Placement(1, 2000), Placement(1, 2000)]
-    context.returns = queue.place(
-        lambda _: places.pop() if places else None,
-        usage={'hot': 9.0, 'modest': 1.0}.__getitem__,
-        is_over=lambda account: account == 'hot',
-    )
-
-
-@then('of two places the account within its share gets one, and gets it first')
-def check_placed_returns(context):
-    assert [waiting.account for waiting in context.returns] == ['modest', 'hot']
-
-
 _URGENT = ('urgent.a', 'urgent.b')
 _URGENT_LOAD = {'urgent.a': 0.2, 'urgent.b': 0.2, 'bulk.a': 0.018, 'bulk.b': 0.018}
 
--- a/src/fireflymux/decisions/waiting.py
+++ b/src/fireflymux/decisions/waiting.py
@@ -1,6 +1,5 @@
 """Requests that wait for an endpoint, and the order in which they are placed."""
 
-import itertools
 from bisect import insort
 from collections.abc import Callable, Iterator
 
@@ -62,9 +61,6 @@
         return self.prompt_tokens + 2 * self.output_tokens
 
 
-_Queues = dict[str, list[Waiting]]
-
-
 class WaitingRequests:
     """Requests by account; accounts within their share go first, the more urgent before others.
 
@@ -72,19 +68,18 @@
     less, and no place stays free while any request fits it. Answers bulk work beside urgent
     requests as well: of one account nothing is placed while something more urgent of it waits,
     and accounts whose requests are more urgent go first until they were given their share.
-    Requests that come back follow in the same order when none of the others fits.
+    Requests that come back follow when none of the others fits.
     """
 
     def __init__(self) -> None:
         """Starts empty."""
-        self._accounts: _Queues = {}
-        self._returns: _Queues = {}
+        self._accounts: dict[str, list[Waiting]] = {}
+        self._returns: list[Waiting] = []
         self._seen: dict[str, dict[int, float]] = {}
 
     def __len__(self) -> int:
         """Returns the number of waiting requests."""
-        queues = itertools.chain(self._accounts.values(), self._returns.values())
-        return sum(map(len, queues))
+        return sum(map(len, self._accounts.values())) + len(self._returns)
 
     def goes_before(self, waiting: Waiting, *, is_over: Callable[[str], bool]) -> bool:
         """Tells whether a request waits already that must be placed before a new one.
@@ -121,17 +116,22 @@
 
     def add(self, waiting: Waiting) -> None:
         """Adds a request behind those of its account that are as urgent."""
-        queue = self._queues_of(waiting).setdefault(waiting.account, [])
+        queue = self._returns
+        if not waiting.is_return:
+            queue = self._accounts.setdefault(waiting.account, [])
         insort(queue, waiting, key=_get_priority)
 
     def discard(self, waiting: Waiting) -> None:
         """Removes a request, if it still waits."""
-        queues = self._queues_of(waiting)
-        queue = queues.get(waiting.account, [])
+        if waiting.is_return:
+            if waiting in self._returns:
+                self._returns.remove(waiting)
+            return
+        queue = self._accounts.get(waiting.account, [])
         if waiting in queue:
             queue.remove(waiting)
         if not queue:
-            queues.pop(waiting.account, None)
+            self._accounts.pop(waiting.account, None)
 
     def place(
         self,
@@ -151,33 +151,35 @@
             The placed requests.
         """
 
-        placed: list[Waiting] = []
-        for queues in (self._accounts, self._returns):
-            placed.extend(self._place_accounts(queues, choose, usage, is_over))
-        return placed
+        def rank(account: str) -> tuple[bool, int, float]:
+            return is_over(account), self._accounts[account][0].priority, usage(account)
 
-    def _queues_of(self, waiting: Waiting) -> _Queues:
-        return self._returns if waiting.is_return else self._accounts
+        placed = list(self._place_accounts(choose, rank))
+        placed.extend(self._place_all(self._returns, choose))
+        return placed
 
     def _place_accounts(
         self,
-        queues: _Queues,
         choose: Callable[[Waiting], Placement | None],
-        usage: Callable[[str], float],
-        is_over: Callable[[str], bool],
+        rank: Callable[[str], tuple[bool, int, float]],
     ) -> Iterator[Waiting]:
-        def rank(account: str) -> tuple[bool, int, float]:
-            return is_over(account), queues[account][0].priority, usage(account)
-
         stuck: set[str] = set()
-        while len(stuck) < len(queues):
-            account = min(set(queues) - stuck, key=rank)
-            waiting = self._place_first(queues[account], choose)
+        while len(stuck) < len(self._accounts):
+            account = min(set(self._accounts) - stuck, key=rank)
+            waiting = self._place_first(self._accounts[account], choose)
             if waiting is None:
                 stuck.add(account)
                 continue
             yield waiting
 
+    def _place_all(
+        self, queue: list[Waiting], choose: Callable[[Waiting], Placement | None]
+    ) -> Iterator[Waiting]:
+        waiting = self._place_first(queue, choose)
+        while waiting is not None:
+            yield waiting
+            waiting = self._place_first(queue, choose)
+
     def _place_first(
         self,
         queue: list[Waiting],
