Give requests that no endpoint ran back to the share of their account

Ruled out: giving back what broke off, since it may have run. Change: placements that no endpoint ran are refunded, here at once and elsewhere by the next report. Tests, both red before: decisions (no such call), entry (1,620 tokens given for a request that was turned away).

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -104,6 +104,10 @@
     When an account uses an engine alone for 8 seconds and two more ask for all of it from then on
     Then in any 6 seconds from then on each of the three gets at least half of what another got
 
+  Scenario: An account is not charged for what no endpoint ran
+    When half of the tokens given to one of two accounts are given back, as two instances see it
+    Then both instances count what was kept, as much as for the other account
+
   Scenario: An idle account and one that used spare capacity enter a shortage alike
     When accounts take any tokens, for seconds with enough for all and seconds without
     Then no bucket is ever emptier than one depth of debt, and all are full while there is enough
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -154,6 +154,11 @@
     When a caller is answered once and refused once
     Then the metrics count both, by result
 
+  Scenario: An account is not charged for a request that its only endpoint turns away
+    Given a "safe" route whose only endpoint does "full"
+    When a caller asks for a prompt of 1460 tokens and an answer of 80
+    Then the metrics count 1620 tokens as asked, given and unused, and the account lacks nothing
+
   Scenario: Changed settings are taken over while the process runs
     Given the entry role as a process of its own
     When its file names other seeds and it gets SIGHUP, and then holds a mistake
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -538,6 +538,29 @@
         assert ratio >= 0.5, (sender, other, ratio, played.by_second)
 
 
+@when('half of the tokens given to one of two accounts are given back, as two instances see it')
+def give_back(context):
+    context.instances = here, there = FairShares(4.0), FairShares(4.0)
+    for tick in range(1, 400):
+        now = tick / 100
+        for account in ('unlucky', 'lucky'):
+            here.asked.charge(account, 900, now)
+            here.charge(account, 600, now)
+        here.charge('unlucky', 600, now)
+        here.refund('unlucky', 600, charged_at=now, now=now)
+        if tick % 20 == 0:
+            given, asked = here.given.report(now), here.asked.report(now)
+            there.merge('here', given=given, asked=asked, now=now)
+
+
+@then('both instances count what was kept, as much as for the other account')
+def check_given_back(context):
+    for shares in context.instances:
+        unlucky, lucky = (shares.standing_of(name, 3.99) for name in ('unlucky', 'lucky'))
+        assert math.isclose(unlucky.given, lucky.given, rel_tol=0.01), (unlucky, lucky)
+        assert math.isclose(unlucky.missing, lucky.missing, abs_tol=600), (unlucky, lucky)
+
+
 @when('accounts take any tokens, for seconds with enough for all and seconds without')
 def fill_buckets(context):
     takes = strategies.tuples(strategies.sampled_from('ab'), strategies.floats(0, 1e5))
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -575,6 +575,34 @@
     assert any(line.startswith('fireflymux_request_seconds_count') for line in lines), lines
 
 
+@when('a caller asks for a prompt of {prompt:d} tokens and an answer of {answer:d}')
+def ask_tokens(context, prompt, answer):
+    async def act(fleet):
+        address = '127.0.0.1:{0}'.format(free_port())
+        await fleet.add_instance(fleet.settings[0].store_address, metrics_address=address)
+        await fleet.wait_ready(1)
+        usage = 'X-Token-Usage: {0},{1}'.format(prompt, answer)
+        await fleet.call('/a', number=1, more=usage)
+        shares = fleet.instances[1]._state.shares
+        context.given = shares.given.total('mothers', trio.current_time())
+        raw = b'GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n'
+        return (await exchange(address, raw)).content.decode()
+
+    _play(context, act)
+
+
+@then(
+    'the metrics count {tokens:d} tokens as asked, given and unused, and the account lacks nothing'
+)
+def check_unused(context, tokens):
+    lines = context.result.splitlines()
+    name = 'fireflymux_account_tokens_total'
+    for state in ('asked', 'given', 'unused'):
+        line = '{0}{{account="mothers",state="{1}"}} {2}'.format(name, state, tokens)
+        assert line in lines, (line, lines)
+    assert abs(context.given) < 1, context.given
+
+
 @when('its file names other seeds and it gets SIGHUP, and then holds a mistake')
 def reload_settings(context):
     folder = Path(tempfile.mkdtemp())
--- a/src/fireflymux/decisions/account_buckets.py
+++ b/src/fireflymux/decisions/account_buckets.py
@@ -57,9 +57,9 @@
 
         Args:
             account: Client account.
-            tokens: Tokens; more than the bucket holds are a debt.
+            tokens: Tokens; more than the bucket holds are a debt, less than none are given back.
         """
-        self._missing[account] = self.count_missing(account) + tokens
+        self._missing[account] = max(self.count_missing(account) + tokens, 0.0)
 
     def count_missing(self, account: str) -> float:
         """Returns how many tokens the bucket of an account lacks.
--- a/src/fireflymux/decisions/account_usage.py
+++ b/src/fireflymux/decisions/account_usage.py
@@ -32,6 +32,17 @@
         self._decay(now)
         self._own[account] = self._own.get(account, 0.0) + tokens
 
+    def refund(self, account: str, tokens: float, *, charged_at: float, now: float) -> None:
+        """Takes back what is left of a charge.
+
+        Args:
+            account: Client account.
+            tokens: Tokens that were charged.
+            charged_at: Time of the charge, in seconds.
+            now: Time in seconds.
+        """
+        self.charge(account, -tokens * self._factor(now - charged_at), now)
+
     def merge(self, instance: str, usage: Mapping[str, float], now: float) -> None:
         """Takes over the usage that another instance gave.
 
@@ -53,7 +64,8 @@
             now: Time in seconds.
 
         Returns:
-            Tokens by account; empty for an instance that was not heard before.
+            Tokens by account, less than none where more was given back than given; empty for an
+            instance that was not heard before.
         """
         known = self._others.get(instance)
         if known is None:
@@ -64,12 +76,10 @@
         # Half of the decay between the two reports is made up for, as for an even rate; what
         # was given during a long silence is not known from one report.
         restored = 1 / self._factor(min(age, self._window) / 2)
-        increases = {}
-        for account, tokens in usage.items():
-            increase = restored * (tokens - kept * before.get(account, 0.0))
-            if increase > 0:
-                increases[account] = increase
-        return increases
+        return {
+            account: restored * (usage.get(account, 0.0) - kept * before.get(account, 0.0))
+            for account in usage.keys() | before.keys()
+        }
 
     def forget(self, instance: str) -> None:
         """Drops what another instance gave."""
--- a/src/fireflymux/decisions/fair_shares.py
+++ b/src/fireflymux/decisions/fair_shares.py
@@ -133,6 +133,18 @@
         self.given.charge(account, tokens, now)
         self._buckets.take(account, tokens)
 
+    def refund(self, account: str, tokens: float, *, charged_at: float, now: float) -> None:
+        """Gives back what `charge` counted for a request that no endpoint ran.
+
+        Args:
+            account: Client account.
+            tokens: Tokens.
+            charged_at: Time of the charge, in seconds.
+            now: Time in seconds.
+        """
+        self.given.refund(account, tokens, charged_at=charged_at, now=now)
+        self._buckets.take(account, -tokens)
+
     def merge(
         self,
         instance: str,
--- a/src/fireflymux/decisions/waiting.py
+++ b/src/fireflymux/decisions/waiting.py
@@ -34,6 +34,7 @@
             not worth a look.
         limit_seconds: Longest wait with which it would be placed then, had it nothing to read.
         placement: Where it goes; None while it waits.
+        placed_at: Time at which it was placed, and counted against its account's share.
         yields: Whether its account sent more urgent requests lately.
         gives_up_at: Time from which it must not be placed any more, in seconds.
     """
@@ -52,6 +53,7 @@
     predicted_seconds: float = 0.0
     preferred_seconds: float | None = None
     limit_seconds: float = 0.0
+    placed_at: float = 0.0
     yields: bool = False
     gives_up_at: float = float('inf')
 
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -29,7 +29,13 @@
 from .endpoint_wishes import find_rest_end
 from .entry_metrics import EntryMetrics, TokenState
 from .placement_log import log_not_placed, log_placed
-from .service_queue import ServiceQueue, engine_chooser, release_placement, slot_chooser
+from .service_queue import (
+    ServiceQueue,
+    engine_chooser,
+    refund_placement,
+    release_placement,
+    slot_chooser,
+)
 from .state import EntryState
 
 _log = get_logger(__name__)
@@ -199,7 +205,7 @@
         live = self._state.find_endpoint(placement.number)
         call.tried.add(placement.number)
         if live is None:
-            release_placement(self._state, placement)
+            release_placement(self._state, waiting)
             return NotSent('the endpoint is gone')
         log_placed(self._state, call, waiting, live)
         self._metrics.count_tokens(call.account, TokenState.given, waiting.cost_tokens)
@@ -224,6 +230,7 @@
         self._count_crash(call, outcome, live.number, started)
         self._metrics.attempts.inc({'pool': call.service, 'result': type(outcome).__name__})
         if isinstance(outcome, NotSent | Rejected | Abandoned):
+            refund_placement(self._state, waiting)
             self._metrics.count_tokens(call.account, TokenState.unused, waiting.cost_tokens)
         if not isinstance(outcome, Relayed | Whole):
             _log.info(
--- a/src/fireflymux/entry/service_queue.py
+++ b/src/fireflymux/entry/service_queue.py
@@ -61,8 +61,7 @@
             with trio.move_on_at(until):
                 await placed.wait()
         except trio.Cancelled:
-            if waiting.placement is not None:
-                release_placement(self._state, waiting.placement)
+            release_placement(self._state, waiting)
             raise
         finally:
             self._waiting.discard(waiting)
@@ -101,6 +100,7 @@
         state = self._state
         state.loads.begin(placement.number, placement.tokens)
         state.shares.charge(waiting.account, waiting.cost_tokens, now)
+        waiting.placed_at = now
         live = state.find_endpoint(placement.number)
         if live is not None and waiting.parts:
             live.cache.record(waiting.parts)
@@ -111,13 +111,37 @@
         return placement
 
 
-def release_placement(state: EntryState, placement: Placement) -> None:
-    """Takes the load of a placement that was not used off its endpoint."""
+def release_placement(state: EntryState, waiting: Waiting) -> None:
+    """Takes a placement that was not used off its endpoint, and off its account's share.
+
+    Args:
+        state: Beliefs of the instance.
+        waiting: The request; nothing happens if it was not placed.
+    """
+    placement = waiting.placement
+    if placement is None:
+        return
     state.loads.end_reading(placement.number, placement.tokens)
     state.loads.end(placement.number)
+    refund_placement(state, waiting)
     state.notify()
 
 
+def refund_placement(state: EntryState, waiting: Waiting) -> None:
+    """Takes a placement that no endpoint ran off its account's share.
+
+    Args:
+        state: Beliefs of the instance.
+        waiting: The request.
+    """
+    state.shares.refund(
+        waiting.account,
+        waiting.cost_tokens,
+        charged_at=waiting.placed_at,
+        now=trio.current_time(),
+    )
+
+
 def engine_chooser(
     state: EntryState, service: str, terms: EngineTerms
 ) -> Callable[[Waiting], Placement | None]:
