Router role: a claim to slots comes from a backlog, not from having asked for a little all along

One that asks for little and is served at once kept the whole difference to those that used the slots it left as a credit, without a bound: after 60 s of it the busy account got none of 400 grants. Ruled out: not charging grants that nobody else waits for (a sidecar that hears only some accounts would serve them for nothing); lifting everybody while a sidecar idles (one that is cut off would erase all claims). Change: an account has a claim for as long as it was left waiting with no free slot within the interval; others are lifted to the least virtual time of those when they have a request.

--- a/features/shares.feature
+++ b/features/shares.feature
@@ -14,3 +14,8 @@
     Given two accounts of any weights that are always backlogged on one slot
     When requests of any cost run to their end
     Then their normalized service differs by at most the largest normalized cost twice
+
+  Scenario: An account that asked for little has no claim on one that used what it left
+    Given a slot that one account used for a minute, beside one small request a second of another
+    When both are backlogged for 400 grants
+    Then each of the two gets half of the grants, but for the largest cost twice
--- a/features/steps/shares_steps.py
+++ b/features/steps/shares_steps.py
@@ -144,3 +144,40 @@
             assert abs(served['a'] - served['b']) <= 2 * largest
 
     context.run = run
+
+
+def _serve(shares, account):
+    charge = shares.open_charge(account)
+    shares.meter(charge, 50)
+    shares.close_charge(charge)
+
+
+@given('a slot that one account used for a minute, beside one small request a second of another')
+def use_spare(context):
+    context.now = 0.0
+    context.shares = AccountShares('p', lambda _: 1.0, clock=lambda: context.now, idle_seconds=5)
+    for second in range(60):
+        context.now = float(second)
+        for account in 20 * ['busy'] + ['small']:
+            context.shares.lift_woken([account])
+            _serve(context.shares, account)
+
+
+@when('both are backlogged for {count:d} grants')
+def contend(context, count):
+    waiting = ('busy', 'small')
+    context.granted = []
+    for _ in range(count):
+        context.now += 0.05
+        context.shares.lift_woken(waiting)
+        account = choose_account(waiting, context.shares.virtual_time)
+        _serve(context.shares, account)
+        context.shares.note_backlog(waiting)
+        context.granted.append(account)
+
+
+@then('each of the two gets half of the grants, but for the largest cost twice')
+def check_contend(context):
+    half = len(context.granted) / 2
+    for account in ('busy', 'small'):
+        assert abs(context.granted.count(account) - half) <= 2, context.granted
--- a/src/fireflymux/decisions/account_shares.py
+++ b/src/fireflymux/decisions/account_shares.py
@@ -2,12 +2,12 @@
 
 The virtual time of an account is its normalized service over the whole fleet: what this
 sidecar metered, the charges in flight here, what other sidecars reported, and a floor that
-lifts an account which was idle to the least virtual time among the active ones, so that idle
-time earns no credit. Follows start-time fair queueing (Goyal, Vin, Cheng 1996) with the cost
+lifts an account which had no backlog to the least virtual time among those that have, so that
+neither idle time nor spare capacity used by others earns credit. Follows start-time fair queueing (Goyal, Vin, Cheng 1996) with the cost
 trued up while a request runs, as the virtual token counter does (Sheng et al. 2024).
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import attrs
 
@@ -53,8 +53,7 @@
         settled: Metered here.
         others: Expected to have been metered by the others.
         reported: Largest report on the others.
-        others_outstanding: Charges in flight at the others.
-        floor: Lift of an account that was idle.
+        floor: Lift of an account that had no backlog.
         estimate: Expected cost of its next request in cost units.
         others_known: Whether `others` started from a report.
     """
@@ -62,7 +61,6 @@
     settled: float = 0.0
     others: float = 0.0
     reported: float = 0.0
-    others_outstanding: float = 0.0
     floor: float = 0.0
     estimate: float = DEFAULT_ESTIMATE
     others_known: bool = False
@@ -85,12 +83,12 @@
             pool: The pool that the endpoint belongs to.
             weight_of: Returns the weight of an account's contract.
             clock: Returns the time in seconds.
-            idle_seconds: Time without a request after which an account counts as idle. It
-                covers the time for which this sidecar may not hear of a waiting request.
+            idle_seconds: Time without a backlog after which an account has no claim any more.
+                It covers the time for which this sidecar may not hear of a waiting request.
         """
         self._clock = clock
         self._idle_seconds = idle_seconds
-        self._seen_at: dict[str, float] = {}
+        self._backlogged_at: dict[str, float] = {}
         self._pool = pool
         self._weight_of = weight_of
         self._shares: dict[str, _Share] = {}
@@ -157,21 +155,27 @@
             self._merge_one(self._share(account), listed.get(account))
         self._update_ratio()
 
-    def update_active(self, waiting: Iterable[str]) -> None:
-        """Lifts the accounts that were idle and have requests again.
+    def note_backlog(self, waiting: Iterable[str]) -> None:
+        """Notes which accounts still have requests waiting while no slot is free.
 
         Args:
             waiting: Accounts with waiting requests at the routers.
         """
-        now = self._clock()
-        active = frozenset(waiting) | self._running()
-        limit = now - self._idle_seconds
-        woken = {name for name in active if self._seen_at.get(name, _NEVER) < limit}
-        self._seen_at.update(dict.fromkeys(active, now))
-        if not woken:
-            return
-        level = self._level(active - woken)
-        for account in woken:
+        self._backlogged_at.update(dict.fromkeys(waiting, self._clock()))
+
+    def lift_woken(self, waiting: Iterable[str]) -> None:
+        """Lifts the accounts that have requests and had no backlog lately.
+
+        What an account left unused while there were slots for all is no claim on those that
+        used them.
+
+        Args:
+            waiting: Accounts with waiting requests at the routers.
+        """
+        limit = self._clock() - self._idle_seconds
+        backlogged = {name for name, seen in self._backlogged_at.items() if seen >= limit}
+        level = self._level(backlogged)
+        for account in set(waiting) - backlogged:
             share = self._share(account)
             share.floor += max(level - self.virtual_time(account), 0.0)
 
@@ -211,7 +215,6 @@
 
     def _merge_one(self, share: _Share, total: ServiceTotal | None) -> None:
         if total is not None:
-            share.others_outstanding = total.outstanding
             share.floor = max(share.floor, total.floor)
         reported = total.settled if total else 0.0
         # A report that knows less than an earlier one says nothing new.
@@ -236,17 +239,10 @@
         self._reported_before = reported
         self._has_report = True
 
-    def _running(self) -> frozenset[str]:
-        here = frozenset(account for account, keys in self._charges.items() if keys)
-        elsewhere = frozenset(
-            account for account, share in self._shares.items() if share.others_outstanding > 0
-        )
-        return here | elsewhere
-
-    def _level(self, active: frozenset[str]) -> float:
-        if not active:
+    def _level(self, backlogged: Collection[str]) -> float:
+        if not backlogged:
             return self._latest
-        return min(self.virtual_time(account) for account in active)
+        return min(self.virtual_time(account) for account in backlogged)
 
     def _share(self, account: str) -> _Share:
         share = self._shares.get(account)
--- a/src/fireflymux/sidecar/grants.py
+++ b/src/fireflymux/sidecar/grants.py
@@ -195,7 +195,7 @@
                 await self._changed.wait()
 
     def _offer_free_slots(self, nursery: trio.Nursery) -> None:
-        self._shares.update_active(self._reservations.accounts())
+        self._shares.lift_woken(self._reservations.accounts())
         while self.free_slots > 0 and self._check_work() is None:
             account = choose_account(self._reservations.accounts(), self._shares.virtual_time)
             router = None if account is None else self._reservations.take(account)
@@ -205,6 +205,7 @@
             grant = uuid.uuid4().hex
             self._pending[grant] = _Pending(self._shares.open_charge(account))
             nursery.start_soon(self._send, router, grant, account)
+        self._shares.note_backlog(self._reservations.accounts())
 
     def _start_search(self, nursery: trio.Nursery) -> None:
         if self._is_search_due and not self._is_searching:
--- a/tools/show_red.py
+++ b/tools/show_red.py
@@ -15,6 +15,10 @@
     ('naive', 'Backlogged accounts stay within the bound and no slot idles'),
     ('first_come', 'The smallest contract progresses at its share beside a flood'),
     ('no_floor', 'An account that slept wakes without saved-up credit'),
+    (
+        'no_floor',
+        'An account that asked for little has no claim on one that used what it left',
+    ),
     ('no_read_back', "The claim's answer is lost after the write took effect"),
     ('no_claim', 'The table is down'),
     ('no_claim', 'The family repeats the call while it runs'),
