--- a/src/fireflymux/decisions/account_buckets.py
+++ b/src/fireflymux/decisions/account_buckets.py
@@ -1,22 +1,18 @@
 """Token buckets of client accounts, which fill at their max-min share.
 
-Answers accounts that are busy one after the other. An account that was idle has a full bucket and no
-more, so that idle time earns no credit; one that took spare capacity has a full bucket as well, since
-buckets fill at any rate while there is enough for all, so that this is no debt. Once capacity is
-short, each account that asks for more than its share empties its bucket, and is over its share.
+Answers accounts that are busy one after the other. While there is enough for all, every bucket
+is full: an account that was idle has no credit beyond that, and one that took spare capacity no
+debt. Once capacity is short, accounts that ask for more than their share empty their buckets at
+the same pace.
 """
 
-#: Part of the longest debt that an account can have, beside what a full bucket holds.
+#: Longest debt of an account, as a part of what a full bucket holds.
 _DEBT_PART = 1.0
 _UNLIMITED = float('inf')
 
 
 class AccountBuckets:
-    """What accounts were given beyond what their buckets were filled up with since.
-
-    The depth of a bucket follows the level, so that accounts that ask for more than there is
-    have buckets of the same depth at any moment.
-    """
+    """One bucket for each account, all of the same depth, which follows the level."""
 
     def __init__(self, depth_seconds: float) -> None:
         """Starts with full buckets and enough for all.
--- a/src/fireflymux/decisions/account_shares.py
+++ b/src/fireflymux/decisions/account_shares.py
@@ -3,8 +3,9 @@
 The virtual time of an account is its normalized service over the whole fleet: what this
 sidecar metered, the charges in flight here, what other sidecars reported, and a floor that
 lifts an account which had no backlog to the least virtual time among those that have, so that
-neither idle time nor spare capacity used by others earns credit. Follows start-time fair queueing (Goyal, Vin, Cheng 1996) with the cost
-trued up while a request runs, as the virtual token counter does (Sheng et al. 2024).
+neither idle time nor spare capacity used by others earns credit. Follows start-time fair
+queueing (Goyal, Vin, Cheng 1996) with the cost trued up while a request runs, as the virtual
+token counter does (Sheng et al. 2024).
 """
 
 from collections.abc import Callable, Collection, Iterable
--- a/src/fireflymux/entry/entry_metrics.py
+++ b/src/fireflymux/entry/entry_metrics.py
@@ -16,7 +16,7 @@
     asked = 'asked'
     #: Counted against the share of the account when a request was placed.
     given = 'given'
-    #: Given, and the endpoint said that it did not run the request, or knows nothing of it.
+    #: Given back, since no endpoint ran the request.
     unused = 'unused'
     #: Refused, since no endpoint could take the request in time.
     refused = 'refused'
--- a/src/fireflymux/entry/placement_log.py
+++ b/src/fireflymux/entry/placement_log.py
@@ -25,7 +25,7 @@
     placement = waiting.placement
     if placement is None:
         return
-    standing = state.shares.standing_of(call.account, trio.current_time())
+    now = trio.current_time()
     _log.info(
         'request_placed',
         request=call.terms.attempt.decode('latin-1'),
@@ -38,9 +38,9 @@
         tokens=placement.tokens,
         prompt=waiting.prompt_tokens,
         cost=waiting.cost_tokens,
-        over=standing.is_over,
+        over=state.shares.is_over(call.account, now),
         running=state.loads.total(live.number).running,
-        waited=round(trio.current_time() - waiting.arrived_at, 3),
+        waited=round(now - waiting.arrived_at, 3),
         version=state.configuration_version,
     )
 
