Work the level out from the most that was given in a second lately, not from what a calm moment took

Cause: the level's capacity was what the last second was given. After a calm moment that is the calm's load, so that accounts counted as over their share while engines had room for them. Found by a scenario listed as known red.

--- a/src/fireflymux/decisions/fair_shares.py
+++ b/src/fireflymux/decisions/fair_shares.py
@@ -4,6 +4,7 @@
 beyond the level that all others could have as well is the first to be refused.
 """
 
+import math
 from collections.abc import Mapping
 
 import attrs
@@ -58,7 +59,9 @@
             window_seconds: Time within which accounts that ask for more than there is get equal
                 shares.
         """
+        self._window = window_seconds
         self._seconds = _LEVEL_PART * window_seconds
+        self._capacity = 0.0
         self.given = AccountUsage(self._seconds)
         self.asked = AccountUsage(self._seconds)
         self._buckets = AccountBuckets(_DEPTH_PART * window_seconds)
@@ -177,7 +180,9 @@
             return
         self._filled_at = now
         given = sum(self.given.totals(now).values())
-        self._level = find_fair_level(self.asked.totals(now), given) / self._seconds
+        # What engines gave a moment ago they can give again after a calm one.
+        self._capacity = max(given, self._capacity * math.exp(-seconds / self._window))
+        self._level = find_fair_level(self.asked.totals(now), self._capacity) / self._seconds
         self._buckets.fill(self._level, seconds)
 
 
