Limit requests to endpoints that warm up, follow evacuations, keep to regions

Change: the bound of an endpoint that warms up is divided in equal whole parts among the instances that each knows, checked when a request is placed and again when it is sent; rows, responses, failed connections and the end of an evacuation say that it warms up.

--- a/emulator/backend.py
+++ b/emulator/backend.py
@@ -85,6 +85,12 @@
     await writer.answer(200, [*fields, (b'Server-Leaving', b'1')], _response_body(fields))
 
 
+async def _answer_and_warm_up(
+    request: Request, writer: ResponseWriter, fields: HeaderFields
+) -> None:
+    await writer.answer(200, [*fields, (b'X-Warmup-Ms', b'3000')], _response_body(fields))
+
+
 async def _fail(request: Request, writer: ResponseWriter, fields: HeaderFields) -> None:
     await writer.answer(500, fields, b'failed')
 
@@ -283,6 +289,7 @@
         {
             'answer': _answer,
             'answer and leave': _answer_and_leave,
+            'answer and warm up': _answer_and_warm_up,
             'fail': _fail,
             'break off': _abort,
             'hang': _hang,
--- a/emulator/entry_fleet.py
+++ b/emulator/entry_fleet.py
@@ -151,13 +151,22 @@
         """
         self._outage_by_address[store_address] = outage
 
-    async def add_backend(self, name: str, service: str, behaviour: str = 'answer') -> Backend:
-        """Starts an emulated endpoint and registers it in the store."""
+    async def add_backend(
+        self, name: str, service: str, behaviour: str = 'answer', **changes: Any
+    ) -> Backend:
+        """Starts an emulated endpoint and registers it in the store.
+
+        Args:
+            name: Identifier of the endpoint.
+            service: Service that it belongs to.
+            behaviour: How it handles requests, as in `Backend`.
+            changes: Members of its row that replace the defaults.
+        """
         backend = Backend(name, behaviour)
         self.backends[name] = backend
         address = '127.0.0.1:{0}'.format(free_port())
         await self._listen(address, backend.respond)
-        self.announce(name, service, address)
+        self.announce(name, service, address, **changes)
         return backend
 
     def announce(self, name: str, service: str, address: str, **changes: Any) -> None:
@@ -173,6 +182,14 @@
         }
         self.store.put('servers', name, entry | changes)
 
+    def evacuate(self, failure_domain: str) -> None:
+        """Evacuates a failure domain, as the operator does."""
+        self.store.put('op', 'evacuate/{0}'.format(failure_domain), {})
+
+    def end_evacuation(self, failure_domain: str) -> None:
+        """Takes the evacuation of a failure domain back."""
+        self.store.remove('op', 'evacuate/{0}'.format(failure_domain))
+
     def change_endpoint(self, name: str, **changes: Any) -> None:
         """Changes members of an endpoint's row in the store."""
         raw, _ = self.store._tables['servers'][name]
--- a/emulator/variants.py
+++ b/emulator/variants.py
@@ -19,10 +19,12 @@
     crash_registry,
     endpoint_backoff,
     entry_configuration,
+    evacuations,
     fair_shares,
     limits,
     membership,
     retry,
+    warmup,
 )
 from fireflymux.decisions.account_shares import AccountShares, Charge
 from fireflymux.decisions.fair_shares import FairShares
@@ -30,9 +32,11 @@
     attempt,
     event_relay,
     exchange,
+    peer_link,
     report_datagrams,
     state,
     store_follower,
+    warmups,
 )
 from fireflymux.http import client_connection, connection_pool
 from fireflymux.platform import store
@@ -313,6 +317,38 @@
     state.EntryState.apply_configuration = apply
 
 
+def no_warmup() -> None:
+    """Does not limit the requests to endpoints that are warming up."""
+    warmups.Warmups._find_bound = lambda _warmups, _live: None
+    warmup.divide_bound = lambda _bound, **_options: warmup.WarmupShare(1000, 0)
+
+
+def own_warmup() -> None:
+    """Limits each instance by the whole bound, as if it were the only one."""
+    original = warmup.divide_bound
+
+    def divide(bound: warmup.WarmupBound, **options: object) -> warmup.WarmupShare:
+        return original(bound, **(options | {'others': ()}))
+
+    warmups.divide_bound = divide
+    warmup.divide_bound = divide
+
+
+def no_evacuation() -> None:
+    """Ignores evacuations."""
+    evacuations.Evacuations.list_domains = lambda _evacuations, _now: frozenset()
+
+
+def no_notices() -> None:
+    """Tells the other instances nothing of evacuations and of endpoints that are warming up."""
+    peer_link.apply_notice = lambda _state, _notice: None
+
+
+def no_regions() -> None:
+    """Ignores the regions of routes and accounts."""
+    entry_configuration.Configuration.find_regions = lambda _found, _route, _account: None
+
+
 def no_stall() -> None:
     """Disables the stall timeout: a stream may bring no event until the request times out."""
     entry_configuration.Route.stall_seconds = float('inf')
@@ -371,6 +407,11 @@
             windowed_shares,
             no_bounds,
             no_era,
+            no_warmup,
+            own_warmup,
+            no_evacuation,
+            no_notices,
+            no_regions,
             no_stall,
             no_generation,
             any_report,
--- a/src/fireflymux/_messages_generated.py
+++ b/src/fireflymux/_messages_generated.py
@@ -243,6 +243,18 @@
     leaving: list[int] | None
 
 
+@define(frozen=True, kw_only=True)
+class PeerNotice:
+    """What an entry instance learned from the store or from endpoints and the others must know at once; it fits into one datagram and can be applied in any order and more than once."""
+
+    kind: str
+    instance: str
+    op_era: int
+    op_version: int
+    evacuated: list[str]
+    warming: list[int]
+
+
 @define(frozen=True, kw_only=True)
 class PeerDatagram:
     """One part of the encoded report of an entry instance."""
@@ -269,6 +281,9 @@
     members_version: int
     leaving: list[int]
     instances: dict[str, str]
+    evacuated: list[str] = field(factory=list)
+    op_era: int = 0
+    op_version: int = 0
 
 
 @define(frozen=True, kw_only=True)
--- a/src/fireflymux/_settings_generated.py
+++ b/src/fireflymux/_settings_generated.py
@@ -72,6 +72,9 @@
     maximum_descriptors: int = 1024
     maximum_memory_megabytes: float = 256
     share_window_seconds: float = 4.0
+    warmup_overrun: float = 1.0
+    warmup_tolerance: float = 0.0
+    regions: str = ''
 
 
 @define(frozen=True, kw_only=True)
--- a/src/fireflymux/decisions/endpoint_backoff.py
+++ b/src/fireflymux/decisions/endpoint_backoff.py
@@ -26,6 +26,11 @@
         self._backoff_seconds = 0.0
         self._backoff_until = float('-inf')
 
+    @property
+    def until(self) -> float:
+        """End of the last backoff in seconds; minus infinity before the first one."""
+        return self._backoff_until
+
     @property
     def is_backing_off(self) -> bool:
         """Whether the backoff has begun and not ended yet."""
--- a/src/fireflymux/decisions/entry_configuration.py
+++ b/src/fireflymux/decisions/entry_configuration.py
@@ -66,6 +66,7 @@
         priority: Priority among the requests that wait for a service; 0 is the most urgent.
         pause_seconds: Target for the longest pause between two events of a stream; zero for
             none.
+        regions: Regions whose endpoints may get its requests; None for all.
     """
 
     name: str
@@ -79,6 +80,7 @@
     is_public: bool
     priority: int = 0
     pause_seconds: float = 0.0
+    regions: frozenset[str] | None = None
 
     @property
     def stall_seconds(self) -> float:
@@ -130,11 +132,16 @@
         name: Name of the service.
         maximum_connections: Number of connections that one endpoint accepts in all.
         engine: Capacity of its engines; None for a plain service.
+        warmup_seconds: How long its endpoints warm up after a start; zero if they do not.
+        warmup_per_second: Requests a second that an endpoint bears while it warms up; zero for no
+            limit.
     """
 
     name: str
     maximum_connections: int
     engine: EngineCapacity | None
+    warmup_seconds: float = 0.0
+    warmup_per_second: float = 0.0
 
 
 @attrs.define(frozen=True, kw_only=True)
@@ -170,6 +177,8 @@
         accounts_by_key: Client account of each key; empty if keys are not used.
         needs_keys: Whether requests need a key on routes that are not public.
         account_priorities: Priorities of accounts that override those of the routes.
+        account_regions: Regions whose endpoints may get the requests of an account, where these
+            are limited.
     """
 
     version: int
@@ -179,11 +188,27 @@
     accounts_by_key: Mapping[str, str]
     needs_keys: bool
     account_priorities: Mapping[str, int] = attrs.field(factory=dict)
+    account_regions: Mapping[str, frozenset[str]] = attrs.field(factory=dict)
 
     def find_priority(self, route: Route, account: str) -> int:
         """Finds the priority of an account's requests on a route; 0 is the most urgent."""
         return self.account_priorities.get(account, route.priority)
 
+    def find_regions(self, route: Route, account: str) -> frozenset[str] | None:
+        """Finds the regions whose endpoints may get an account's requests on a route.
+
+        Args:
+            route: The route.
+            account: Client account; empty for requests without a key.
+
+        Returns:
+            Names of the regions, empty if route and account exclude each other; None for all.
+        """
+        of_account = self.account_regions.get(account)
+        if of_account is None or route.regions is None:
+            return route.regions if of_account is None else of_account
+        return of_account & route.regions
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Finds the route with the longest prefix that matches a path.
 
--- a/src/fireflymux/decisions/membership.py
+++ b/src/fireflymux/decisions/membership.py
@@ -30,6 +30,7 @@
         slots: Number of requests that it runs at once.
         is_leaving: Whether it is shutting down and takes no new work.
         incarnation: Time of its start in milliseconds, which tells restarts apart.
+        warmup_seconds: How much longer it warms up, as of the time when its entry was written.
     """
 
     identifier: str
@@ -40,6 +41,7 @@
     slots: int
     is_leaving: bool
     incarnation: int
+    warmup_seconds: float = 0.0
 
     @property
     def key(self) -> tuple[str, int]:
--- a/src/fireflymux/decisions/waiting.py
+++ b/src/fireflymux/decisions/waiting.py
@@ -29,6 +29,7 @@
         is_caller_retry: Whether it is a caller's retry of a refused request, and thus already
             late.
         excluded: Numbers of endpoints that must not be chosen, as they were tried before.
+        regions: Regions that the endpoint must be in; None for all.
         on_placed: Called once it is placed.
         least_wait_seconds: Shortest predicted wait on any engine that may hold another
             request, at the last attempt to place it. It tells whether engines are compared.
@@ -52,6 +53,7 @@
     is_caller_retry: bool
     excluded: set[int]
     priority: int = 0
+    regions: frozenset[str] | None = None
     on_placed: Callable[[], None] | None = None
     placement: Placement | None = None
     least_wait_seconds: float = 0.0
--- a/src/fireflymux/entry/attempt.py
+++ b/src/fireflymux/entry/attempt.py
@@ -27,7 +27,8 @@
 from .endpoint_wishes import apply_response_signals
 from .entry_metrics import EntryMetrics
 from .event_relay import EventRelay, EventTooLarge
-from .state import EntryState, LiveEndpoint
+from .live_endpoint import LiveEndpoint
+from .state import EntryState
 
 #: Largest body of a response that is not a stream and states its length.
 _MAXIMUM_RESPONSE_BYTES = 8388608
@@ -51,8 +52,8 @@
     Attributes:
         reason: Why it was not sent, for the log.
         is_local: Whether this is not recorded as a failed connection of the endpoint: this process
-            had no file descriptor or memory left to connect, or the endpoint was leaving or in a
-            backoff that it requested when the connection was ready.
+            had no file descriptor or memory left to connect, or the endpoint was leaving,
+            evacuated, warming up or in a backoff that it requested when the connection was ready.
     """
 
     reason: str
@@ -178,8 +179,10 @@
     if attempt.has_caller_disconnected():
         live.pool.release_connection(connection, None)
         return Abandoned()
-    if not live.accepts_work(trio.current_time()):
-        # The endpoint was seen leaving, or requested a backoff, after being listed as a candidate.
+    now = trio.current_time()
+    if not (live.accepts_work(now) and state.candidates.warmups.may_send(live, now)):
+        # After being listed as a candidate, the endpoint was seen leaving, evacuated or warming up,
+        # or requested a backoff.
         live.pool.release_connection(connection, None)
         return NotSent('the endpoint takes no work any more', is_local=True)
     idle_seconds = None
@@ -220,6 +223,7 @@
     )
     start_line = b'%b %b HTTP/1.1' % (request.method, request.target)
     attempt.sent_at = trio.current_time()
+    attempt.live.pacer.record_sent(attempt.sent_at)
     if attempt.relay is not None:
         attempt.stall_scope.deadline = attempt.sent_at + attempt.stall_seconds
     await connection.send(start_line, fields, request.content)
--- a/src/fireflymux/entry/calls.py
+++ b/src/fireflymux/entry/calls.py
@@ -29,6 +29,7 @@
         service: The service that was chosen from those of the route.
         account: Client account; empty for requests without a key.
         priority: Rank among the waiting requests; 0 is the most urgent.
+        regions: Regions whose endpoints may get it; None for all.
         deadline: Time at which the caller's deadline or the route's timeout ends, in seconds. A
             response that arrives within a short margin after it is still used.
         relay: Forwards the events of the response; None if the route does not stream.
@@ -47,6 +48,7 @@
     deadline: float
     relay: EventRelay | None
     has_caller_disconnected: Callable[[], bool]
+    regions: frozenset[str] | None = None
     tried_endpoints: set[int] = attrs.field(factory=set)
     history: AttemptHistory = attrs.field(factory=AttemptHistory)
     is_in_flight: bool = False
@@ -121,4 +123,5 @@
         deadline=request.received_at + min(metadata.deadline_seconds, route.timeout_seconds),
         relay=relay,
         has_caller_disconnected=writer.has_caller_disconnected,
+        regions=configuration.find_regions(route, account),
     )
--- a/src/fireflymux/entry/endpoint_wishes.py
+++ b/src/fireflymux/entry/endpoint_wishes.py
@@ -3,7 +3,8 @@
 With `Server-Leaving`, an endpoint states that it is leaving: it is shutting down and takes no new
 requests. With status 503 and `Retry-After`, it requests a backoff: it takes no requests for the
 stated time. Log events, metrics and errors call such a backoff a rest. The backoff that follows a
-failed connection is another one, and is not handled here.
+failed connection is another one, and is not handled here. With `X-Warmup-Ms`, it states that it
+warms up and bears only few requests.
 """
 
 from collections.abc import Iterable
@@ -12,7 +13,8 @@
 
 from ..observability.logs import get_logger
 from ..platform.call_headers import ResponseMetadata
-from .state import EntryState, LiveEndpoint
+from .live_endpoint import LiveEndpoint
+from .state import EntryState
 
 _log = get_logger(__name__)
 
@@ -45,6 +47,7 @@
     """
     if metadata.is_leaving:
         mark_leaving(state, [live.number], live.endpoint.identifier)
+    state.candidates.warmups.record(live, metadata.warmup_seconds, is_stated=True)
     if metadata.requested_backoff_seconds:
         _log.info(
             'endpoint_rests',
@@ -56,25 +59,6 @@
         )
 
 
-def find_backoff_end(state: EntryState, service: str) -> float | None:
-    """Returns when the first requested backoff ends, if all endpoints of a service are in one.
-
-    Endpoints that are leaving are left out.
-
-    Args:
-        state: State of the instance.
-        service: Name of the service.
-
-    Returns:
-        Time in seconds; None if an endpoint takes requests now, or if all are leaving.
-    """
-    now = trio.current_time()
-    staying = [live for live in state.list_endpoints(service) if not live.endpoint.is_leaving]
-    if not staying or any(live.accepts_work(now) for live in staying):
-        return None
-    return min(live.record.requested_backoff_until for live in staying)
-
-
 def count_requested_backoffs(state: EntryState) -> int:
     """Counts the endpoints in a backoff that they have requested, not that after a failure."""
     now = trio.current_time()
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -29,10 +29,11 @@
     Whole,
     run_attempt,
 )
+from .availability import find_unavailability
 from .calls import Call, admit_call
-from .endpoint_wishes import find_backoff_end
 from .entry_metrics import EntryMetrics, TokenState
 from .placement_log import log_not_placed, log_placed
+from .retry_allowances import RetryAllowances
 from .service_queue import (
     ServiceQueue,
     make_engine_chooser,
@@ -70,6 +71,7 @@
         self._state = state
         self._metrics = metrics
         self._queues: dict[str, ServiceQueue] = {}
+        self._retry_allowances = RetryAllowances(state)
         state.subscribe(self.dispatch)
 
     def dispatch(self) -> None:
@@ -123,7 +125,7 @@
 
     async def _handle_admitted(self, call: Call, writer: ResponseWriter) -> None:
         """Runs an admitted request; writes the response, or an error soon after the deadline."""
-        self._state.get_retry_allowance(call.service).count_request(trio.current_time())
+        self._retry_allowances.get(call.service).count_request(trio.current_time())
         result: Whole | Relayed | Abandoned | CallFailure | None = None
         try:
             with trio.move_on_at(call.deadline + _RESPONSE_MARGIN_SECONDS):
@@ -191,12 +193,13 @@
             target_seconds=call.route.target_seconds,
             is_caller_retry=self._is_caller_retry(call),
             excluded=call.tried_endpoints,
+            regions=call.regions,
         )
         patience = self._state.policy.patience_part * call.route.target_seconds
         until = min(trio.current_time() + patience, call.deadline)
-        backoff_end = find_backoff_end(self._state, call.service)
-        if backoff_end is not None and backoff_end > until:
-            return _build_backoff_failure(call, backoff_end - trio.current_time())
+        failure = find_unavailability(self._state, call, until=until)
+        if failure is not None:
+            return failure
         # A retry is not counted as demand again if an earlier attempt sent the request; one that
         # follows only attempts without a connection is.
         if not call.history.sends:
@@ -277,7 +280,7 @@
         now = trio.current_time()
         ending = _ENDINGS[type(outcome)]
         call.history.record(ending)
-        allowance = self._state.get_retry_allowance(call.service)
+        allowance = self._retry_allowances.get(call.service)
         is_retried = may_retry(
             call.history,
             ending,
@@ -376,19 +379,6 @@
     return CallFailure(ErrorKind.queue_timeout, 'no endpoint could take it in time')
 
 
-def _build_backoff_failure(call: Call, seconds: float) -> CallFailure:
-    if call.may_have_run:
-        return CallFailure(
-            ErrorKind.endpoint_crashed,
-            'every other endpoint asked for a rest',
-        )
-    return CallFailure(
-        ErrorKind.endpoints_resting,
-        'every endpoint asked for a rest',
-        retry_after_seconds=seconds,
-    )
-
-
 def _build_attempt_failure(call: Call, outcome: Outcome) -> CallFailure:
     detail = str(outcome)
     if call.may_have_run:
--- a/src/fireflymux/entry/instance.py
+++ b/src/fireflymux/entry/instance.py
@@ -20,6 +20,7 @@
 from ..settings import EntryProcessSettings
 from .endpoint_wishes import count_requested_backoffs
 from .entry_metrics import EntryMetrics
+from .evacuating import update_evacuations
 from .exchange import RequestHandler
 from .listeners import Listener
 from .peer_link import PeerLink
@@ -165,6 +166,8 @@
             last_tick = now
             if state.members.expire(now):
                 state.update_endpoints()
+            if state.candidates.evacuations.expire(now):
+                update_evacuations(state, 'restored copy')
             state.loads.expire(now)
             self._peers.forget_silent()
             self._handler.dispatch()
--- a/src/fireflymux/entry/peer_link.py
+++ b/src/fireflymux/entry/peer_link.py
@@ -27,6 +27,7 @@
 from ..observability.logs import get_logger
 from .endpoint_wishes import mark_leaving
 from .entry_metrics import EntryMetrics
+from .peer_notices import NoticeBuilder, apply_notice, decode_notice
 from .report_builder import ReportBuilder
 from .report_datagrams import (
     ReportAssembler,
@@ -97,6 +98,7 @@
         self._state = state
         self._metrics = metrics
         self._reports = ReportBuilder(state)
+        self._notices = NoticeBuilder(state)
         self._heard_cache: list[KnownInstance] = []
         self._heard_cache_until = float('-inf')
         self._splitter = ReportSplitter(state.host, state.settings.failure_domain, state.rng)
@@ -177,6 +179,9 @@
     async def _send(self, sock: socket.socket) -> None:
         while True:
             await trio.sleep(choose_report_interval(self.count_heard()))
+            notice = self._notices.build()
+            for host in self.list_hosts() if notice else ():
+                self._send_to(sock, host, notice)
             report = self._reports.build()
             if report is None:
                 continue
@@ -236,6 +241,10 @@
         One that cannot be decoded is dropped. So is one that completes a report which cannot be
         decoded or applied; what was applied before the error stays.
         """
+        notice = decode_notice(received)
+        if notice is not None:
+            apply_notice(self._state, notice)
+            return
         try:
             datagram = decode_datagram(received)
             self._handle_datagram(datagram)
--- /dev/null
+++ b/src/fireflymux/entry/peer_notices.py
@@ -0,0 +1,131 @@
+"""Tells the other entry instances of evacuations, and of endpoints that have to warm up again.
+
+A notice is one datagram beside the reports. It is sent as soon as something changes and repeated
+for a while, since datagrams can be lost. Receivers may apply notices in any order and more than
+once. Instances that do not know notices drop them as malformed.
+"""
+
+import typing
+
+import attrs
+import msgspec
+import trio
+
+from .._messages_generated import PeerNotice
+from ..decisions.evacuations import EvacuationList
+from ..decisions.store_version import StoreVersion
+from .evacuating import apply_evacuations
+from .state import EntryState
+
+#: Value of the field `kind`, which tells a notice from other datagrams.
+_KIND = 'notice'
+#: Time between two notices while there is something to tell.
+_INTERVAL_SECONDS = 0.2
+#: Time for which a change of the evacuations is told.
+_REPEAT_SECONDS = 3.0
+#: Maximum number of endpoints in one notice, so that it fits into one datagram.
+_MAXIMUM_WARMING = 80
+#: Numbers for each endpoint that warms up: its number and the milliseconds left.
+_WARMING_FIELDS = 2
+_MILLISECONDS_PER_SECOND = 1000.0
+_NOTICE_FIELDS = tuple(field.name for field in attrs.fields(PeerNotice))
+_NOTICE_DECODER: msgspec.msgpack.Decoder[typing.Any] = msgspec.msgpack.Decoder(
+    tuple[tuple(typing.get_type_hints(PeerNotice).values())]  # type: ignore[misc]
+)
+
+
+def encode_notice(notice: PeerNotice) -> bytes:
+    """Encodes a notice."""
+    return msgspec.msgpack.encode(attrs.astuple(notice, recurse=False))
+
+
+def decode_notice(received: bytes) -> PeerNotice | None:
+    """Decodes a datagram if it is a notice.
+
+    Args:
+        received: Bytes of a datagram.
+
+    Returns:
+        The notice; None if the datagram is something else.
+    """
+    try:
+        values = _NOTICE_DECODER.decode(received)
+    except msgspec.MsgspecError:
+        return None
+    notice = PeerNotice(**dict(zip(_NOTICE_FIELDS, values, strict=True)))
+    return notice if notice.kind == _KIND else None
+
+
+class NoticeBuilder:
+    """Builds a notice whenever one is due."""
+
+    def __init__(self, state: EntryState) -> None:
+        """Prepares the first notice.
+
+        Args:
+            state: State of the instance.
+        """
+        self._state = state
+        self._told: EvacuationList = state.candidates.evacuations.newest
+        self._changed_at = float('-inf')
+        self._warming: frozenset[int] = frozenset()
+        self._sent_at = float('-inf')
+
+    def build(self) -> bytes:
+        """Builds and encodes a notice; returns nothing if there is nothing to tell now."""
+        now = trio.current_time()
+        newest = self._state.candidates.evacuations.newest
+        warming = self._find_warming(now)
+        has_changed = newest.domains != self._told.domains
+        if has_changed:
+            self._changed_at = now
+        is_new = has_changed or not self._warming.issuperset(warming)
+        is_repeated = warming or now < self._changed_at + _REPEAT_SECONDS
+        if not is_new and (not is_repeated or now < self._sent_at + _INTERVAL_SECONDS):
+            return b''
+        self._told = newest
+        self._warming = frozenset(warming)
+        self._sent_at = now
+        return self._encode(newest, warming)
+
+    def _find_warming(self, now: float) -> dict[int, int]:
+        """Returns the milliseconds left of the endpoints that said that they are warming up."""
+        return {
+            live.number: int((live.stated_warmup_until - now) * _MILLISECONDS_PER_SECOND)
+            for live in self._state.list_endpoints()
+            if live.stated_warmup_until > now
+        }
+
+    def _encode(self, evacuations: EvacuationList, warming: dict[int, int]) -> bytes:
+        flat: list[int] = []
+        for number, milliseconds in list(warming.items())[:_MAXIMUM_WARMING]:
+            flat.extend((number, milliseconds))
+        return encode_notice(
+            PeerNotice(
+                kind=_KIND,
+                instance=self._state.settings.name,
+                op_era=evacuations.version.era,
+                op_version=evacuations.version.number,
+                evacuated=sorted(evacuations.domains),
+                warming=flat,
+            )
+        )
+
+
+def apply_notice(state: EntryState, notice: PeerNotice) -> None:
+    """Applies a notice of another instance.
+
+    Args:
+        state: State of the instance.
+        notice: The notice.
+    """
+    version = StoreVersion(notice.op_era, notice.op_version)
+    evacuations = EvacuationList(version=version, domains=frozenset(notice.evacuated))
+    apply_evacuations(state, evacuations, notice.instance)
+    numbers, milliseconds = (
+        notice.warming[start::_WARMING_FIELDS] for start in range(_WARMING_FIELDS)
+    )
+    for number, left in zip(numbers, milliseconds, strict=True):
+        live = state.find_endpoint(number)
+        if live is not None:
+            state.candidates.warmups.record(live, left / _MILLISECONDS_PER_SECOND)
--- a/src/fireflymux/entry/peer_snapshot.py
+++ b/src/fireflymux/entry/peer_snapshot.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+from typing import Any
 from urllib.parse import parse_qs, urlencode
 
 import attrs
@@ -15,6 +16,7 @@
 import trio
 
 from .._messages_generated import EntrySnapshot
+from ..decisions.evacuations import EvacuationList
 from ..decisions.store_version import StoreVersion
 from ..http.client_connection import ClientConnection, ConnectFailed, ConnectionBroken
 from ..http.messages import Request
@@ -22,6 +24,7 @@
 from ..observability.logs import get_logger
 from ..platform.configuration_row import MalformedRow, decode_configuration
 from .endpoint_wishes import mark_leaving
+from .evacuating import apply_evacuations
 from .peer_link import PeerLink, is_ipv4_address
 from .state import EntryState
 from .store_follower import replace_endpoint_rows
@@ -33,6 +36,9 @@
 _CONFIG_KEY = 'config_version'
 _ERA_KEY = 'members_era'
 _MEMBERS_KEY = 'members_version'
+#: Query parameter by which the requesting instance asks for evacuations; instances that do not know
+#: them cannot decode a snapshot with them.
+_EVACUATIONS_KEY = 'evacuations'
 _POLL_SECONDS = 0.1
 #: Time that the store has to deliver a change to a follower before it is fetched from a peer.
 _FETCH_DELAY_SECONDS = 0.25
@@ -43,6 +49,8 @@
 _MAXIMUM_SNAPSHOT_BYTES = 16777216
 #: Version assumed if the requesting instance did not state one; lower than any real one.
 _UNSTATED_VERSION = -1
+#: Fields of a snapshot that state the evacuations.
+_EVACUATION_FIELDS = ('evacuated', 'op_era', 'op_version')
 _OK = 200
 _NOT_FOUND = 404
 
@@ -88,7 +96,13 @@
             leaving=state.members.list_leaving(),
             instances=state.instances | {state.settings.name: state.host},
         )
-        await writer.answer(_OK, (), orjson.dumps(attrs.asdict(snapshot, recurse=False)))
+        fields = attrs.asdict(snapshot, recurse=False)
+        if _EVACUATIONS_KEY in query:
+            fields |= self._describe_evacuations()
+        else:
+            for name in _EVACUATION_FIELDS:
+                fields.pop(name)
+        await writer.answer(_OK, (), orjson.dumps(fields))
 
     async def run(self) -> None:
         """Fetches snapshots whenever this instance is behind, until cancelled."""
@@ -108,6 +122,11 @@
             else:
                 await self._fetch_first()
 
+    def _describe_evacuations(self) -> dict[str, Any]:
+        newest = self._state.candidates.evacuations.newest
+        stated = (sorted(newest.domains), newest.version.era, newest.version.number)
+        return dict(zip(_EVACUATION_FIELDS, stated, strict=True))
+
     def _list_fetch_hosts(self) -> list[str]:
         """Lists hosts to fetch from: those that know newer tables; all while one is missing."""
         state = self._state
@@ -194,6 +213,7 @@
                 _CONFIG_KEY: self._state.configuration_version,
                 _ERA_KEY: self._state.members_version.era,
                 _MEMBERS_KEY: self._state.members_version.number,
+                _EVACUATIONS_KEY: 1,
             }
             target = b'%b?%b' % (_PATH, urlencode(versions).encode())
             await connection.send(b'GET %b HTTP/1.1' % target, [(b'Host', host.encode())], b'')
@@ -208,6 +228,11 @@
         if snapshot.config_version > state.configuration_version:
             self._apply_configuration(snapshot.config_row.encode(), host)
         mark_leaving(state, snapshot.leaving, host)
+        evacuations = EvacuationList(
+            version=StoreVersion(snapshot.op_era, snapshot.op_version),
+            domains=frozenset(snapshot.evacuated),
+        )
+        apply_evacuations(state, evacuations, host)
         version = StoreVersion(snapshot.members_era, snapshot.members_version)
         if version > state.members_version:
             rows = {name: content.encode() for name, content in snapshot.members.items()}
--- a/src/fireflymux/entry/placement_log.py
+++ b/src/fireflymux/entry/placement_log.py
@@ -8,7 +8,8 @@
 from ..decisions.waiting import WaitingRequest
 from ..observability.logs import get_logger
 from .calls import Call
-from .state import EntryState, LiveEndpoint
+from .live_endpoint import LiveEndpoint
+from .state import EntryState
 
 _log = get_logger(__name__)
 
--- a/src/fireflymux/entry/service_queue.py
+++ b/src/fireflymux/entry/service_queue.py
@@ -19,7 +19,8 @@
 from ..decisions.entry_configuration import EngineCapacity
 from ..decisions.slot_choice import PlainEndpointView, choose_plain_endpoint
 from ..decisions.waiting import WaitingRequest, WaitingRequests
-from .state import EntryState, LiveEndpoint
+from .live_endpoint import LiveEndpoint
+from .state import EntryState
 
 #: Minimum time between two attempts to place everything that waits.
 _DISPATCH_INTERVAL_SECONDS = 0.008
@@ -112,6 +113,8 @@
         state.shares.charge(waiting.account, waiting.cost_tokens, now)
         waiting.placed_at = now
         live = state.find_endpoint(placement.number)
+        if live is not None:
+            live.pacer.record_placed(now)
         if live is not None and waiting.parts:
             live.cache.record(waiting.parts)
             placed_prompt = [placement.number]
@@ -179,7 +182,7 @@
             has_more_urgent=waiting.has_more_urgent, is_over=is_over
         )
         waiting.wait_limit_seconds = wait_fraction * (waiting.target_seconds - elapsed)
-        candidates = state.list_candidates(service, waiting.excluded)
+        candidates = state.candidates.select(service, waiting.excluded, waiting.regions)
         views = _view_engines(state, candidates, capacity, state.slot_time_models[service].seconds)
         waiting.least_wait_seconds = find_least_wait(views, policy)
         waiting.preferred_engine_wait_seconds = None
@@ -241,7 +244,7 @@
                 slots=max(live.endpoint.slots, 1),
                 is_same_domain=live.endpoint.failure_domain == state.settings.failure_domain,
             )
-            for live in state.list_candidates(service, waiting.excluded)
+            for live in state.candidates.select(service, waiting.excluded, waiting.regions)
         ]
         chosen = choose_plain_endpoint(views)
         return None if chosen is None else Placement(chosen.number, 0)
--- a/src/fireflymux/entry/state.py
+++ b/src/fireflymux/entry/state.py
@@ -9,99 +9,28 @@
 from collections import defaultdict
 from collections.abc import Callable, Collection
 
-import attrs
 import trio
 
 from .._settings_generated import EntrySettings
 from ..decisions.crash_counts import CrashCounts
-from ..decisions.ejection import EndpointRecord, eject_outliers
-from ..decisions.endpoint_backoff import EndpointBackoff
+from ..decisions.ejection import eject_outliers
 from ..decisions.entry_configuration import Configuration, Service
 from ..decisions.fair_shares import FairShares
-from ..decisions.first_event_model import FirstEventModel, SlotTimeModel
+from ..decisions.first_event_model import SlotTimeModel
 from ..decisions.loads import FleetLoads
 from ..decisions.membership import Endpoint, Membership
 from ..decisions.placing_policy import DEFAULT_POLICY, PlacingPolicy
-from ..decisions.prompts import PrefixCache
 from ..decisions.refused_requests import RefusedRequests
-from ..decisions.retry_allowance import RetryAllowance
 from ..decisions.store_version import StoreVersion
 from ..http.connection_pool import ConnectionPool, UpstreamPool
 from ..observability.logs import get_logger
+from .candidates import Candidates
+from .live_endpoint import LiveEndpoint, create_live_endpoint
 
 _log = get_logger(__name__)
 _CONNECT_TIMEOUT_SECONDS = 0.4
-#: Fraction of an engine's cache assumed to hold prefixes that later prompts can reuse.
-_PREFIX_CACHE_FRACTION = 0.75
-#: Prompt tokens per second assumed for an engine where the configuration states no rate.
-_DEFAULT_TOKENS_PER_SECOND = 60000.0
-#: Ratio of an engine's prefill speed to its share of the rate that the configuration states.
-_PROMPT_SPEED_FACTOR = 1.6
 #: Fraction of an endpoint's connections that all instances together may keep idle.
 _IDLE_CONNECTIONS_FRACTION = 0.5
-#: How long a list of candidate endpoints is reused before it is computed again.
-_CANDIDATES_CACHE_SECONDS = 0.02
-#: Instances that may run at once for each known one, since replacements overlap with the old.
-_INSTANCES_FACTOR = 2
-
-
-@attrs.define(eq=False, kw_only=True)
-class LiveEndpoint:
-    """A listed endpoint with its connections, its results and its predicted cache content.
-
-    Attributes:
-        endpoint: Its entry in the list of endpoints.
-        number: Number that identifies it in reports between instances.
-        pool: Connections to it.
-        record: Recent connection failures and results of its requests.
-        cache: Prompt parts that it probably has in its prefix cache.
-        first_event_model: Predicts the time to the first event of a response.
-    """
-
-    endpoint: Endpoint
-    number: int
-    pool: UpstreamPool
-    record: EndpointRecord
-    cache: PrefixCache
-    first_event_model: FirstEventModel
-
-    def is_available(self, now: float) -> bool:
-        """Tells whether it should get new requests.
-
-        Args:
-            now: Time in seconds.
-
-        Returns:
-            Whether it accepts work and is neither ejected for its failures nor in the backoff that
-            follows a failed connection.
-        """
-        if self.record.connection_backoff.is_backing_off:
-            return False
-        return self.record.ejected_until <= now and self.accepts_work(now)
-
-    def accepts_work(self, now: float) -> bool:
-        """Tells whether it may get new requests if no other endpoint is available.
-
-        Args:
-            now: Time in seconds.
-
-        Returns:
-            Whether it is neither leaving nor in a backoff that it has requested with Retry-After.
-        """
-        return not self.endpoint.is_leaving and self.record.requested_backoff_until <= now
-
-
-@attrs.define(frozen=True)
-class _CachedCandidates:
-    """Cached list of the endpoints of one service that may get new requests.
-
-    Attributes:
-        endpoints: The endpoints.
-        valid_until: Time until which the list is reused, in seconds.
-    """
-
-    endpoints: list[LiveEndpoint]
-    valid_until: float
 
 
 def _open_pool(endpoint: Endpoint) -> UpstreamPool:
@@ -125,6 +54,8 @@
             instances.
         members_version: Version of the store that the list of endpoints was read at.
         has_endpoint_list: Whether a list of endpoints was received at all.
+        candidates: Selects the endpoints that may get requests; has the evacuated failure domains
+            and the endpoints that are warming up.
         loads: Outstanding work of each endpoint, over all instances.
         shares: Demand and usage of each account, over all instances.
         crashes: Counts of attempts that broke off, by `Call.fingerprint` of the request.
@@ -161,6 +92,7 @@
         self.policy = policy
         self._open_pool = open_pool
         self.settings = settings
+        self.instances: dict[str, str] = {}
         self.rng = rng
         self.configuration: Configuration | None = None
         self.configuration_row = b''
@@ -168,20 +100,23 @@
         self.member_rows: dict[str, bytes] = {}
         self.members_version = StoreVersion()
         self.has_endpoint_list = False
+        self.candidates = Candidates(
+            settings,
+            list_endpoints=self.list_endpoints,
+            find_service=self._find_service,
+            list_instances=self.instances.keys,
+        )
         self.loads = FleetLoads()
         self.shares = FairShares(settings.share_window_seconds)
         self.crashes = CrashCounts()
         self.refused_requests = RefusedRequests()
         self.unreported_placements: list[list[int]] = []
-        self.instances: dict[str, str] = {}
         self.store_responded_at: dict[str, float] = {}
         self.slot_time_models: defaultdict[str, SlotTimeModel] = defaultdict(SlotTimeModel)
         self.is_stopping = False
         self.refuses_requests = False
         self._endpoints: dict[int, LiveEndpoint] = {}
         self._by_service: dict[str, list[LiveEndpoint]] = {}
-        self._cached_candidates: dict[str, _CachedCandidates] = {}
-        self._retry_allowances: dict[str, RetryAllowance] = {}
         self._subscribers: list[Callable[[], None]] = []
 
     @property
@@ -244,16 +179,18 @@
             known = self._endpoints.get(number)
             if known is None:
                 self._endpoints[number] = self._create_endpoint(number, endpoint)
-                _log.info('endpoint_added', endpoint=endpoint.identifier, host=endpoint.host)
                 continue
+            # An entry that was read again says nothing new.
+            if endpoint.warmup_seconds != known.endpoint.warmup_seconds:
+                self.candidates.warmups.record(known, endpoint.warmup_seconds)
             if endpoint.is_leaving and not known.endpoint.is_leaving:
                 _log.info('endpoint_leaving', endpoint=endpoint.identifier)
             known.endpoint = endpoint
         self._by_service = {}
-        self._cached_candidates = {}
         for live in self._endpoints.values():
             self._by_service.setdefault(live.endpoint.service, []).append(live)
             self._limit_idle_connections(live)
+        self.candidates.drop_cache()
         self.notify()
 
     def forget_instance(self, name: str) -> None:
@@ -270,31 +207,14 @@
         """Returns the endpoint with a number, or None if it is not listed."""
         return self._endpoints.get(number)
 
-    def list_candidates(self, service: str, excluded: Collection[int]) -> list[LiveEndpoint]:
-        """Lists the endpoints of a service that a new request may be sent to.
-
-        Args:
-            service: Name of the service.
-            excluded: Numbers of endpoints that must not be chosen, since they were tried.
+    def record_connect_failure(self, live: LiveEndpoint) -> None:
+        """Records that an endpoint did not accept a connection, which starts its backoff.
 
-        Returns:
-            The available endpoints; if none is, all that accept work.
+        It may have ended and start again, so that it is assumed to warm up after the backoff.
         """
-        if excluded:
-            return self._find_candidates(service, excluded)
-        now = trio.current_time()
-        cached = self._cached_candidates.get(service)
-        if cached is None or cached.valid_until <= now:
-            cached = _CachedCandidates(
-                self._find_candidates(service, ()), now + _CANDIDATES_CACHE_SECONDS
-            )
-            self._cached_candidates[service] = cached
-        return cached.endpoints
-
-    def record_connect_failure(self, live: LiveEndpoint) -> None:
-        """Records that an endpoint did not accept a connection, which starts its backoff."""
         live.record.connection_backoff.record_failure()
-        self._cached_candidates.clear()
+        self.candidates.warmups.record_unreachable(live)
+        self.candidates.drop_cache()
 
     def record_result(self, live: LiveEndpoint, *, failed: bool) -> None:
         """Records the result of a request, and ejects endpoints that fail far more than others.
@@ -307,7 +227,7 @@
         if not failed:
             live.record.connection_backoff.record_success()
             return
-        self._cached_candidates.clear()
+        self.candidates.drop_cache()
         of_service = self._by_service.get(live.endpoint.service, ())
         for record in eject_outliers([entry.record for entry in of_service], trio.current_time()):
             _log.warning(
@@ -316,51 +236,26 @@
                 until=round(record.ejected_until, 1),
             )
 
-    def get_retry_allowance(self, service: str) -> RetryAllowance:
-        """Returns the limit on retries for a service.
-
-        It is created at its first use. It keeps the settings and the number of known instances of
-        that moment, and is not updated later.
-        """
-        allowance = self._retry_allowances.get(service)
-        if allowance is None:
-            allowance = RetryAllowance(
-                ratio=self.settings.retry_ratio,
-                window_seconds=self.settings.retry_window_seconds,
-                constant=self.settings.retry_constant,
-                maximum_instances=_INSTANCES_FACTOR * (1 + len(self.instances)),
-            )
-            self._retry_allowances[service] = allowance
-        return allowance
-
-    def _find_candidates(self, service: str, excluded: Collection[int]) -> list[LiveEndpoint]:
-        """Computes what `list_candidates` returns."""
-        now = trio.current_time()
-        listed = [
-            live
-            for live in self._by_service.get(service, ())
-            if live.number not in excluded and live.accepts_work(now)
-        ]
-        return [live for live in listed if live.is_available(now)] or listed
-
     def _create_endpoint(self, number: int, endpoint: Endpoint) -> LiveEndpoint:
-        """Creates the state of a newly listed endpoint.
-
-        The size of its cache and the prefill speed assumed first come from the configuration that
-        is active now. A later configuration does not change them for a listed endpoint.
-        """
-        service = self._find_service(endpoint.service)
-        cache_tokens = 0
-        if service is not None and service.engine is not None:
-            cache_tokens = int(service.engine.cache_tokens * _PREFIX_CACHE_FRACTION)
-        return LiveEndpoint(
-            endpoint=endpoint,
-            number=number,
+        """Creates the state of a newly listed endpoint."""
+        listed = self.members.list_endpoints().values()
+        live = create_live_endpoint(
+            number,
+            endpoint,
             pool=self._open_pool(endpoint),
-            record=EndpointRecord(EndpointBackoff(clock=trio.current_time)),
-            cache=PrefixCache(cache_tokens),
-            first_event_model=FirstEventModel(self._estimate_speed(endpoint.service)),
+            configuration=self.configuration,
+            fleet_size=sum(other.service == endpoint.service for other in listed),
+        )
+        domains = self.candidates.evacuations.list_domains(trio.current_time())
+        live.is_evacuated = endpoint.failure_domain in domains
+        self.candidates.warmups.record(live, endpoint.warmup_seconds)
+        _log.info(
+            'endpoint_added',
+            endpoint=endpoint.identifier,
+            host=endpoint.host,
+            warmup=endpoint.warmup_seconds,
         )
+        return live
 
     def _limit_idle_connections(self, live: LiveEndpoint) -> None:
         """Limits the idle connections to an endpoint to this instance's share of its maximum."""
@@ -374,13 +269,3 @@
 
     def _find_service(self, name: str) -> Service | None:
         return None if self.configuration is None else self.configuration.services.get(name)
-
-    def _estimate_speed(self, service: str) -> float:
-        """Returns the prefill speed assumed of an engine before anything was measured."""
-        engines = sum(
-            endpoint.service == service for endpoint in self.members.list_endpoints().values()
-        )
-        if self.configuration is None or not self.configuration.limits.fleet_tokens_per_second:
-            return _DEFAULT_TOKENS_PER_SECOND
-        rate = self.configuration.limits.fleet_tokens_per_second
-        return _PROMPT_SPEED_FACTOR * rate / max(engines, 1)
--- a/src/fireflymux/entry/store_follower.py
+++ b/src/fireflymux/entry/store_follower.py
@@ -10,6 +10,7 @@
 import attrs
 import trio
 
+from ..decisions.evacuations import EvacuationList
 from ..decisions.store_version import StoreVersion
 from ..observability.logs import get_logger
 from ..platform.configuration_row import (
@@ -17,9 +18,11 @@
     CONFIGURATION_TABLE,
     MalformedRow,
     decode_configuration,
+    decode_evacuated_domain,
 )
 from ..platform.endpoint_row import ENDPOINT_TABLE, decode_endpoint
 from ..platform.store import HistoryLost, Row, StoreClient, StoreUnavailable
+from .evacuating import apply_evacuations, update_evacuations
 from .state import EntryState
 
 _log = get_logger(__name__)
@@ -205,6 +208,7 @@
     def _apply_configuration(
         self, rows: Sequence[Row], is_full_table: bool, version: StoreVersion
     ) -> None:
+        self._apply_evacuations(rows, is_full_table, version)
         for row in rows:
             if row.key != CONFIGURATION_KEY or row.content is None:
                 continue
@@ -217,6 +221,30 @@
                 continue
             self._state.apply_configuration(configuration, row.content, 'store')
 
+    def _apply_evacuations(
+        self, rows: Sequence[Row], is_full_table: bool, version: StoreVersion
+    ) -> None:
+        added = set()
+        removed = set()
+        for row in rows:
+            domain = decode_evacuated_domain(row.key)
+            if domain is None:
+                continue
+            if row.content is None:
+                added.discard(domain)
+                removed.add(domain)
+                continue
+            added.add(domain)
+            removed.discard(domain)
+        state = self._state
+        if is_full_table:
+            listed = EvacuationList(version=version, domains=frozenset(added))
+            apply_evacuations(state, listed, 'store')
+            return
+        now = trio.current_time()
+        if state.candidates.evacuations.change(version, added=added, removed=removed, now=now):
+            update_evacuations(state, 'store')
+
     def _apply_endpoints(
         self, rows: Sequence[Row], is_full_table: bool, version: StoreVersion
     ) -> None:
--- a/src/fireflymux/errors.py
+++ b/src/fireflymux/errors.py
@@ -36,6 +36,8 @@
     sidecar_unconfirmed = 'sidecar_unconfirmed'
     endpoint_unreachable = 'endpoint_unreachable'
     endpoints_resting = 'endpoints_resting'
+    endpoints_evacuated = 'endpoints_evacuated'
+    region_unavailable = 'region_unavailable'
     claims_unavailable = 'claims_unavailable'
     call_in_progress = 'call_in_progress'
     outcome_unknown = 'outcome_unknown'
@@ -130,6 +132,18 @@
             1,
             'Every endpoint asked for a time without work',
         ),
+        ErrorKind.endpoints_evacuated: ErrorResponse(
+            503,
+            ExecutionStatus.no,
+            2,
+            'The failure domain of every endpoint is evacuated',
+        ),
+        ErrorKind.region_unavailable: ErrorResponse(
+            503,
+            ExecutionStatus.no,
+            2,
+            'No endpoint is in a region that the request may go to',
+        ),
         ErrorKind.claims_unavailable: ErrorResponse(
             503,
             ExecutionStatus.no,
--- a/src/fireflymux/platform/call_headers.py
+++ b/src/fireflymux/platform/call_headers.py
@@ -28,6 +28,7 @@
 _SERVER_LEAVING = b'server-leaving'
 _LEAVING_VALUE = b'1'
 _RETRY_AFTER = b'retry-after'
+_WARMUP_MS = b'x-warmup-ms'
 _UNAVAILABLE_STATUS = 503
 #: Upper bound on the Retry-After time of an endpoint; a longer time is assumed to be an error.
 _MAXIMUM_BACKOFF_SECONDS = 600.0
@@ -54,7 +55,7 @@
     )
 )
 #: Response fields meant for the system; they are not forwarded to the caller.
-_ENDPOINT_FIELDS = frozenset((_SERVER_LOAD, _SERVER_LEAVING))
+_ENDPOINT_FIELDS = frozenset((_SERVER_LOAD, _SERVER_LEAVING, _WARMUP_MS))
 #: Request fields that are not forwarded as the caller sent them. Authorization and X-Deadline-Ms
 #: are read here first, and the deadline is set anew; only the system may set the others.
 _SYSTEM_FIELDS = frozenset(
@@ -112,6 +113,7 @@
         is_leaving: Whether the endpoint states that it is leaving and takes no new requests.
         requested_backoff_seconds: Time for which the endpoint asks this instance to send it no
             requests; zero if it sent no Retry-After with status 503.
+        warmup_seconds: How much longer the endpoint warms up; zero if it does not say so.
     """
 
     attempt: bytes
@@ -120,6 +122,7 @@
     idle_seconds: float | None
     is_leaving: bool
     requested_backoff_seconds: float
+    warmup_seconds: float
 
 
 def decode_request_headers(request: Request) -> RequestMetadata:
@@ -216,6 +219,7 @@
         idle_seconds=_decode_idle_timeout(found.get(_KEEP_ALIVE, b'')),
         is_leaving=found.get(_SERVER_LEAVING, b'').strip() == _LEAVING_VALUE,
         requested_backoff_seconds=_decode_backoff(head.status, found.get(_RETRY_AFTER, b'')),
+        warmup_seconds=max(_to_int(found.get(_WARMUP_MS, b''), 0), 0) / _MILLISECONDS_PER_SECOND,
     )
 
 
--- a/src/fireflymux/platform/configuration_row.py
+++ b/src/fireflymux/platform/configuration_row.py
@@ -18,6 +18,8 @@
 #: Table and key of the configuration row in the store.
 CONFIGURATION_TABLE = 'op'
 CONFIGURATION_KEY = 'config'
+#: Beginning of the keys by which the operator evacuates a failure domain, whose name follows.
+_EVACUATION_PREFIX = 'evacuate/'
 _MILLISECONDS_PER_SECOND = 1000.0
 
 
@@ -25,6 +27,20 @@
     """The configuration row is not valid JSON or does not have the expected fields."""
 
 
+def decode_evacuated_domain(key: str) -> str | None:
+    """Returns the failure domain that a row of the configuration table evacuates.
+
+    Args:
+        key: Key of the row.
+
+    Returns:
+        Name of the failure domain; None if the row is no evacuation.
+    """
+    if not key.startswith(_EVACUATION_PREFIX):
+        return None
+    return key[len(_EVACUATION_PREFIX) :] or None
+
+
 def decode_configuration(content: bytes) -> Configuration:
     """Decodes one version of the configuration of the entry role.
 
@@ -68,6 +84,11 @@
             for account in accounts
             if account.get('priority') is not None
         },
+        account_regions={
+            account['name']: regions
+            for account in accounts
+            if (regions := _decode_regions(account)) is not None
+        },
     )
 
 
@@ -91,9 +112,16 @@
         priority=int(raw.get('priority') or 0),
         # Zero if absent or null.
         pause_seconds=(raw.get('gap_aim_ms') or 0) / _MILLISECONDS_PER_SECOND,
+        regions=_decode_regions(raw),
     )
 
 
+def _decode_regions(raw: dict[str, Any]) -> frozenset[str] | None:
+    # No limit if absent, null or empty.
+    regions = raw.get('allowed_regions')
+    return frozenset(map(str, regions)) if regions else None
+
+
 def _decode_repeatability(raw: dict[str, Any]) -> Repeatability:
     # Despite its name, the field `type` says whether a request may run more than once.
     route_type = raw['type']
@@ -115,4 +143,7 @@
             slots=int(engine['batch_slots']),
             cache_tokens=int(engine['kv_capacity']),
         ),
+        # Zero if absent or null.
+        warmup_seconds=float(raw.get('warmup_s') or 0),
+        warmup_per_second=float(raw.get('warmup_per_s') or 0),
     )
--- a/src/fireflymux/platform/endpoint_row.py
+++ b/src/fireflymux/platform/endpoint_row.py
@@ -12,6 +12,7 @@
 #: States with which endpoints register themselves; those that operators announce are others
 #: (`store.configuration`).
 _ENDPOINT_STATES = frozenset(('ready', 'draining'))
+_MILLISECONDS_PER_SECOND = 1000.0
 
 
 def decode_endpoint(identifier: str, content: bytes) -> Endpoint | None:
@@ -43,6 +44,9 @@
         return None
     if not isinstance(raw['zone'], str):
         return None
+    warmup_milliseconds = raw.get('warmup_left_ms') or 0
+    if isinstance(warmup_milliseconds, bool) or not isinstance(warmup_milliseconds, int | float):
+        return None
     return Endpoint(
         identifier=identifier,
         service=raw['service'],
@@ -52,6 +56,7 @@
         slots=raw['batch_slots'],
         is_leaving=raw['state'] == 'draining',
         incarnation=incarnation,
+        warmup_seconds=warmup_milliseconds / _MILLISECONDS_PER_SECOND,
     )
 
 
--- a/tools/show_red.py
+++ b/tools/show_red.py
@@ -100,6 +100,34 @@
     ),
     ('any_report', 'Datagrams that arrive in any order replace no newer report'),
     ('any_report', 'Reports from before a restart replace no later ones'),
+    ('no_warmup', 'The bound of an endpoint holds whichever instances hear of each other'),
+    ('no_warmup', 'A failure domain whose endpoints come back cold under load'),
+    (
+        'no_warmup',
+        'An endpoint that says in a response that it is warming up is spared by all instances',
+    ),
+    ('own_warmup', 'The bound of an endpoint holds whichever instances hear of each other'),
+    (
+        'no_evacuation',
+        'Nothing reaches an evacuated failure domain until the evacuation is taken back',
+    ),
+    (
+        'no_notices',
+        'Nothing reaches an evacuated failure domain until the evacuation is taken back',
+    ),
+    (
+        'no_evacuation',
+        'An evacuation holds although the store was restored from a copy without it',
+    ),
+    ('no_evacuation', 'An instance that starts while the store is away learns of an evacuation'),
+    (
+        'no_regions',
+        'Requests with regions go to endpoints of these regions only -- @1.3 ',
+    ),
+    (
+        'no_regions',
+        'Requests with regions go to endpoints of these regions only -- @1.5 ',
+    ),
 )
 
 
