Know what engines cache also where endpoints were read before the configuration

Cause: the size of an engine's cache and its assumed speed were fixed when the endpoint was listed. An instance that starts reads both tables at once; where the endpoints came first, it took every cache for empty for as long as it ran.

Change: a configuration applies the capacity to the endpoints that are listed, the speed only until it was measured. The two cases in which an endpoint may have to warm up are one method.

--- a/features/steps/warmup_steps.py
+++ b/features/steps/warmup_steps.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies
 
 from emulator.entry_fleet import route
+from features.steps.endpoint_wishes_steps import _find_live_endpoint
 from features.steps.entry_steps import _put_configuration, _run_on_fleet
 from fireflymux.decisions import warmup
 from fireflymux.decisions.warmup import RequestPacer, WarmupBound
@@ -161,11 +162,34 @@
     return statuses
 
 
-def _list_arrivals(fleet):
-    return {
-        name: [request.received_at for request in fleet.backends[name].requests]
-        for name in _COLD_ENDPOINTS
-    }
+def _record_sends(fleet, name):
+    """Returns a list that gets the time of each request that any instance sends to an endpoint.
+
+    Arrivals would not do: a process that is held up reads requests of several seconds at once.
+    """
+    times = []
+    for number in range(2):
+        pacer = _find_live_endpoint(fleet, name, number).pacer
+        pacer.record_sent = _record_before(times, pacer.record_sent)
+    return times
+
+
+def _record_before(times, record_sent):
+    def record(now):
+        times.append(now)
+        record_sent(now)
+
+    return record
+
+
+async def _load_and_measure(fleet, names):
+    """Sends load; returns the statuses, and by endpoint when requests were sent and how many came."""
+    sends = {name: _record_sends(fleet, name) for name in names}
+    for name in names:
+        fleet.backends[name].requests.clear()
+    statuses = await _send_load(fleet, 2.2)
+    arrived = {name: len(fleet.backends[name].requests) for name in names}
+    return statuses, sends, arrived
 
 
 @when('the endpoints of the failure domain start again under load and have to warm up')
@@ -174,10 +198,7 @@
         for name in _COLD_ENDPOINTS:
             fleet.change_endpoint(name, born=1800000000000, warmup_left_ms=3000)
         await trio.sleep(0.4)
-        for backend in fleet.backends.values():
-            backend.requests.clear()
-        statuses = await _send_load(fleet, 2.2)
-        return statuses, _list_arrivals(fleet)
+        return await _load_and_measure(fleet, _COLD_ENDPOINTS)
 
     _run_on_fleet(context, act)
 
@@ -193,9 +214,7 @@
             await fleet.call('/a', number=1)
         fleet.backends[name].behaviour = 'answer'
         await trio.sleep(0.3)
-        fleet.backends[name].requests.clear()
-        statuses = await _send_load(fleet, 2.2)
-        return statuses, {name: _list_arrivals(fleet)[name]}
+        return await _load_and_measure(fleet, [name])
 
     _run_on_fleet(context, act)
 
@@ -203,15 +222,16 @@
 @then('each of them gets some requests, never more than 8 in a second, and all calls are answered')
 @then('it gets some requests, never more than 8 in a second, and all calls are answered')
 def check_cold(context):
-    statuses, arrivals = context.result
+    statuses, sends, arrived = context.result
     assert set(statuses) == {200}, {status: statuses.count(status) for status in set(statuses)}
-    for name, times in arrivals.items():
+    for name, times in sends.items():
+        assert len(times) == arrived[name], (name, times, arrived)
         assert len(times) >= 4, (name, times)
-        assert _largest_second(times) <= _BOUND, (name, _largest_second(times))
+        assert _largest_second(times) <= _BOUND, (name, times)
 
 
 @then('they get more than 8 requests in a second')
 def check_unlimited(context):
-    _, arrivals = context.result
-    largest = {name: _largest_second(times) for name, times in arrivals.items()}
+    _, sends, _ = context.result
+    largest = {name: _largest_second(times) for name, times in sends.items()}
     assert max(largest.values()) > _BOUND, largest
--- a/src/fireflymux/decisions/first_event_model.py
+++ b/src/fireflymux/decisions/first_event_model.py
@@ -60,6 +60,11 @@
         self._measured_tokens = 0.0
         self._measured_seconds = 0.0
 
+    @property
+    def has_measurements(self) -> bool:
+        """Whether the estimate follows from more than the assumed speed."""
+        return self._measured_tokens > 0
+
     def observe(self, tokens: float, seconds: float) -> None:
         """Adds a measurement.
 
--- a/src/fireflymux/decisions/prompts.py
+++ b/src/fireflymux/decisions/prompts.py
@@ -35,6 +35,14 @@
         self._cached: OrderedDict[int, int] = OrderedDict()
         self._cached_tokens = 0
 
+    def resize(self, capacity_tokens: int) -> None:
+        """Changes the capacity; a smaller one evicts parts with the next prompt.
+
+        Args:
+            capacity_tokens: Capacity of the cache in tokens.
+        """
+        self._capacity_tokens = capacity_tokens
+
     def count_cached(self, parts: Sequence[PromptPart]) -> int:
         """Counts the leading tokens of a prompt that are cached.
 
--- a/src/fireflymux/entry/evacuating.py
+++ b/src/fireflymux/entry/evacuating.py
@@ -37,6 +37,6 @@
         was_evacuated = live.is_evacuated
         live.is_evacuated = live.endpoint.failure_domain in evacuated
         if was_evacuated and not live.is_evacuated:
-            state.candidates.warmups.record_evacuated(live)
+            state.candidates.warmups.record_possible(live)
     state.candidates.drop_cache()
     state.notify()
--- a/src/fireflymux/entry/live_endpoint.py
+++ b/src/fireflymux/entry/live_endpoint.py
@@ -87,49 +87,53 @@
         return self.warmup_until > now
 
 
-def create_live_endpoint(
-    number: int,
-    endpoint: Endpoint,
-    *,
-    pool: UpstreamPool,
-    configuration: Configuration | None,
-    fleet_size: int,
-) -> LiveEndpoint:
-    """Creates the state of a newly listed endpoint.
-
-    The size of its cache and the prefill speed assumed first come from the configuration that is
-    active now. A later configuration does not change them for a listed endpoint.
+def create_live_endpoint(number: int, endpoint: Endpoint, pool: UpstreamPool) -> LiveEndpoint:
+    """Creates the state of a newly listed endpoint, without a cache.
 
     Args:
         number: Number that identifies it in reports between instances.
         endpoint: Its entry in the list of endpoints.
         pool: Connections to it.
-        configuration: Active configuration; None before the first one.
-        fleet_size: Number of listed endpoints of its service, itself included.
 
     Returns:
         The endpoint, without results of requests.
     """
-    service = None if configuration is None else configuration.services.get(endpoint.service)
     return LiveEndpoint(
         endpoint=endpoint,
         number=number,
         pool=pool,
         record=EndpointRecord(EndpointBackoff(clock=trio.current_time)),
-        cache=PrefixCache(_estimate_cache_tokens(service)),
-        first_event_model=FirstEventModel(_estimate_speed(configuration, fleet_size)),
+        cache=PrefixCache(0),
+        first_event_model=FirstEventModel(_DEFAULT_TOKENS_PER_SECOND),
     )
 
 
+def apply_capacity(live: LiveEndpoint, configuration: Configuration, fleet_size: int) -> None:
+    """Applies the capacity of its engine that a configuration states to an endpoint.
+
+    The size of its cache always follows the configuration. The prefill speed does so only until it
+    was measured.
+
+    Args:
+        live: The endpoint.
+        configuration: The active configuration.
+        fleet_size: Number of listed endpoints of its service, itself included.
+    """
+    service = configuration.services.get(live.endpoint.service)
+    live.cache.resize(_estimate_cache_tokens(service))
+    if not live.first_event_model.has_measurements:
+        live.first_event_model = FirstEventModel(_estimate_speed(configuration, fleet_size))
+
+
 def _estimate_cache_tokens(service: Service | None) -> int:
     if service is None or service.engine is None:
         return 0
     return int(service.engine.cache_tokens * _PREFIX_CACHE_FRACTION)
 
 
-def _estimate_speed(configuration: Configuration | None, fleet_size: int) -> float:
+def _estimate_speed(configuration: Configuration, fleet_size: int) -> float:
     """Returns the prefill speed assumed of an engine before anything was measured."""
-    if configuration is None or not configuration.limits.fleet_tokens_per_second:
-        return _DEFAULT_TOKENS_PER_SECOND
     rate = configuration.limits.fleet_tokens_per_second
+    if not rate:
+        return _DEFAULT_TOKENS_PER_SECOND
     return _PROMPT_SPEED_FACTOR * rate / max(fleet_size, 1)
--- a/src/fireflymux/entry/state.py
+++ b/src/fireflymux/entry/state.py
@@ -25,7 +25,7 @@
 from ..http.connection_pool import ConnectionPool, UpstreamPool
 from ..observability.logs import get_logger
 from .candidates import Candidates
-from .live_endpoint import LiveEndpoint, create_live_endpoint
+from .live_endpoint import LiveEndpoint, apply_capacity, create_live_endpoint
 
 _log = get_logger(__name__)
 _CONNECT_TIMEOUT_SECONDS = 0.4
@@ -164,6 +164,7 @@
         self.configuration_row = row
         for live in self._endpoints.values():
             self._limit_idle_connections(live)
+            self._apply_capacity(live)
         self.notify()
 
     def update_endpoints(self) -> None:
@@ -212,8 +213,10 @@
 
         It may have ended and start again, so that it is assumed to warm up after the backoff.
         """
-        live.record.connection_backoff.record_failure()
-        self.candidates.warmups.record_unreachable(live)
+        backoff = live.record.connection_backoff
+        backoff.record_failure()
+        backoff_seconds = backoff.until - trio.current_time()
+        self.candidates.warmups.record_possible(live, after_seconds=backoff_seconds)
         self.candidates.drop_cache()
 
     def record_result(self, live: LiveEndpoint, *, failed: bool) -> None:
@@ -238,14 +241,8 @@
 
     def _create_endpoint(self, number: int, endpoint: Endpoint) -> LiveEndpoint:
         """Creates the state of a newly listed endpoint."""
-        listed = self.members.list_endpoints().values()
-        live = create_live_endpoint(
-            number,
-            endpoint,
-            pool=self._open_pool(endpoint),
-            configuration=self.configuration,
-            fleet_size=sum(other.service == endpoint.service for other in listed),
-        )
+        live = create_live_endpoint(number, endpoint, self._open_pool(endpoint))
+        self._apply_capacity(live)
         domains = self.candidates.evacuations.list_domains(trio.current_time())
         live.is_evacuated = endpoint.failure_domain in domains
         self.candidates.warmups.record(live, endpoint.warmup_seconds)
@@ -257,6 +254,14 @@
         )
         return live
 
+    def _apply_capacity(self, live: LiveEndpoint) -> None:
+        if self.configuration is None:
+            return
+        service = live.endpoint.service
+        listed = self.members.list_endpoints().values()
+        fleet_size = sum(other.service == service for other in listed)
+        apply_capacity(live, self.configuration, fleet_size)
+
     def _limit_idle_connections(self, live: LiveEndpoint) -> None:
         """Limits the idle connections to an endpoint to this instance's share of its maximum."""
         service = self._find_service(live.endpoint.service)
--- a/src/fireflymux/entry/warmups.py
+++ b/src/fireflymux/entry/warmups.py
@@ -69,28 +69,19 @@
         live.warmup_until = max(live.warmup_until, until)
         self._last_end = max(self._last_end, until)
 
-    def record_unreachable(self, live: LiveEndpoint) -> None:
-        """Records that an endpoint accepted no connection.
+    def record_possible(self, live: LiveEndpoint, *, after_seconds: float = 0.0) -> None:
+        """Records that an endpoint may have to warm up, for as long as its service states.
 
-        It may have ended and start again, so that it is assumed to warm up after the backoff.
+        That is so after a connection that it refused, since it may have ended and start again, and
+        after the end of an evacuation.
 
         Args:
             live: The endpoint.
+            after_seconds: Time after which it may start at the latest.
         """
         bound = self._find_bound(live)
         if bound is not None:
-            backoff_seconds = live.record.connection_backoff.until - trio.current_time()
-            self.record(live, backoff_seconds + bound.seconds)
-
-    def record_evacuated(self, live: LiveEndpoint) -> None:
-        """Records that an evacuation has ended, after which an endpoint may warm up again.
-
-        Args:
-            live: An endpoint of the failure domain.
-        """
-        bound = self._find_bound(live)
-        if bound is not None:
-            self.record(live, bound.seconds)
+            self.record(live, after_seconds + bound.seconds)
 
     def may_place(self, live: LiveEndpoint, now: float) -> bool:
         """Tells whether a request may be placed on an endpoint now.
