Copy cached parts of prompts between engines, and weigh homes by the reading they save

Change: where another engine is believed to have cached more of a prompt and a copy is faster than reading, the engine is told its address. The bias for homes is 1.2 times the time to read the shared parts. Outcomes of attempts have a module of their own; simulated engines copy, too.

--- a/features/experiment.feature
+++ b/features/experiment.feature
@@ -35,3 +35,8 @@
     Given the experiment in which one account after the other sends many times its usual load
     When it is simulated with each of its seeds
     Then in any 6 seconds each account gets at least half of what the best-served one got
+
+  Scenario: Engines that copy cached parts from each other process shared parts less often
+    Given an experiment with sessions that come back and engines that are short of capacity
+    When it is simulated with engines that cannot copy cached parts and with engines that can
+    Then the engines that can process fewer shared tokens again, and more requests of each load are on time
--- a/features/steps/experiment_steps.py
+++ b/features/steps/experiment_steps.py
@@ -263,3 +263,47 @@
     assert seconds == WINDOW_SECONDS
     shares = [find_least_share(result.callers, context.plan.loads) for result in context.results]
     assert min(shares) >= 0.5, shares
+
+
+def _build_sessions_plan(link_megabits):
+    return ExperimentPlan(
+        fleet=FleetTerms(seconds=6.0, seeds=1, instances=4, engines=6, failure_domains=3),
+        engine=EngineModel(cache_tokens=338000, event_tokens=7, link_megabits=link_megabits),
+        loads={
+            'drafts': LoadTerms(
+                rate_per_second=45.0,
+                shared='2520x4 3780x250',
+                own_tokens=2890.0,
+                output_tokens=52.0,
+            ),
+            'answers': LoadTerms(
+                rate_per_second=85.0, shared='341x9 227x190', own_tokens=1230.0, output_tokens=23.0
+            ),
+        },
+        bursts=(),
+        policies={'default': PlacingPolicy()},
+    )
+
+
+@given('an experiment with sessions that come back and engines that are short of capacity')
+def define_sessions(context):
+    context.plans = [_build_sessions_plan(link_megabits) for link_megabits in (0.0, 550000.0)]
+
+
+@when('it is simulated with engines that cannot copy cached parts and with engines that can')
+def simulate_sessions(context):
+    context.summaries = [
+        summarize(plan, [_simulate(plan, seed=seed) for seed in (1, 2)])[0]
+        for plan in context.plans
+    ]
+
+
+@then(
+    'the engines that can process fewer shared tokens again,'
+    ' and more requests of each load are on time'
+)
+def check_reread(context):
+    without, copying = context.summaries
+    assert copying.reread < without.reread, (copying.reread, without.reread)
+    for load, on_time in copying.on_time_by_load.items():
+        assert on_time > without.on_time_by_load[load], (load, copying, without)
--- a/src/fireflymux/decisions/engine_choice.py
+++ b/src/fireflymux/decisions/engine_choice.py
@@ -30,6 +30,9 @@
         tokens_per_second: Speed at which it works through pending tokens (`FirstEventModel`).
         slot_seconds: Mean time for which a request occupies a slot.
         is_same_domain: Whether it is in the failure domain of the instance that chooses.
+        fetched_tokens: Further tokens of the prompt that it would copy from another engine.
+        fetch_seconds: Time that the copy takes.
+        source: Number of that other engine; None if it would copy nothing.
     """
 
     number: int
@@ -40,6 +43,9 @@
     tokens_per_second: float
     slot_seconds: float = 0.0
     is_same_domain: bool = True
+    fetched_tokens: int = 0
+    fetch_seconds: float = 0.0
+    source: int | None = None
 
     @property
     def wait_seconds(self) -> float:
@@ -58,11 +64,12 @@
 
     Attributes:
         number: Number of the endpoint.
-        tokens: Prompt tokens of the request that are not cached there and need prefill.
+        tokens: Prompt tokens of the request that need prefill: neither cached there nor fetched.
         wait_seconds: Predicted time until their prefill begins.
-        seconds: Predicted time to the first event: the wait, the prefill and the time that the
-            first event takes on an idle engine.
+        seconds: Predicted time to the first event: the wait, the fetch, the prefill and the time
+            that the first event takes on an idle engine.
         is_queued: Whether the request waits for a slot there.
+        source: Number of the engine that it fetches cached parts from; None for none.
     """
 
     number: int
@@ -70,6 +77,7 @@
     wait_seconds: float = 0.0
     seconds: float = 0.0
     is_queued: bool = False
+    source: int | None = None
 
 
 def choose_engine(
@@ -104,7 +112,8 @@
             continue
         cost = _estimate_cost(view, prompt_tokens, shared_tokens, policy)
         if shared_tokens:
-            cost += policy.home_bias_seconds * min(home_rank, policy.home_ranks)
+            bias = policy.home_bias_part * shared_tokens / view.tokens_per_second
+            cost += bias * min(home_rank, policy.home_ranks)
         if cost < best_cost:
             best_cost = cost
             best = view
@@ -148,18 +157,25 @@
 
 
 def _predict_placement(view: EngineView, prompt_tokens: int) -> Placement:
-    tokens = max(prompt_tokens - view.cached_tokens, 1)
+    tokens = _count_prefill_tokens(view, prompt_tokens)
     wait = view.wait_seconds
-    seconds = FIRST_EVENT_SECONDS + wait + tokens / view.tokens_per_second
-    return Placement(view.number, tokens, wait, seconds, view.running >= view.slots)
+    seconds = FIRST_EVENT_SECONDS + wait + view.fetch_seconds + tokens / view.tokens_per_second
+    is_queued = view.running >= view.slots
+    return Placement(view.number, tokens, wait, seconds, is_queued, view.source)
+
+
+def _count_prefill_tokens(view: EngineView, prompt_tokens: int) -> int:
+    return max(prompt_tokens - view.cached_tokens - view.fetched_tokens, 1)
 
 
 def _estimate_cost(
     view: EngineView, prompt_tokens: int, shared_tokens: int, policy: PlacingPolicy
 ) -> float:
-    tokens = float(max(prompt_tokens - view.cached_tokens, 1))
-    tokens += policy.reread_weight * max(shared_tokens - view.cached_tokens, 0)
+    available_tokens = view.cached_tokens + view.fetched_tokens
+    tokens = float(_count_prefill_tokens(view, prompt_tokens))
+    tokens += policy.reread_weight * max(shared_tokens - available_tokens, 0)
     cost = view.wait_seconds + tokens / view.tokens_per_second
+    cost += policy.fetch_weight * view.fetch_seconds
     return cost if view.is_same_domain else cost + policy.remote_bias_seconds
 
 
--- a/src/fireflymux/decisions/entry_configuration.py
+++ b/src/fireflymux/decisions/entry_configuration.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from .prefix_transfer import TransferRate
+
 #: Callers give up on a stream without an event after the longest of these: a fixed time, a
 #: multiple of the target latency, and a multiple of the pause that the route allows.
 _MINIMUM_STALL_SECONDS = 2.0
@@ -118,10 +120,12 @@
     Attributes:
         slots: Number of requests that run at once on one engine.
         cache_tokens: Number of prompt tokens that one engine can cache.
+        transfer: How fast engines copy cached tokens from each other.
     """
 
     slots: int
     cache_tokens: int
+    transfer: TransferRate = TransferRate()
 
 
 @attrs.define(frozen=True, kw_only=True)
--- a/src/fireflymux/decisions/placing_policy.py
+++ b/src/fireflymux/decisions/placing_policy.py
@@ -24,8 +24,9 @@
         patience_part: Fraction of the target latency after which a waiting request is refused.
         reread_weight: Penalty for the prefill of shared parts that an engine has not cached, as a
             multiple of the time that it takes; added to that time.
-        home_bias_seconds: Wait that an engine must save for each rank that it is further down
-            the home order.
+        fetch_weight: Weight of the time in which an engine fetches cached parts from another.
+        home_bias_part: Wait that an engine must save for each rank that it is further down the home
+            order, as a multiple of the time in which it processes the shared parts.
         home_ranks: Rank in the home order from which on engines are treated alike.
         remote_bias_seconds: Wait that an engine in another failure domain must save, to make up
             for the traffic between failure domains.
@@ -41,7 +42,8 @@
     yield_ratio: float = 0.7
     patience_part: float = 0.25
     reread_weight: float = 4.0
-    home_bias_seconds: float = 0.09
+    fetch_weight: float = 2.0
+    home_bias_part: float = 1.2
     home_ranks: int = 3
     remote_bias_seconds: float = 0.01
     small_shared_tokens: int = 1000
--- a/src/fireflymux/entry/attempt.py
+++ b/src/fireflymux/entry/attempt.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import attrs
 import trio
@@ -28,6 +27,7 @@
 from .entry_metrics import EntryMetrics
 from .event_relay import EventRelay, EventTooLarge
 from .live_endpoint import LiveEndpoint
+from .outcomes import Abandoned, Broken, NotSent, Outcome, Rejected, Relayed, Whole
 from .state import EntryState
 
 #: Largest body of a response that is not a stream and states its length.
@@ -39,71 +39,11 @@
 _MAXIMUM_SKIPPED_BYTES = 1048576
 _FIRST_SUCCESS_STATUS = 200
 _FIRST_REDIRECT_STATUS = 300
-_FIRST_SERVER_ERROR_STATUS = 500
 #: Status by which another endpoint at the same address rejects a request. Whether that response
 #: states a shutdown or a backoff does not concern the endpoint that the request was meant for.
 _MISDIRECTED_STATUS = 421
 
 
-@dataclass(frozen=True, slots=True)
-class NotSent:
-    """The request was not sent to the endpoint, which therefore knows nothing of it.
-
-    Attributes:
-        reason: Why it was not sent, for the log.
-        is_local: Whether this is not recorded as a failed connection of the endpoint: this process
-            had no file descriptor or memory left to connect, or the endpoint was leaving,
-            evacuated, warming up or in a backoff that it requested when the connection was ready.
-    """
-
-    reason: str
-    is_local: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Abandoned:
-    """The caller closed its connection before the request was sent."""
-
-
-@dataclass(frozen=True, slots=True)
-class Rejected:
-    """The endpoint stated that it did not execute the request.
-
-    A `CallFailure`, in contrast, is an error that the system reports to the caller.
-    """
-
-    status: int
-
-
-@dataclass(frozen=True, slots=True)
-class Broken:
-    """The request was sent but no complete response came, so that it may have run."""
-
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class Whole:
-    """A complete response, which is read to its end before any of it is sent to the caller."""
-
-    status: int
-    fields: HeaderFields
-    content: bytes
-
-    @property
-    def is_failure(self) -> bool:
-        """Whether the status is a server error."""
-        return self.status >= _FIRST_SERVER_ERROR_STATUS
-
-
-@dataclass(frozen=True, slots=True)
-class Relayed:
-    """A stream was forwarded to the caller up to its end."""
-
-
-Outcome = NotSent | Abandoned | Rejected | Broken | Whole | Relayed
-
-
 @attrs.define(eq=False, kw_only=True)
 class Attempt:
     """One attempt of a request on one endpoint.
@@ -189,7 +129,7 @@
     is_complete = False
     try:
         with attempt.stall_scope:
-            await _send(attempt, connection)
+            await _send(state, attempt, connection)
             response, metadata = await _read_matching_response(
                 connection, attempt.metadata.attempt
             )
@@ -210,7 +150,7 @@
     return outcome
 
 
-async def _send(attempt: Attempt, connection: UpstreamConnection) -> None:
+async def _send(state: EntryState, attempt: Attempt, connection: UpstreamConnection) -> None:
     request = attempt.request
     # -1 adds no Last-Event-Id; one that the caller sent is then forwarded as it is.
     resume_after = -1 if attempt.relay is None else attempt.relay.last_event_id
@@ -220,6 +160,7 @@
         account=attempt.account,
         remaining_seconds=attempt.deadline - trio.current_time(),
         resume_after=resume_after,
+        fetch_address=_find_fetch_address(state, attempt.placement),
     )
     start_line = b'%b %b HTTP/1.1' % (request.method, request.target)
     attempt.sent_at = trio.current_time()
@@ -229,6 +170,14 @@
     await connection.send(start_line, fields, request.content)
 
 
+def _find_fetch_address(state: EntryState, placement: Placement) -> str:
+    """Returns the address of the engine to fetch cached parts from; empty if it is gone."""
+    source = None if placement.source is None else state.find_endpoint(placement.source)
+    if source is None or not source.is_available(trio.current_time()):
+        return ''
+    return '{0}:{1}'.format(source.endpoint.host, source.endpoint.port)
+
+
 async def _read_matching_response(
     connection: UpstreamConnection, attempt_id: bytes
 ) -> tuple[IncomingResponse, ResponseMetadata]:
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -18,20 +18,11 @@
 from ..http.response_writer import ResponseWriter
 from ..observability.logs import get_logger
 from ..platform.call_headers import RequestMetadata, build_error_headers, decode_request_headers
-from .attempt import (
-    Abandoned,
-    Attempt,
-    Broken,
-    NotSent,
-    Outcome,
-    Rejected,
-    Relayed,
-    Whole,
-    run_attempt,
-)
+from .attempt import Attempt, run_attempt
 from .availability import find_unavailability
 from .calls import Call, admit_call
 from .entry_metrics import EntryMetrics, TokenState
+from .outcomes import Abandoned, Broken, NotSent, Outcome, Rejected, Relayed, Whole
 from .placement_log import log_not_placed, log_placed
 from .retry_allowances import RetryAllowances
 from .service_queue import (
--- /dev/null
+++ b/src/fireflymux/entry/outcomes.py
@@ -0,0 +1,66 @@
+"""Outcomes of one attempt of a request on one endpoint."""
+
+from dataclasses import dataclass
+
+from ..http.messages import HeaderFields
+
+_FIRST_SERVER_ERROR_STATUS = 500
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """The request was not sent to the endpoint, which therefore knows nothing of it.
+
+    Attributes:
+        reason: Why it was not sent, for the log.
+        is_local: Whether this is not recorded as a failed connection of the endpoint: this process
+            had no file descriptor or memory left to connect, or the endpoint was leaving,
+            evacuated, warming up or in a backoff that it requested when the connection was ready.
+    """
+
+    reason: str
+    is_local: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Abandoned:
+    """The caller closed its connection before the request was sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """The endpoint stated that it did not execute the request.
+
+    A `CallFailure`, in contrast, is an error that the system reports to the caller.
+    """
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """The request was sent but no complete response came, so that it may have run."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """A complete response, which is read to its end before any of it is sent to the caller."""
+
+    status: int
+    fields: HeaderFields
+    content: bytes
+
+    @property
+    def is_failure(self) -> bool:
+        """Whether the status is a server error."""
+        return self.status >= _FIRST_SERVER_ERROR_STATUS
+
+
+@dataclass(frozen=True, slots=True)
+class Relayed:
+    """A stream was forwarded to the caller up to its end."""
+
+
+Outcome = NotSent | Abandoned | Rejected | Broken | Whole | Relayed
--- a/src/fireflymux/entry/placement_log.py
+++ b/src/fireflymux/entry/placement_log.py
@@ -37,6 +37,7 @@
         wait=round(placement.wait_seconds, 3),
         predicted=round(placement.seconds, 3),
         tokens=placement.tokens,
+        copies=placement.source is not None,
         prompt=waiting.prompt_tokens,
         cost=waiting.cost_tokens,
         over=state.shares.is_over(call.account, now),
--- a/src/fireflymux/entry/service_queue.py
+++ b/src/fireflymux/entry/service_queue.py
@@ -17,6 +17,7 @@
     may_be_placed,
 )
 from ..decisions.entry_configuration import EngineCapacity
+from ..decisions.prefix_transfer import plan_transfers
 from ..decisions.slot_choice import PlainEndpointView, choose_plain_endpoint
 from ..decisions.waiting import WaitingRequest, WaitingRequests
 from .live_endpoint import LiveEndpoint
@@ -197,6 +198,7 @@
             return None
         for live, view in zip(candidates, views, strict=True):
             view.cached_tokens = live.cache.count_cached(waiting.parts)
+        plan_transfers(views, capacity.transfer)
 
         def is_acceptable(placement: Placement) -> bool:
             # The first call is for the placement on the engine that suits the prompt best.
--- a/src/fireflymux/experiment/engine.py
+++ b/src/fireflymux/experiment/engine.py
@@ -95,6 +95,30 @@
         self._work_available.set()
         return run
 
+    async def fetch(self, parts: Sequence[PromptPart], source: 'SimulatedEngine') -> None:
+        """Copies the leading parts of a prompt that another engine has cached and this one has not.
+
+        Args:
+            parts: Parts of the prompt in order.
+            source: The other engine.
+        """
+        tokens = source.count_cached(parts)
+        missing = tokens - self._cache.count_cached(parts)
+        if missing <= 0:
+            return
+        await trio.sleep(self._model.transfer.estimate_seconds(missing))
+        copied = []
+        for part in parts:
+            if tokens < part.tokens:
+                break
+            tokens -= part.tokens
+            copied.append(part)
+        self._cache.record(copied)
+
+    def count_cached(self, parts: Sequence[PromptPart]) -> int:
+        """Counts the leading tokens of a prompt that are cached."""
+        return self._cache.count_cached(parts)
+
     def cancel(self, run: EngineRun) -> None:
         """Cancels a request; if it is running, its slot is free after the current step."""
         run.is_finished = True
--- a/src/fireflymux/experiment/engine_connections.py
+++ b/src/fireflymux/experiment/engine_connections.py
@@ -4,7 +4,7 @@
 
 from ..http.messages import HeaderFields, ResponseHead
 from ..http.response_parser import IncomingResponse
-from ..platform.call_headers import build_endpoint_response_headers
+from ..platform.call_headers import build_endpoint_response_headers, find_fetch_host
 from .engine import EngineRun, SimulatedEngine
 from .load import Prompt
 
@@ -16,16 +16,20 @@
     """Connection that carries one request at a time; the counterpart of `ClientConnection`."""
 
     def __init__(
-        self, engine: SimulatedEngine, endpoint: str, prompts: Mapping[bytes, Prompt]
+        self,
+        engines: Mapping[str, SimulatedEngine],
+        endpoint: str,
+        prompts: Mapping[bytes, Prompt],
     ) -> None:
         """Creates a connection without a request.
 
         Args:
-            engine: The engine.
+            engines: Engines by identifier, which is the host of their address, too.
             endpoint: Identifier of the engine.
             prompts: Prompts by request target.
         """
-        self._engine = engine
+        self._engine = engines[endpoint]
+        self._engines = engines
         self._endpoint = endpoint
         self._prompts = prompts
         self._attempt = b''
@@ -42,6 +46,9 @@
         prompt = self._prompts[start_line.split()[1]]
         self._attempt = prompt.attempt
         self._seen_events = 0
+        source = find_fetch_host(fields)
+        if source:
+            await self._engine.fetch(prompt.parts, self._engines[source])
         self._run = self._engine.begin(prompt.parts, prompt.tokens, prompt.output_tokens)
 
     async def next_response(self) -> IncomingResponse:
@@ -81,11 +88,14 @@
     """
 
     def __init__(
-        self, engine: SimulatedEngine, endpoint: str, prompts: Mapping[bytes, Prompt]
+        self,
+        engines: Mapping[str, SimulatedEngine],
+        endpoint: str,
+        prompts: Mapping[bytes, Prompt],
     ) -> None:
         """Creates a pool; the arguments are those of `EngineConnection`."""
         self.maximum_idle_connections = 0
-        self._connection_arguments = (engine, endpoint, prompts)
+        self._connection_arguments = (engines, endpoint, prompts)
 
     async def take(self) -> EngineConnection:
         """Opens a connection."""
--- a/src/fireflymux/experiment/fleet.py
+++ b/src/fireflymux/experiment/fleet.py
@@ -142,14 +142,13 @@
         return state
 
     def _open_pool(self, endpoint: Endpoint) -> UpstreamPool:
-        engine = self.engines[endpoint.identifier]
-        return EngineConnectionPool(engine, endpoint.identifier, self._prompts)
+        return EngineConnectionPool(self.engines, endpoint.identifier, self._prompts)
 
     def _build_endpoint(self, index: int, identifier: str) -> Endpoint:
         return Endpoint(
             identifier=identifier,
             service=_SERVICE,
-            host='10.1.0.{0}'.format(index + 1),
+            host=identifier,
             port=1,
             failure_domain=str(index % self._plan.fleet.failure_domains),
             slots=self._plan.engine.slots,
@@ -173,7 +172,11 @@
         )
         for name, terms in plan.loads.items()
     ]
-    engine = EngineCapacity(slots=plan.engine.slots, cache_tokens=plan.engine.cache_tokens)
+    engine = EngineCapacity(
+        slots=plan.engine.slots,
+        cache_tokens=plan.engine.cache_tokens,
+        transfer=plan.engine.transfer,
+    )
     account_names = [account_name(rank) for rank in range(plan.fleet.accounts)]
     return Configuration(
         version=1,
--- a/src/fireflymux/experiment/plan.py
+++ b/src/fireflymux/experiment/plan.py
@@ -9,8 +9,10 @@
 import cattrs
 
 from ..decisions.placing_policy import PlacingPolicy
+from ..decisions.prefix_transfer import TransferRate
 from ..settings import SettingsError, Violation
 
+_BITS_PER_MEGABIT = 1e6
 _Section = TypeVar('_Section')
 _CONVERTER = cattrs.Converter(forbid_extra_keys=True)
 
@@ -55,6 +57,9 @@
         request_seconds: Time that each running request adds to a step.
         prompt_tokens_per_second: Speed at which prompts are read.
         event_tokens: Tokens in one event of a response.
+        cached_token_bytes: Size of one cached token.
+        link_megabits: Bandwidth in megabits per second at which engines copy cached tokens from each
+            other; zero if they cannot.
         slow_part: Fraction of the engines that are slow.
         slow_factor: Factor on the duration of the steps of slow engines.
     """
@@ -66,9 +71,19 @@
     request_seconds: float = 0.00008
     prompt_tokens_per_second: float = 82000.0
     event_tokens: int = 5
+    cached_token_bytes: float = 18432.0
+    link_megabits: float = 0.0
     slow_part: float = 0.33
     slow_factor: float = 1.3
 
+    @property
+    def transfer(self) -> TransferRate:
+        """How fast engines copy cached tokens from each other."""
+        return TransferRate(
+            token_bytes=self.cached_token_bytes,
+            link_bits_per_second=self.link_megabits * _BITS_PER_MEGABIT,
+        )
+
 
 @attrs.define(frozen=True, kw_only=True)
 class LoadTerms:
--- a/src/fireflymux/platform/call_headers.py
+++ b/src/fireflymux/platform/call_headers.py
@@ -29,6 +29,7 @@
 _LEAVING_VALUE = b'1'
 _RETRY_AFTER = b'retry-after'
 _WARMUP_MS = b'x-warmup-ms'
+_KV_FETCH = b'kv-fetch'
 _UNAVAILABLE_STATUS = 503
 #: Upper bound on the Retry-After time of an endpoint; a longer time is assumed to be an error.
 _MAXIMUM_BACKOFF_SECONDS = 600.0
@@ -68,7 +69,7 @@
         b'x-pin-ms',
         b'x-kv-backup',
         b'kv-from',
-        b'kv-fetch',
+        _KV_FETCH,
     )
 )
 
@@ -158,6 +159,7 @@
     account: str,
     remaining_seconds: float,
     resume_after: int,
+    fetch_address: str = '',
 ) -> HeaderFields:
     """Builds the header fields of a request to an endpoint.
 
@@ -170,6 +172,8 @@
             millisecond is sent.
         resume_after: Number of the last event that the caller received; -1 to start the stream
             from the beginning.
+        fetch_address: IP address and port of the engine that the endpoint fetches cached parts of
+            the prompt from; empty for none.
 
     Returns:
         The header fields, including Content-Length if the request needs it.
@@ -183,6 +187,8 @@
         fields.append((b'X-Tenant', account.encode()))
     if resume_after >= 0:
         fields.append((b'Last-Event-Id', b'%d' % resume_after))
+    if fetch_address:
+        fields.append((b'Kv-Fetch', fetch_address.encode()))
     if request.content or request.method not in {b'GET', b'HEAD'}:
         fields.append((b'Content-Length', b'%d' % len(request.content)))
     return fields
@@ -238,6 +244,20 @@
     return [(b'X-Attempt-Id', attempt), (b'X-Server-Signature', endpoint.encode())]
 
 
+def find_fetch_host(fields: HeaderFields) -> str:
+    """Returns the host that an engine is told to fetch cached parts from.
+
+    Only simulated engines use it.
+
+    Args:
+        fields: Header fields of a request to the engine.
+
+    Returns:
+        The host without its port; empty if there is none.
+    """
+    return find_header(fields, _KV_FETCH).rpartition(b':')[0].decode()
+
+
 def filter_response_headers(head: ResponseHead) -> HeaderFields:
     """Selects the header fields of an endpoint's response that are forwarded to the caller.
 
--- a/src/fireflymux/platform/configuration_row.py
+++ b/src/fireflymux/platform/configuration_row.py
@@ -14,6 +14,7 @@
     WeightedService,
     index_routes,
 )
+from ..decisions.prefix_transfer import TransferRate
 
 #: Table and key of the configuration row in the store.
 CONFIGURATION_TABLE = 'op'
@@ -21,6 +22,7 @@
 #: Beginning of the keys by which the operator evacuates a failure domain, whose name follows.
 _EVACUATION_PREFIX = 'evacuate/'
 _MILLISECONDS_PER_SECOND = 1000.0
+_BITS_PER_MEGABIT = 1e6
 
 
 class MalformedRow(Exception):
@@ -142,6 +144,11 @@
         and EngineCapacity(
             slots=int(engine['batch_slots']),
             cache_tokens=int(engine['kv_capacity']),
+            transfer=TransferRate(
+                # Zero if absent or null: engines cannot copy.
+                token_bytes=float(engine.get('kv_token_bytes') or 0),
+                link_bits_per_second=float(engine.get('link_mbps') or 0) * _BITS_PER_MEGABIT,
+            ),
         ),
         # Zero if absent or null.
         warmup_seconds=float(raw.get('warmup_s') or 0),
