Repeat evacuations to instances that were cut off, and drop notices that make no sense

Found by reading: a change of the evacuations was told for 3 s only, so that an instance that was cut off for longer and cannot reach the store missed it until another table changed; and a notice with half an entry ended the task that receives reports. Notices are repeated each second while a domain is evacuated and for a minute after a change; what cannot be applied is counted and dropped. A scenario for each.

--- a/emulator/variants.py
+++ b/emulator/variants.py
@@ -341,7 +341,7 @@
 
 def no_notices() -> None:
     """Tells the other instances nothing of evacuations and of endpoints that are warming up."""
-    peer_link.apply_notice = lambda _state, _notice: None
+    peer_link.apply_if_notice = lambda _state, _received: False
 
 
 def no_regions() -> None:
--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -17,6 +17,16 @@
     When failure domain "b" is evacuated and the store is restored from a copy made before
     Then its endpoint gets nothing from either instance
 
+  Scenario: An instance that was cut off while an evacuation was announced learns of it later
+    Given two instances, of which the second cannot read the store, and endpoints in two failure domains
+    When failure domain "b" is evacuated while the second instance gets no datagrams for 4 s
+    Then its endpoint gets nothing from either instance
+
+  Scenario: A notice that makes no sense is dropped
+    Given two instances, of which the second cannot read the store, and endpoints in two failure domains
+    When an instance gets a notice with half an entry, and failure domain "b" is evacuated
+    Then its endpoint gets nothing from either instance
+
   Scenario: Requests are refused at once while every failure domain is evacuated
     Given two instances, of which the second cannot read the store, and endpoints in two failure domains
     When both failure domains are evacuated
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -1,6 +1,7 @@
 """Steps for evacuated failure domains, and for requests that are limited to regions."""
 
 import itertools
+import socket
 
 import orjson
 import trio
@@ -11,8 +12,10 @@
 
 from emulator.entry_fleet import KEY, exchange, route
 from features.steps.entry_steps import _put_configuration, _run_on_fleet, _send_calls
+from fireflymux._messages_generated import PeerNotice
 from fireflymux.decisions.evacuations import EvacuationList, Evacuations
 from fireflymux.decisions.store_version import StoreVersion
+from fireflymux.entry.peer_notices import encode_notice
 
 #: Statuses of calls by outcome; a failure is that of an endpoint, or of the retry after it.
 _STATUSES = {'answered': {200}, 'failed': {500, 502}, 'refused': {503}}
@@ -98,6 +101,38 @@
     _run_on_fleet(context, act)
 
 
+@when('failure domain "b" is evacuated while the second instance gets no datagrams for 4 s')
+def evacuate_unheard(context):
+    async def act(fleet):
+        link = fleet.instances[1]._peers
+        original = link._handle_received
+        link._handle_received = lambda *_arguments: None
+        fleet.evacuate('b')
+        await trio.sleep(4.0)
+        link._handle_received = original
+        await trio.sleep(1.5)
+        return [await _send_calls(fleet, number=number) for number in range(2)]
+
+    _run_on_fleet(context, act)
+
+
+@when('an instance gets a notice with half an entry, and failure domain "b" is evacuated')
+def send_senseless_notice(context):
+    async def act(fleet):
+        notice = PeerNotice(
+            kind='notice', instance='x', op_era=0, op_version=0, evacuated=[], warming=[7]
+        )
+        settings = fleet.settings[1]
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            sock.sendto(encode_notice(notice), (settings.peer_host, settings.peer_port))
+        await trio.sleep(0.1)
+        fleet.evacuate('b')
+        await trio.sleep(0.6)
+        return [await _send_calls(fleet, number=number) for number in range(2)]
+
+    _run_on_fleet(context, act)
+
+
 @when('both failure domains are evacuated')
 def evacuate_all(context):
     async def act(fleet):
--- a/src/fireflymux/decisions/evacuations.py
+++ b/src/fireflymux/decisions/evacuations.py
@@ -27,7 +27,7 @@
 class Evacuations:
     """The newest list of evacuated failure domains, and when evacuations have ended.
 
-    Lists come from the store, from reports and from snapshots in any order; the newest one counts.
+    Lists come from the store, from notices and from snapshots in any order; the newest one counts.
     """
 
     def __init__(self) -> None:
--- a/src/fireflymux/entry/peer_link.py
+++ b/src/fireflymux/entry/peer_link.py
@@ -27,7 +27,7 @@
 from ..observability.logs import get_logger
 from .endpoint_wishes import mark_leaving
 from .entry_metrics import EntryMetrics
-from .peer_notices import NoticeBuilder, apply_notice, decode_notice
+from .peer_notices import NoticeBuilder, apply_if_notice
 from .report_builder import ReportBuilder
 from .report_datagrams import (
     ReportAssembler,
@@ -241,11 +241,9 @@
         One that cannot be decoded is dropped. So is one that completes a report which cannot be
         decoded or applied; what was applied before the error stays.
         """
-        notice = decode_notice(received)
-        if notice is not None:
-            apply_notice(self._state, notice)
-            return
         try:
+            if apply_if_notice(self._state, received):
+                return
             datagram = decode_datagram(received)
             self._handle_datagram(datagram)
         except (msgspec.MsgspecError, ValueError, TypeError) as error:
--- a/src/fireflymux/entry/peer_notices.py
+++ b/src/fireflymux/entry/peer_notices.py
@@ -21,8 +21,12 @@
 _KIND = 'notice'
 #: Time between two notices while there is something to tell.
 _INTERVAL_SECONDS = 0.2
-#: Time for which a change of the evacuations is told.
+#: Time for which a change of the evacuations is told at that interval.
 _REPEAT_SECONDS = 3.0
+#: Time between two notices after that, for instances that could not be reached before: while a
+#: failure domain is evacuated, and for a period after the last change.
+_REMINDER_SECONDS = 1.0
+_REMINDER_PERIOD_SECONDS = 60.0
 #: Maximum number of endpoints in one notice, so that it fits into one datagram.
 _MAXIMUM_WARMING = 80
 #: Numbers for each endpoint that warms up: its number and the milliseconds left.
@@ -80,14 +84,23 @@
         if has_changed:
             self._changed_at = now
         is_new = has_changed or not self._warming.issuperset(warming)
-        is_repeated = warming or now < self._changed_at + _REPEAT_SECONDS
-        if not is_new and (not is_repeated or now < self._sent_at + _INTERVAL_SECONDS):
+        if not is_new and now < self._sent_at + self._find_interval(
+            now, has_warming=bool(warming)
+        ):
             return b''
         self._told = newest
         self._warming = frozenset(warming)
         self._sent_at = now
         return self._encode(newest, warming)
 
+    def _find_interval(self, now: float, *, has_warming: bool) -> float:
+        """Returns the time until the next notice while nothing changes."""
+        if has_warming or now < self._changed_at + _REPEAT_SECONDS:
+            return _INTERVAL_SECONDS
+        if self._told.domains or now < self._changed_at + _REMINDER_PERIOD_SECONDS:
+            return _REMINDER_SECONDS
+        return float('inf')
+
     def _find_warming(self, now: float) -> dict[int, int]:
         """Returns the milliseconds left of the endpoints that said that they are warming up."""
         return {
@@ -112,13 +125,22 @@
         )
 
 
-def apply_notice(state: EntryState, notice: PeerNotice) -> None:
-    """Applies a notice of another instance.
+def apply_if_notice(state: EntryState, received: bytes) -> bool:
+    """Applies a datagram if it is a notice of another instance.
 
     Args:
         state: State of the instance.
-        notice: The notice.
+        received: Bytes of the datagram.
+
+    Returns:
+        Whether it is a notice.
+
+    Raises:
+        ValueError: It is a notice, but an entry of an endpoint is not complete.
     """
+    notice = decode_notice(received)
+    if notice is None:
+        return False
     version = StoreVersion(notice.op_era, notice.op_version)
     evacuations = EvacuationList(version=version, domains=frozenset(notice.evacuated))
     apply_evacuations(state, evacuations, notice.instance)
@@ -129,3 +151,4 @@
         live = state.find_endpoint(number)
         if live is not None:
             state.candidates.warmups.record(live, left / _MILLISECONDS_PER_SECOND)
+    return True
