--- a/src/fireflymux/decisions/prefix_transfer.py
+++ b/src/fireflymux/decisions/prefix_transfer.py
@@ -14,6 +14,7 @@
 #: Time that a transfer takes besides that of its bytes.
 _SETUP_SECONDS = 0.004
 _BITS_PER_BYTE = 8.0
+_BITS_PER_MEGABIT = 1e6
 
 
 @attrs.define(frozen=True, kw_only=True)
@@ -28,6 +29,16 @@
     token_bytes: float = 0.0
     link_bits_per_second: float = 0.0
 
+    @classmethod
+    def from_megabits(cls, *, token_bytes: float, link_megabits: float) -> 'TransferRate':
+        """Creates a rate from a bandwidth in megabits per second.
+
+        Args:
+            token_bytes: Size of one cached token.
+            link_megabits: Bandwidth of an engine's link; zero if engines cannot copy.
+        """
+        return cls(token_bytes=token_bytes, link_bits_per_second=link_megabits * _BITS_PER_MEGABIT)
+
     def estimate_seconds(self, tokens: int) -> float:
         """Estimates how long a transfer takes.
 
--- a/src/fireflymux/entry/availability.py
+++ b/src/fireflymux/entry/availability.py
@@ -1,13 +1,10 @@
 """Finds requests that no endpoint may get for now, which are refused without waiting."""
 
-from collections.abc import Collection
-
 import trio
 
 from ..errors import CallFailure, ErrorKind
 from .call_failures import build_unavailable_failure
 from .calls import Call
-from .live_endpoint import LiveEndpoint
 from .state import EntryState
 
 
@@ -25,11 +22,11 @@
     Returns:
         The reason to refuse it; None if an endpoint may get it, or if none is known.
     """
-    listed = state.list_endpoints(call.service)
     now = trio.current_time()
-    if call.regions is None and any(live.accepts_work(now) for live in listed):
-        return None
+    listed = state.list_endpoints(call.service)
     allowed = state.candidates.list_allowed(call.service, call.regions)
+    if any(live.accepts_work(now) for live in allowed):
+        return None
     if listed and not allowed:
         return build_unavailable_failure(
             call, ErrorKind.region_unavailable, 'no endpoint is in a region that it may go to'
@@ -42,20 +39,14 @@
             ErrorKind.endpoints_evacuated,
             'the failure domain of every endpoint is evacuated',
         )
-    backoff_end = _find_backoff_end(remaining)
-    if backoff_end is None or backoff_end <= until:
+    backoff_end = min(
+        (live.record.requested_backoff_until for live in remaining), default=float('-inf')
+    )
+    if backoff_end <= until:
         return None
     return build_unavailable_failure(
         call,
         ErrorKind.endpoints_resting,
         'every endpoint asked for a rest',
-        retry_after_seconds=backoff_end - trio.current_time(),
+        retry_after_seconds=backoff_end - now,
     )
-
-
-def _find_backoff_end(endpoints: Collection[LiveEndpoint]) -> float | None:
-    """Returns when the first requested backoff ends; None if an endpoint takes requests now."""
-    now = trio.current_time()
-    if not endpoints or any(live.accepts_work(now) for live in endpoints):
-        return None
-    return min(live.record.requested_backoff_until for live in endpoints)
--- a/src/fireflymux/entry/peer_snapshot.py
+++ b/src/fireflymux/entry/peer_snapshot.py
@@ -8,7 +8,6 @@
 """
 
 from collections.abc import Iterable, Mapping
-from typing import Any
 from urllib.parse import parse_qs, urlencode
 
 import attrs
@@ -79,29 +78,10 @@
         if request.path != _PATH:
             await writer.answer(_NOT_FOUND, (), b'')
             return
-        state = self._state
         query = parse_qs(request.query.decode('latin-1'))
-        has_config = _parse_version(query, _CONFIG_KEY) >= state.configuration_version
-        known_members = StoreVersion(
-            _parse_version(query, _ERA_KEY), _parse_version(query, _MEMBERS_KEY)
-        )
-        has_members = known_members >= state.members_version
-        rows = {} if has_members else state.member_rows
-        snapshot = EntrySnapshot(
-            config_row='' if has_config else state.configuration_row.decode(),
-            config_version=state.configuration_version,
-            members={name: row.decode() for name, row in rows.items()},
-            members_era=state.members_version.era,
-            members_version=state.members_version.number,
-            leaving=state.members.list_leaving(),
-            instances=state.instances | {state.settings.name: state.host},
-        )
-        fields = attrs.asdict(snapshot, recurse=False)
-        if _EVACUATIONS_KEY in query:
-            fields |= self._describe_evacuations()
-        else:
-            for name in _EVACUATION_FIELDS:
-                fields.pop(name)
+        fields = attrs.asdict(self._build_snapshot(query), recurse=False)
+        for name in () if _EVACUATIONS_KEY in query else _EVACUATION_FIELDS:
+            fields.pop(name)
         await writer.answer(_OK, (), orjson.dumps(fields))
 
     async def run(self) -> None:
@@ -122,10 +102,27 @@
             else:
                 await self._fetch_first()
 
-    def _describe_evacuations(self) -> dict[str, Any]:
-        newest = self._state.candidates.evacuations.newest
-        stated = (sorted(newest.domains), newest.version.era, newest.version.number)
-        return dict(zip(_EVACUATION_FIELDS, stated, strict=True))
+    def _build_snapshot(self, query: Mapping[str, list[str]]) -> EntrySnapshot:
+        """Builds a snapshot without the tables that the requesting instance has already."""
+        state = self._state
+        has_config = _parse_version(query, _CONFIG_KEY) >= state.configuration_version
+        known_members = StoreVersion(
+            _parse_version(query, _ERA_KEY), _parse_version(query, _MEMBERS_KEY)
+        )
+        rows = {} if known_members >= state.members_version else state.member_rows
+        evacuations = state.candidates.evacuations.newest
+        return EntrySnapshot(
+            config_row='' if has_config else state.configuration_row.decode(),
+            config_version=state.configuration_version,
+            members={name: row.decode() for name, row in rows.items()},
+            members_era=state.members_version.era,
+            members_version=state.members_version.number,
+            leaving=state.members.list_leaving(),
+            instances=state.instances | {state.settings.name: state.host},
+            evacuated=sorted(evacuations.domains),
+            op_era=evacuations.version.era,
+            op_version=evacuations.version.number,
+        )
 
     def _list_fetch_hosts(self) -> list[str]:
         """Lists hosts to fetch from: those that know newer tables; all while one is missing."""
--- a/src/fireflymux/entry/state.py
+++ b/src/fireflymux/entry/state.py
@@ -6,8 +6,8 @@
 """
 
 import random
-from collections import defaultdict
-from collections.abc import Callable, Collection
+from collections import Counter, defaultdict
+from collections.abc import Callable, Collection, Iterable
 
 import trio
 
@@ -164,7 +164,7 @@
         self.configuration_row = row
         for live in self._endpoints.values():
             self._limit_idle_connections(live)
-            self._apply_capacity(live)
+        self._apply_capacity(self._endpoints.values())
         self.notify()
 
     def update_endpoints(self) -> None:
@@ -242,7 +242,7 @@
     def _create_endpoint(self, number: int, endpoint: Endpoint) -> LiveEndpoint:
         """Creates the state of a newly listed endpoint."""
         live = create_live_endpoint(number, endpoint, self._open_pool(endpoint))
-        self._apply_capacity(live)
+        self._apply_capacity((live,))
         domains = self.candidates.evacuations.list_domains(trio.current_time())
         live.is_evacuated = endpoint.failure_domain in domains
         self.candidates.warmups.record(live, endpoint.warmup_seconds)
@@ -254,13 +254,14 @@
         )
         return live
 
-    def _apply_capacity(self, live: LiveEndpoint) -> None:
+    def _apply_capacity(self, endpoints: Iterable[LiveEndpoint]) -> None:
+        """Applies the active configuration's capacity of engines to endpoints."""
         if self.configuration is None:
             return
-        service = live.endpoint.service
         listed = self.members.list_endpoints().values()
-        fleet_size = sum(other.service == service for other in listed)
-        apply_capacity(live, self.configuration, fleet_size)
+        fleet_sizes = Counter(endpoint.service for endpoint in listed)
+        for live in endpoints:
+            apply_capacity(live, self.configuration, fleet_sizes[live.endpoint.service])
 
     def _limit_idle_connections(self, live: LiveEndpoint) -> None:
         """Limits the idle connections to an endpoint to this instance's share of its maximum."""
--- a/src/fireflymux/entry/store_follower.py
+++ b/src/fireflymux/entry/store_follower.py
@@ -224,18 +224,14 @@
     def _apply_evacuations(
         self, rows: Sequence[Row], is_full_table: bool, version: StoreVersion
     ) -> None:
-        added = set()
-        removed = set()
-        for row in rows:
-            domain = decode_evacuated_domain(row.key)
-            if domain is None:
-                continue
-            if row.content is None:
-                added.discard(domain)
-                removed.add(domain)
-                continue
-            added.add(domain)
-            removed.discard(domain)
+        # The last row of a failure domain counts; one without content was removed.
+        by_domain = {
+            domain: row.content
+            for row in rows
+            if (domain := decode_evacuated_domain(row.key)) is not None
+        }
+        removed = {domain for domain, content in by_domain.items() if content is None}
+        added = by_domain.keys() - removed
         state = self._state
         if is_full_table:
             listed = EvacuationList(version=version, domains=frozenset(added))
--- a/src/fireflymux/experiment/plan.py
+++ b/src/fireflymux/experiment/plan.py
@@ -12,7 +12,6 @@
 from ..decisions.prefix_transfer import TransferRate
 from ..settings import SettingsError, Violation
 
-_BITS_PER_MEGABIT = 1e6
 _Section = TypeVar('_Section')
 _CONVERTER = cattrs.Converter(forbid_extra_keys=True)
 
@@ -79,9 +78,8 @@
     @property
     def transfer(self) -> TransferRate:
         """How fast engines copy cached tokens from each other."""
-        return TransferRate(
-            token_bytes=self.cached_token_bytes,
-            link_bits_per_second=self.link_megabits * _BITS_PER_MEGABIT,
+        return TransferRate.from_megabits(
+            token_bytes=self.cached_token_bytes, link_megabits=self.link_megabits
         )
 
 
--- a/src/fireflymux/platform/configuration_row.py
+++ b/src/fireflymux/platform/configuration_row.py
@@ -22,7 +22,6 @@
 #: Beginning of the keys by which the operator evacuates a failure domain, whose name follows.
 _EVACUATION_PREFIX = 'evacuate/'
 _MILLISECONDS_PER_SECOND = 1000.0
-_BITS_PER_MEGABIT = 1e6
 
 
 class MalformedRow(Exception):
@@ -144,10 +143,10 @@
         and EngineCapacity(
             slots=int(engine['batch_slots']),
             cache_tokens=int(engine['kv_capacity']),
-            transfer=TransferRate(
+            transfer=TransferRate.from_megabits(
                 # Zero if absent or null: engines cannot copy.
                 token_bytes=float(engine.get('kv_token_bytes') or 0),
-                link_bits_per_second=float(engine.get('link_mbps') or 0) * _BITS_PER_MEGABIT,
+                link_megabits=float(engine.get('link_mbps') or 0),
             ),
         ),
         # Zero if absent or null.
