--- a/emulator/backend.py
+++ b/emulator/backend.py
@@ -12,6 +12,8 @@
 from fireflymux.http.messages import HeaderFields, Request, find_header
 from fireflymux.http.response_writer import ResponseWriter
 
+from .raw_response import send_extra_answer, send_raw
+
 _EVENT_INTERVAL_SECONDS = 0.02
 #: Pause before each event of a stream that is slow but not stalled: longer than the target latency
 #: of the routes, shorter than the deadline of the callers.
@@ -116,9 +118,9 @@
     request: Request, writer: ResponseWriter, fields: HeaderFields
 ) -> None:
     """Closes the connection before the stated length is reached."""
-    await writer.send(b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n')
+    await send_raw(writer, b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n')
     lines = b''.join(b'%b: %b\r\n' % field for field in fields)
-    await writer.send(lines + b'\r\nonly a part')
+    await send_raw(writer, lines + b'\r\nonly a part')
     writer.abort()
 
 
@@ -126,7 +128,7 @@
     request: Request, writer: ResponseWriter, fields: HeaderFields
 ) -> None:
     """Ends the body by closing the connection."""
-    await writer.send(_encode_head(fields, b'\r\n') + _response_body(fields))
+    await send_raw(writer, _encode_head(fields, b'\r\n') + _response_body(fields))
     writer.must_close = True
 
 
@@ -135,13 +137,13 @@
 ) -> None:
     """Sends a response with the identifier of another attempt before its own."""
     unrelated = [(b'X-Attempt-Id', b'of-another'), (b'X-Server-Signature', b'x')]
-    await writer.answer(200, unrelated, b'answer of another request')
+    await send_extra_answer(writer, 200, unrelated, b'answer of another request')
     await writer.answer(200, fields, _response_body(fields))
 
 
 async def _answer_twice(request: Request, writer: ResponseWriter, fields: HeaderFields) -> None:
     await writer.answer(200, fields, _response_body(fields))
-    await writer.answer(200, fields, b'the second answer')
+    await send_extra_answer(writer, 200, fields, b'the second answer')
 
 
 def _remaining_events(request: Request, count: int) -> list[bytes]:
@@ -213,9 +215,9 @@
     """
 
     async def behave(request: Request, writer: ResponseWriter, fields: HeaderFields) -> None:
-        await writer.send(encode_start(fields))
+        await send_raw(writer, encode_start(fields))
         while True:
-            await writer.send(block)
+            await send_raw(writer, block)
 
     return behave
 
@@ -245,7 +247,7 @@
     await writer.answer(200, fields, _response_body(fields))
     await trio.sleep(0.1)
     while True:
-        await writer.send(_BLOCK)
+        await send_raw(writer, _BLOCK)
 
 
 _ENDLESS_BEHAVIOURS = MappingProxyType(
