Log errors of endpoints that are passed on, and whether a response had begun

The log could not tell a second head from a cut write or a second writer: attempt_ended was not written for a complete error response, and nothing was written when it was passed on. Both are now, with the status and whether the head of a response had been sent.

--- a/src/fireflymux/entry/calls.py
+++ b/src/fireflymux/entry/calls.py
@@ -58,6 +58,11 @@
         """Whether an endpoint may have run the request, so that repeating it may not be safe."""
         return self.is_in_flight or self.history.may_have_run
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the head of the response was sent to the caller."""
+        return self.relay is not None and self.relay.is_begun
+
     def checksum(self) -> int:
         """Returns a short digest of account, path and body; `RefusedRequests` keeps calls by it.
 
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -43,6 +43,7 @@
 #: that refused callers do not all return at once. A delay that the failure states is not varied.
 _MINIMUM_RETRY_AFTER_FRACTION = 0.5
 _UNAVAILABLE_STATUS = 503
+_FIRST_ERROR_STATUS = 400
 
 
 class RequestHandler:
@@ -128,6 +129,8 @@
             raise
         if isinstance(result, Whole):
             self._count_result(call, 'whole')
+            if result.status >= _FIRST_ERROR_STATUS:
+                self._log_end('request_answered', call, status=result.status)
             await writer.answer(result.status, result.fields, result.content)
             return
         if isinstance(result, Relayed):
@@ -148,7 +151,7 @@
         """Responds with an error, or closes the connection if the stream has already begun."""
         self._log_failure(call, failure)
         self._count_result(call, failure.kind.value)
-        if call.relay is not None and call.relay.is_begun:
+        if call.has_begun:
             writer.abort()
             return
         await self._write_error(failure, call.metadata, writer)
@@ -248,7 +251,7 @@
         if isinstance(outcome, NotSent | Rejected | Abandoned):
             refund_placement(self._state, waiting)
             self._metrics.count_tokens(call.account, TokenState.unused, waiting.cost_tokens)
-        if not isinstance(outcome, Relayed | Whole):
+        if not isinstance(outcome, Relayed) and not _is_success(outcome):
             _log.info(
                 'attempt_ended',
                 request=call.metadata.attempt.decode('latin-1'),
@@ -256,6 +259,7 @@
                 endpoint=live.endpoint.identifier,
                 result=type(outcome).__name__,
                 detail=str(outcome),
+                begun=call.has_begun,
             )
         return outcome
 
@@ -310,14 +314,14 @@
         self._metrics.refusals.inc({'kind': failure.kind.value})
         self._log_end('request_failed', call, kind=failure.kind.value, detail=failure.detail)
 
-    def _log_end(self, event: str, call: Call, **details: str) -> None:
+    def _log_end(self, event: str, call: Call, **details: str | int) -> None:
         _log.info(
             event,
             request=call.metadata.attempt.decode('latin-1'),
             route=call.route.name,
             account=call.account,
             ran='unknown' if call.may_have_run else 'no',
-            begun=call.relay is not None and call.relay.is_begun,
+            begun=call.has_begun,
             **details,
             sends=call.history.sends,
             unsent=call.history.unsent,
--- a/src/fireflymux/entry/outcomes.py
+++ b/src/fireflymux/entry/outcomes.py
@@ -57,6 +57,10 @@
         """Whether the status is a server error."""
         return self.status >= _FIRST_SERVER_ERROR_STATUS
 
+    def __str__(self) -> str:
+        """Describes the response for the log, without its content."""
+        return 'Whole(status={0}, bytes={1})'.format(self.status, len(self.content))
+
 
 @dataclass(frozen=True, slots=True)
 class Relayed:
