--- a/emulator/backend.py
+++ b/emulator/backend.py
@@ -97,6 +97,20 @@
     await writer.answer(500, fields, b'failed')
 
 
+async def _fail_as_not_found(
+    request: Request, writer: ResponseWriter, fields: HeaderFields
+) -> None:
+    await writer.answer(404, fields, b'not found')
+
+
+async def _stream_without_ids(
+    request: Request, writer: ResponseWriter, fields: HeaderFields
+) -> None:
+    """Streams an explanation in place of the events that were asked for."""
+    await writer.start(200, fields, b'data: no such stream\n\n')
+    await writer.end()
+
+
 async def _abort(request: Request, writer: ResponseWriter, fields: HeaderFields) -> None:
     writer.abort()
 
@@ -293,6 +307,7 @@
             'answer and leave': _answer_and_leave,
             'answer and warm up': _answer_and_warm_up,
             'fail': _fail,
+            'not found': _fail_as_not_found,
             'break off': _abort,
             'hang': _hang,
             'answer slowly': _answer_slowly,
@@ -302,6 +317,7 @@
             'answer after a stray one': _answer_after_unrelated_response,
             'answer twice': _answer_twice,
             'stream': _stream,
+            'events without ids': _stream_without_ids,
             'stream and cut': _stream_then_abort,
             'stream slowly': _stream_slowly,
             'stream and trickle': _stream_unfinished_event,
--- /dev/null
+++ b/features/broken_streams.feature
@@ -0,0 +1,27 @@
+Feature: A response whose head was sent takes no second head
+  A stream that has begun and breaks off is resumed or ends incomplete; nothing else follows it.
+
+  Scenario Outline: A stream that broke off gets nothing of an answer that does not resume it
+    Given a resumable stream route with one endpoint that breaks off and one of behaviour "<answer>"
+    When a caller reads a stream that breaks off first, byte by byte
+    Then its bytes are one head and 2 events, without an end
+
+    Examples:
+      | answer                   |
+      | fail                     |
+      | not found                |
+      | full                     |
+      | misdirected              |
+      | answer                   |
+      | answer unsigned          |
+      | answer without length    |
+      | answer short             |
+      | answer after a stray one |
+      | break off                |
+      | noise without end        |
+      | events without ids       |
+
+  Scenario: A stream that broke off is resumed by a third endpoint after the second one answered with an error
+    Given a resumable stream route with endpoints that break off, fail and stream, of which 3 may be tried
+    When a caller reads a stream that breaks off first, byte by byte
+    Then its bytes are one head and 6 events, with an end
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -33,7 +33,7 @@
     for feature in report:
         for element in feature.get('elements', ()):
             if element['type'] != 'background' and element.get('status') != 'skipped':
-                scenarios[element['name']] = element.get('status') == 'passed'
+                scenarios[element['name'].strip()] = element.get('status') == 'passed'
     return scenarios
 
 
