Refuse a second head: a response knows how much of it was sent

Callers of resumable streams saw bytes that are no answer: a stream had begun and broke off, the next endpoint answered 500 or 404, and this answer was written whole, head included, where the size of the next chunk was due. Cause: the caller's half of the exchange kept no state. The outcome `Whole` was written whether or not a stream had begun, and the response writer took any bytes at any time.

Evidence: features/broken_streams.feature reads every byte strictly. Against a cut write: no write was cancelled in it, and the bytes begin with a whole head. Against a second writer: the head bears the endpoint's signature. Against a late answer: it bears the request's own identifier.

- The response writer has a phase for each response (pending, body, complete, broken).
A second head, a chunk without a head and any byte behind a part that was cut are refused with an error, so that no caller of it can do this again; a write that was cut breaks the response for good.
- An attempt whose response cannot continue the stream that the caller has ends as `NotResumed`, which is retried or closes the connection; `Whole` exists only while nothing was sent.
- A handler that leaves a response unfinished has its connection closed.
- Failures are written by one function, which closes the connection where a response has begun.

--- a/emulator/backend.py
+++ b/emulator/backend.py
@@ -12,12 +12,14 @@
 from fireflymux.http.messages import HeaderFields, Request, find_header
 from fireflymux.http.response_writer import ResponseWriter
 
-from .raw_response import send_extra_answer, send_raw
+from .raw_response import end_at_close, send_extra_answer, send_raw
 
 _EVENT_INTERVAL_SECONDS = 0.02
 #: Pause before each event of a stream that is slow but not stalled: longer than the target latency
 #: of the routes, shorter than the deadline of the callers.
 _LONG_PAUSE_SECONDS = 1.2
+#: Id of an event that has more digits than Python converts to a number.
+LONG_EVENT_ID = b'9' * 5000
 _MISDIRECTED_BEHAVIOURS = ('misdirected', 'misdirected and leaving')
 
 
@@ -143,7 +145,7 @@
 ) -> None:
     """Ends the body by closing the connection."""
     await send_raw(writer, _encode_head(fields, b'\r\n') + _response_body(fields))
-    writer.must_close = True
+    end_at_close(writer)
 
 
 async def _answer_after_unrelated_response(
@@ -175,6 +177,16 @@
     await writer.end()
 
 
+async def _stream_with_long_id(
+    request: Request, writer: ResponseWriter, fields: HeaderFields
+) -> None:
+    await writer.start(200, fields, b'')
+    await writer.send_chunk(b'id: %b\ndata: odd\n\n' % LONG_EVENT_ID)
+    for event in _remaining_events(request, 6):
+        await writer.send_chunk(event)
+    await writer.end()
+
+
 async def _stream_then_abort(
     request: Request, writer: ResponseWriter, fields: HeaderFields
 ) -> None:
@@ -317,6 +329,7 @@
             'answer after a stray one': _answer_after_unrelated_response,
             'answer twice': _answer_twice,
             'stream': _stream,
+            'stream with a long id': _stream_with_long_id,
             'events without ids': _stream_without_ids,
             'stream and cut': _stream_then_abort,
             'stream slowly': _stream_slowly,
--- a/emulator/raw_response.py
+++ b/emulator/raw_response.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 
 from fireflymux.http.messages import encode_head, status_line
-from fireflymux.http.response_writer import ResponseWriter
+from fireflymux.http.response_writer import ResponsePhase, ResponseWriter
 
 
 async def send_raw(writer: ResponseWriter, content: bytes) -> None:
@@ -17,7 +17,17 @@
         writer: Writes the response to the request.
         content: The bytes.
     """
-    await writer.send(content)
+    await writer._send(content, writer._phase)
+
+
+def end_at_close(writer: ResponseWriter) -> None:
+    """Ends a response that was sent as raw bytes by closing the connection after it.
+
+    Args:
+        writer: Writes the response to the request.
+    """
+    writer._phase = ResponsePhase.complete
+    writer.must_close = True
 
 
 async def send_extra_answer(
--- a/features/broken_streams.feature
+++ b/features/broken_streams.feature
@@ -25,3 +25,8 @@
     Given a resumable stream route with endpoints that break off, fail and stream, of which 3 may be tried
     When a caller reads a stream that breaks off first, byte by byte
     Then its bytes are one head and 6 events, with an end
+
+  Scenario: A response that was cut by a cancelled write takes no further byte
+    Given a response to a caller that does not read
+    When a write is cancelled midway, and an error and a chunk are written after it
+    Then both writes are refused, and the caller got only the part before them
--- a/features/steps/broken_stream_steps.py
+++ b/features/steps/broken_stream_steps.py
@@ -4,8 +4,9 @@
 import trio
 from behave import given, then, when
 
+from emulator.backend import LONG_EVENT_ID
 from emulator.entry_fleet import encode_call, route
-from features.steps.entry_steps import _put_configuration, _run_on_fleet
+from features.steps.entry_steps import _put_configuration, _run_on_fleet, _set_up_one_route
 
 _READ_SECONDS = 3
 _HEAD_END = b'\r\n\r\n'
@@ -83,6 +84,11 @@
     _set_up_resumable_route(context, [behaviour])
 
 
+@given('a resumable stream route with one endpoint of behaviour "{behaviour}"')
+def only_one(context, behaviour):
+    _set_up_one_route(context, 'streaming', [behaviour], stream_resume=True)
+
+
 @given(
     'a resumable stream route with endpoints that break off, {first} and {second},'
     ' of which {count:d} may be tried'
@@ -91,6 +97,15 @@
     _set_up_resumable_route(context, [first, second], count)
 
 
+@when('a caller reads a stream byte by byte')
+def read_stream(context):
+    async def act(fleet):
+        raw = encode_call('/a', more='Connection: close')
+        return await read_to_close(fleet.settings[0].caller_address, raw)
+
+    _run_on_fleet(context, act)
+
+
 @when('a caller reads a stream that breaks off first, byte by byte')
 def read_broken_stream(context):
     async def act(fleet):
@@ -102,6 +117,13 @@
     _run_on_fleet(context, act)
 
 
+@then('its bytes are one head, {count:d} events and an event with a long id, with an end')
+def check_long_id(context, count):
+    stream = parse_stream(context.result)
+    assert stream.content.count(b'data: piece') == count, context.result
+    assert LONG_EVENT_ID in stream.content and stream.has_end, context.result
+
+
 @then('its bytes are one head and {count:d} events, {without} an end')
 def check_stream(context, count, without):
     stream = parse_stream(context.result)
--- a/src/fireflymux/entry/attempt.py
+++ b/src/fireflymux/entry/attempt.py
@@ -27,7 +27,16 @@
 from .entry_metrics import EntryMetrics
 from .event_relay import EventRelay, EventTooLarge
 from .live_endpoint import LiveEndpoint
-from .outcomes import Abandoned, Broken, NotSent, Outcome, Rejected, Relayed, Whole
+from .outcomes import (
+    Abandoned,
+    Broken,
+    NotResumed,
+    NotSent,
+    Outcome,
+    Rejected,
+    Relayed,
+    Whole,
+)
 from .state import EntryState
 
 #: Largest body of a response that is not a stream and states its length.
@@ -104,7 +113,7 @@
         if not outcome.is_local:
             state.record_connect_failure(live)
         return outcome
-    failed = isinstance(outcome, Broken | Rejected)
+    failed = isinstance(outcome, Broken | NotResumed | Rejected)
     state.record_result(live, failed=failed or (isinstance(outcome, Whole) and outcome.is_failure))
     return outcome
 
@@ -202,7 +211,8 @@
 ) -> Outcome:
     """Reads a response to its end, or relays it if the route streams and the status is a success.
 
-    A success must be signed. A response that is not relayed and states that the request was not
+    A success must be signed. An error to a request that resumes a stream is not forwarded, as the
+    caller has the head of a success already. A response that is not relayed and states that the request was not
     executed counts as rejected, even if it is unsigned and no success. Any other must be signed.
     """
     head = response.head
@@ -218,6 +228,8 @@
         return Rejected(head.status)
     if not metadata.has_signature:
         raise ConnectionBroken('the answer is not signed')
+    if attempt.relay is not None and attempt.relay.is_begun:
+        return NotResumed('it has status {0}'.format(head.status))
     return Whole(head.status, filter_response_headers(head), content)
 
 
--- a/src/fireflymux/entry/event_relay.py
+++ b/src/fireflymux/entry/event_relay.py
@@ -25,7 +25,6 @@
     Attributes:
         last_event_id: Id of the last event that was forwarded, or that the caller already had; -1
             for none.
-        is_begun: Whether the head of the response was sent to the caller.
         event_writes: Number of writes to the caller so far, before the end, that held an event;
             writes of nothing but comments are not counted.
     """
@@ -40,12 +39,16 @@
                 are recognized and dropped; an event without one is always kept.
         """
         self.last_event_id = resume_after
-        self.is_begun = False
         self.event_writes = 0
         self._writer = writer
         self._has_event_ids = has_event_ids
         self._partial = b''
 
+    @property
+    def is_begun(self) -> bool:
+        """Whether any of the response was sent to the caller."""
+        return self._writer.has_begun
+
     @property
     def is_between_events(self) -> bool:
         """Whether all received bytes belong to complete events."""
@@ -89,7 +92,6 @@
         remainder = self._partial
         self._partial = b''
         if not self.is_begun:
-            self.is_begun = True
             await self._writer.start(status, fields, remainder)
         elif remainder:
             await self._writer.send_chunk(remainder)
@@ -102,7 +104,6 @@
         if self.is_begun:
             await self._writer.send_chunk(content)
             return
-        self.is_begun = True
         await self._writer.start(status, fields, content)
 
     def _drop_repeated(self, events: bytes) -> bytes:
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -8,22 +8,31 @@
 from types import MappingProxyType
 from typing import TypeGuard
 
-import orjson
 import trio
 
 from ..decisions.retry import Ending, may_retry
 from ..decisions.waiting import WaitingRequest
-from ..errors import ERROR_RESPONSES, CallFailure, ErrorKind, ExecutionStatus
+from ..errors import CallFailure, ErrorKind
 from ..http.messages import Request
 from ..http.response_writer import ResponseWriter
 from ..observability.logs import get_logger
-from ..platform.call_headers import RequestMetadata, build_error_headers, decode_request_headers
+from ..platform.call_headers import RequestMetadata, decode_request_headers
 from .attempt import Attempt, run_attempt
 from .availability import find_unavailability
 from .call_failures import build_attempt_failure, build_deadline_failure, build_placing_failure
 from .calls import Call, admit_call
 from .entry_metrics import EntryMetrics, TokenState
-from .outcomes import Abandoned, Broken, NotSent, Outcome, Rejected, Relayed, Whole
+from .failure_responses import write_failure
+from .outcomes import (
+    Abandoned,
+    Broken,
+    NotResumed,
+    NotSent,
+    Outcome,
+    Rejected,
+    Relayed,
+    Whole,
+)
 from .placement_log import log_not_placed, log_placed
 from .retry_allowances import RetryAllowances
 from .service_queue import (
@@ -39,10 +48,6 @@
 #: Time after the deadline for the response of the endpoint to arrive: the endpoint has the same
 #: deadline and responds when that passes.
 _RESPONSE_MARGIN_SECONDS = 0.05
-#: Retry-After is the delay of the error kind times a random fraction, of at least this size, so
-#: that refused callers do not all return at once. A delay that the failure states is not varied.
-_MINIMUM_RETRY_AFTER_FRACTION = 0.5
-_UNAVAILABLE_STATUS = 503
 _FIRST_ERROR_STATUS = 400
 
 
@@ -97,25 +102,30 @@
         """
         self.running += 1
         try:
-            # Lets the task that reads the connection notice that the caller has already left.
-            await trio.lowlevel.checkpoint()
-            call = admit_call(self._state, request, metadata, writer)
-            if isinstance(call, CallFailure):
-                self._metrics.refusals.inc({'kind': call.kind.value})
-                # `metadata.attempt` is the identifier that the caller gave its attempt.
-                _log.info(
-                    'request_denied',
-                    request=metadata.attempt.decode('latin-1'),
-                    kind=call.kind.value,
-                    path=request.path.decode('latin-1'),
-                    version=self._state.configuration_version,
-                )
-                await self._write_error(call, metadata, writer)
-                return
-            await self._handle_admitted(call, writer)
+            await self._admit_and_handle(request, metadata, writer)
         finally:
             self.running -= 1
 
+    async def _admit_and_handle(
+        self, request: Request, metadata: RequestMetadata, writer: ResponseWriter
+    ) -> None:
+        # Lets the task that reads the connection notice that the caller has already left.
+        await trio.lowlevel.checkpoint()
+        call = admit_call(self._state, request, metadata, writer)
+        if isinstance(call, Call):
+            await self._handle_admitted(call, writer)
+            return
+        self._metrics.refusals.inc({'kind': call.kind.value})
+        # `metadata.attempt` is the identifier that the caller gave its attempt.
+        _log.info(
+            'request_denied',
+            request=metadata.attempt.decode('latin-1'),
+            kind=call.kind.value,
+            path=request.path.decode('latin-1'),
+            version=self._state.configuration_version,
+        )
+        await write_failure(call, metadata, writer, self._state.rng)
+
     async def _handle_admitted(self, call: Call, writer: ResponseWriter) -> None:
         """Runs an admitted request; writes the response, or an error soon after the deadline."""
         self._retry_allowances.get(call.service).count_request(trio.current_time())
@@ -128,9 +138,7 @@
             self._log_end('caller_left', call)
             raise
         if isinstance(result, Whole):
-            self._count_result(call, 'whole')
-            if result.status >= _FIRST_ERROR_STATUS:
-                self._log_end('request_answered', call, status=result.status)
+            self._record_answer(call, result)
             await writer.answer(result.status, result.fields, result.content)
             return
         if isinstance(result, Relayed):
@@ -142,6 +150,11 @@
             return
         await self._fail(call, result or build_deadline_failure(call), writer)
 
+    def _record_answer(self, call: Call, answer: Whole) -> None:
+        self._count_result(call, 'whole')
+        if answer.status >= _FIRST_ERROR_STATUS:
+            self._log_end('request_answered', call, status=answer.status)
+
     def _count_result(self, call: Call, result: str) -> None:
         self._metrics.requests.inc({'pool': call.service, 'result': result})
         seconds = trio.current_time() - call.request.received_at
@@ -151,10 +164,7 @@
         """Responds with an error, or closes the connection if the stream has already begun."""
         self._log_failure(call, failure)
         self._count_result(call, failure.kind.value)
-        if call.has_begun:
-            writer.abort()
-            return
-        await self._write_error(failure, call.metadata, writer)
+        await write_failure(failure, call.metadata, writer, self._state.rng)
 
     async def _run(self, call: Call) -> Whole | Relayed | Abandoned | CallFailure:
         """Makes attempts until one succeeds or no further one is allowed."""
@@ -328,26 +338,6 @@
             seconds=round(trio.current_time() - call.request.received_at, 3),
         )
 
-    async def _write_error(
-        self, failure: CallFailure, metadata: RequestMetadata, writer: ResponseWriter
-    ) -> None:
-        """Writes an error response; a 503 has Retry-After if no endpoint has run the request.
-
-        Retry-After is the delay that the failure states, or else a random fraction of the one for
-        its kind.
-        """
-        error_response = ERROR_RESPONSES[failure.kind]
-        retry_after = 0.0
-        if failure.outcome is ExecutionStatus.no and error_response.status == _UNAVAILABLE_STATUS:
-            spread = self._state.rng.uniform(_MINIMUM_RETRY_AFTER_FRACTION, 1)
-            retry_after = error_response.retry_after_seconds * spread
-            if failure.retry_after_seconds is not None:
-                retry_after = failure.retry_after_seconds
-        content = orjson.dumps({'kind': failure.kind.value, 'title': error_response.title})
-        await writer.answer(
-            error_response.status, build_error_headers(metadata.attempt, retry_after), content
-        )
-
 
 #: Endings of attempts that did not succeed, by outcome; a complete response can be a server error.
 _ENDINGS: Mapping[type[Outcome], Ending] = MappingProxyType(
@@ -355,6 +345,7 @@
         NotSent: Ending.not_sent,
         Rejected: Ending.rejected,
         Broken: Ending.broken,
+        NotResumed: Ending.failed,
         Whole: Ending.failed,
     }
 )
--- a/src/fireflymux/entry/outcomes.py
+++ b/src/fireflymux/entry/outcomes.py
@@ -44,9 +44,25 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class NotResumed:
+    """The caller has a part of the stream, and the response of the endpoint does not continue it.
+
+    The endpoint may have run the request. Nothing of its response can be forwarded.
+
+    Attributes:
+        reason: What kind of response it is, for the log.
+    """
+
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class Whole:
-    """A complete response, which is read to its end before any of it is sent to the caller."""
+    """A complete response, which is read to its end before any of it is sent to the caller.
+
+    It is the outcome only while nothing of another response was sent to the caller.
+    """
 
     status: int
     fields: HeaderFields
@@ -67,4 +83,4 @@
     """A stream was forwarded to the caller up to its end."""
 
 
-Outcome = NotSent | Abandoned | Rejected | Broken | Whole | Relayed
+Outcome = NotSent | Abandoned | Rejected | Broken | NotResumed | Whole | Relayed
--- a/src/fireflymux/experiment/callers.py
+++ b/src/fireflymux/experiment/callers.py
@@ -8,7 +8,7 @@
 
 from ..entry.exchange import RequestHandler
 from ..http.messages import Request, find_header
-from ..http.response_writer import ResponseWriter
+from ..http.response_writer import ResponsePhase, ResponseWriter
 from ..platform.call_headers import RequestMetadata
 from .fleet import HOST, account_name
 from .load import Prompt
@@ -56,12 +56,12 @@
             sent_at: Time of the caller's first attempt.
         """
         self.must_close = False
-        self.is_broken = False
         self.status = 0
         self.retry_after = 0.0
         self._result = result
         self._sent_at = sent_at
         self._last_event_at = 0.0
+        self._phase = ResponsePhase.pending
 
     def has_caller_disconnected(self) -> bool:
         """Returns False: a caller whose deadline passes cancels the request instead."""
@@ -71,6 +71,7 @@
         self, status: int, fields: Iterable[tuple[bytes, bytes]], content: bytes
     ) -> None:
         """Records a response that is not streamed, which is a refusal or another error."""
+        self._phase = ResponsePhase.complete
         self.status = status
         self.retry_after = float(find_header(fields, b'retry-after') or 0)
 
@@ -78,6 +79,7 @@
         self, status: int, fields: Iterable[tuple[bytes, bytes]], first_chunk: bytes
     ) -> None:
         """Records the first event of a streamed response."""
+        self._phase = ResponsePhase.body
         self.status = status
         self._last_event_at = trio.current_time()
         self._result.first_event_seconds = self._last_event_at - self._sent_at
@@ -90,6 +92,7 @@
 
     async def end(self) -> None:
         """Records that the response is complete."""
+        self._phase = ResponsePhase.complete
         self._result.is_whole = True
 
 
--- a/src/fireflymux/http/response_writer.py
+++ b/src/fireflymux/http/response_writer.py
@@ -1,5 +1,11 @@
-"""Writes the responses on a server connection."""
+"""Writes the responses on a server connection, one for each request.
 
+The writer knows how much of the current response was sent. A write that does not fit raises
+`ResponseStateError` and sends nothing, so that no mistake of a handler puts bytes on the connection
+that the caller would take for a part of another response.
+"""
+
+import enum
 import socket
 from collections.abc import Callable, Iterable
 
@@ -8,16 +14,33 @@
 from .messages import encode_head, status_line
 
 _LAST_CHUNK = b'0\r\n\r\n'
+_CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+class ResponsePhase(enum.Enum):
+    """How much of the current response was sent."""
+
+    #: Nothing: its head can be sent.
+    pending = 'pending'
+    #: The head, and chunks of the body.
+    body = 'body'
+    #: All of it, or no request was received yet.
+    complete = 'complete'
+    #: A part, and no more of it can follow: the connection has to be closed.
+    broken = 'broken'
+
+
+class ResponseStateError(Exception):
+    """A write does not fit the phase of the response; nothing was sent."""
 
 
 class ResponseWriter:
     """Writes the responses to the requests of one connection, in the order of the requests.
 
     Attributes:
-        must_close: Whether the connection closes after the current response. The server
-            connection sets it for each request; it is also set by `abort`, and by a response that
+        must_close: Whether the connection closes after the current response. It is set for a
+            request that does not keep the connection alive, by `abort`, and by a response that
             starts while the server is stopping.
-        is_broken: Whether the connection was aborted and is to be closed at once.
     """
 
     def __init__(
@@ -36,10 +59,36 @@
                 is says `Connection: close`, and the connection closes after it.
         """
         self.must_close = False
-        self.is_broken = False
         self._socket = sock
         self._raw_socket = raw_socket
         self._is_stopping = is_stopping
+        self._phase = ResponsePhase.complete
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether any of the current response was sent, so that no other one can take its place."""
+        return self._phase is not ResponsePhase.pending
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the current response was sent to its end."""
+        return self._phase is ResponsePhase.complete
+
+    @property
+    def is_broken(self) -> bool:
+        """Whether the connection is to be closed at once, within the current response."""
+        return self._phase is ResponsePhase.broken
+
+    def begin(self, *, keeps_alive: bool) -> None:
+        """Prepares for the response to the next request, unless the connection is broken.
+
+        Args:
+            keeps_alive: Whether the connection stays open after the response.
+        """
+        if self.is_broken:
+            return
+        self._phase = ResponsePhase.pending
+        self.must_close = not keeps_alive
 
     def has_caller_disconnected(self) -> bool:
         """Tells whether the caller has closed the connection, by asking the kernel directly.
@@ -54,6 +103,11 @@
         except OSError:
             return True
 
+    async def send_continue(self) -> None:
+        """Tells the caller to send the body of its next request, if no response is under way."""
+        if self.is_complete:
+            await self._send(_CONTINUE_RESPONSE, ResponsePhase.complete)
+
     async def answer(
         self,
         status: int,
@@ -66,9 +120,14 @@
             status: Status code.
             fields: Header fields, without those that state the body length.
             content: Response body.
+
+        Raises:
+            ResponseStateError: A response was sent already, in full or in part.
         """
+        self._require(ResponsePhase.pending)
         framing = (b'Content-Length', b'%d' % len(content))
-        await self.send(self._encode_head(status, fields, framing) + content)
+        head = self._encode_head(status, fields, framing)
+        await self._send(head + content, ResponsePhase.complete)
 
     async def start(
         self,
@@ -82,17 +141,35 @@
             status: Status code.
             fields: Header fields, without those that state the body length.
             first_chunk: First part of the body; may be empty.
+
+        Raises:
+            ResponseStateError: A response was sent already, in full or in part.
         """
+        self._require(ResponsePhase.pending)
         head = self._encode_head(status, fields, (b'Transfer-Encoding', b'chunked'))
-        await self.send(head + _encode_chunk(first_chunk))
+        chunk = _encode_chunk(first_chunk)
+        await self._send(head + chunk, ResponsePhase.body)
 
     async def send_chunk(self, content: bytes) -> None:
-        """Sends the next part of a chunked response body."""
-        await self.send(_encode_chunk(content))
+        """Sends the next part of a chunked response body.
+
+        Args:
+            content: The part; may be empty.
+
+        Raises:
+            ResponseStateError: No chunked response was started, or it has ended.
+        """
+        self._require(ResponsePhase.body)
+        await self._send(_encode_chunk(content), ResponsePhase.body)
 
     async def end(self) -> None:
-        """Ends a chunked response."""
-        await self.send(_LAST_CHUNK)
+        """Ends a chunked response.
+
+        Raises:
+            ResponseStateError: No chunked response was started, or it has ended.
+        """
+        self._require(ResponsePhase.body)
+        await self._send(_LAST_CHUNK, ResponsePhase.complete)
 
     def abort(self) -> None:
         """Marks the connection to be closed without ending the current response.
@@ -100,13 +177,29 @@
         The caller then sees a truncated response and does not take it for a complete one.
         """
         self.must_close = True
-        self.is_broken = True
+        self._phase = ResponsePhase.broken
+
+    def _require(self, phase: ResponsePhase) -> None:
+        if self._phase is not phase:
+            raise ResponseStateError(
+                'the response is {0}, not {1}'.format(self._phase.value, phase.value)
+            )
 
-    async def send(self, content: bytes) -> None:
-        """Sends raw bytes."""
+    async def _send(self, content: bytes, next_phase: ResponsePhase) -> None:
+        """Sends bytes, and enters the next phase once all of them are sent.
+
+        If it is cancelled or fails before the first byte, the phase stays as it is. After that the
+        response is broken, since whatever follows would continue the part that was sent.
+        """
         view = memoryview(content)
-        while view:
-            view = view[await self._socket.send(view) :]
+        try:
+            while view:
+                view = view[await self._socket.send(view) :]
+        finally:
+            if not view:
+                self._phase = next_phase
+            elif len(view) < len(content):
+                self.abort()
 
     def _encode_head(
         self,
--- a/src/fireflymux/http/server_connection.py
+++ b/src/fireflymux/http/server_connection.py
@@ -23,7 +23,6 @@
 _REQUEST_TIMEOUT_STATUS = 408
 #: Maximum time to drain input of the caller after an error response.
 _LINGER_SECONDS = 1.0
-_CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 #: Handles one request and writes its response.
 Handler = Callable[[Request, ResponseWriter], Awaitable[None]]
@@ -124,7 +123,7 @@
             self._extend_read_deadline(was_in_head=was_in_head)
             if self._parser.expects_continue and self._parser.is_in_body:
                 self._parser.expects_continue = False
-                await self._writer.send(_CONTINUE_RESPONSE)
+                await self._writer.send_continue()
         self._is_reading_done = True
         self._notify()
 
@@ -181,7 +180,7 @@
         """
         violation = self._parser.violation
         if violation is not None and not self._writer.must_close:
-            self._writer.must_close = True
+            self._writer.begin(keeps_alive=False)
             await self._writer.answer(violation.status, (), violation.reason.encode())
         if not self._writer.is_broken:
             await self._close_lingering()
@@ -189,8 +188,11 @@
     async def _handle_next(self, handler: Handler) -> None:
         request = self._requests.popleft()
         self._is_handling = True
-        self._writer.must_close = not request.keeps_alive
+        self._writer.begin(keeps_alive=request.keeps_alive)
         await handler(request, self._writer)
+        if not self._writer.is_complete:
+            # The response to the next request would continue the one that is not complete.
+            self._writer.abort()
         self._is_handling = False
         if self.is_idle:
             self.idle_since = trio.current_time()
