Count an event as forwarded once it was sent

A scope that watches for stalls can end in the moment in which an event arrives. The write of the event is then cancelled before its first byte, but the event had been counted as forwarded and the head as sent: the next attempt was asked to go on behind it, and its chunks were written without a head. Found by reading, after the trace of the second head; seen only in the test, which failed before with a chunk in place of the head.

--- a/features/broken_streams.feature
+++ b/features/broken_streams.feature
@@ -26,6 +26,11 @@
     When a caller reads a stream that breaks off first, byte by byte
     Then its bytes are one head and 6 events, with an end
 
+  Scenario: An event whose write was cancelled before its first byte is not taken for forwarded
+    Given a relay of events to a connection
+    When the write of the first event is cancelled, and another endpoint starts over
+    Then the caller got the head and every event once
+
   Scenario: A response that was cut by a cancelled write takes no further byte
     Given a response to a caller that does not read
     When a write is cancelled midway, and an error and a chunk are written after it
--- a/src/fireflymux/entry/event_relay.py
+++ b/src/fireflymux/entry/event_relay.py
@@ -78,9 +78,12 @@
             return
         complete = content[: end + len(_EVENT_END)]
         self._partial = content[len(complete) :]
+        last_event_id = self.last_event_id
         if self._has_event_ids:
-            complete = self._drop_repeated(complete)
+            complete, last_event_id = self._drop_repeated(complete)
         await self._send(complete, status, fields)
+        # An event counts as forwarded once it was sent: a write that is cancelled before sends none.
+        self.last_event_id = last_event_id
 
     async def end(self, status: int, fields: HeaderFields) -> None:
         """Forwards the bytes that are left, and ends the response.
@@ -106,17 +109,21 @@
             return
         await self._writer.start(status, fields, content)
 
-    def _drop_repeated(self, events: bytes) -> bytes:
-        """Drops events whose id is not above that of the last forwarded one."""
+    def _drop_repeated(self, events: bytes) -> tuple[bytes, int]:
+        """Drops events whose id is not above that of the last forwarded one.
+
+        Returns:
+            The events that are left, and the id of the last one.
+        """
         kept = []
+        last_event_id = self.last_event_id
         for event in events.split(_EVENT_END)[:-1]:
             number = _parse_event_id(event)
-            if number is not None:
-                if number <= self.last_event_id:
-                    continue
-                self.last_event_id = number
+            if number is not None and number <= last_event_id:
+                continue
+            last_event_id = last_event_id if number is None else number
             kept.append(event + _EVENT_END)
-        return b''.join(kept)
+        return b''.join(kept), last_event_id
 
 
 def _contains_event(content: bytes) -> bool:
