Join to a stream only what resumes it

A stream had begun and broke off, and the next endpoint answered the resumed request with a success that holds no events, or events without an id. Its text was written into the stream, which then ended as if it were complete. Cause: the relay checked ids only to drop repeated events, and forwarded the bytes behind the last event of any attempt. A resumed response now has to bear the content type of the first, each of its events an id, and nothing that is no event; otherwise the attempt ends as `NotResumed`. The first attempt of a stream is forwarded as before, whatever it holds, since it is the endpoint's whole body.

--- a/features/steps/response_state_steps.py
+++ b/features/steps/response_state_steps.py
@@ -73,7 +73,7 @@
         with trio.CancelScope() as scope:
             scope.cancel()
             await relay.forward(_EVENTS[0], 200, [])
-        relay.restart()
+        relay.begin_attempt([])
         for event in _EVENTS:
             await relay.forward(event, 200, [])
         await relay.end(200, [])
--- a/src/fireflymux/entry/attempt.py
+++ b/src/fireflymux/entry/attempt.py
@@ -25,7 +25,7 @@
 )
 from .endpoint_wishes import apply_response_signals
 from .entry_metrics import EntryMetrics
-from .event_relay import EventRelay, EventTooLarge
+from .event_relay import EventRelay, EventTooLarge, StreamNotResumed
 from .live_endpoint import LiveEndpoint
 from .outcomes import (
     Abandoned,
@@ -150,6 +150,8 @@
             is_complete = True
     except (ConnectionBroken, EventTooLarge) as error:
         return Broken(str(error))
+    except StreamNotResumed as error:
+        return NotResumed(str(error))
     finally:
         if not is_complete:
             connection.close()
@@ -244,10 +246,10 @@
     # Cannot be None: the only caller has checked it.
     if relay is None:
         raise ConnectionBroken('the answer is not a stream')
-    relay.restart()
     started_at = trio.current_time()
     head: ResponseHead = response.head
     fields = filter_response_headers(head)
+    relay.begin_attempt(fields)
     while True:
         part = await connection.next_body_part(response)
         if not part:
--- a/src/fireflymux/entry/event_relay.py
+++ b/src/fireflymux/entry/event_relay.py
@@ -2,10 +2,11 @@
 
 If an attempt of a resumable stream breaks off, another endpoint resumes it after the last complete
 event. The caller sees one response. An event is forwarded once it is complete, and numbered events
-are not repeated. Only the remainder at the end of a stream is forwarded without a check.
+are not repeated. A response that cannot be told to continue the events before it is not joined to
+them.
 """
 
-from ..http.messages import HeaderFields
+from ..http.messages import HeaderFields, find_header
 from ..http.response_writer import ResponseWriter
 
 _EVENT_END = b'\n\n'
@@ -19,6 +20,10 @@
     """An event exceeds the largest size."""
 
 
+class StreamNotResumed(Exception):
+    """An endpoint was asked to resume a stream, and its response does not continue it."""
+
+
 class EventRelay:
     """The response to one request as its caller gets it; several endpoints may send its events.
 
@@ -43,6 +48,8 @@
         self._writer = writer
         self._has_event_ids = has_event_ids
         self._partial = b''
+        self._is_resumed = False
+        self._content_type = b''
 
     @property
     def is_begun(self) -> bool:
@@ -54,9 +61,21 @@
         """Whether all received bytes belong to complete events."""
         return not self._partial
 
-    def restart(self) -> None:
-        """Discards the incomplete event of an attempt that broke off."""
+    def begin_attempt(self, fields: HeaderFields) -> None:
+        """Discards the incomplete event of an attempt that broke off, and starts the next one.
+
+        Args:
+            fields: Header fields of the endpoint's response.
+
+        Raises:
+            StreamNotResumed: The response to the caller has begun with another content type.
+        """
         self._partial = b''
+        content_type = find_header(fields, b'content-type')
+        self._is_resumed = self.is_begun
+        if self._is_resumed and content_type != self._content_type:
+            raise StreamNotResumed('its content type is {0!r}'.format(content_type))
+        self._content_type = content_type
 
     async def forward(self, received: bytes, status: int, fields: HeaderFields) -> None:
         """Adds bytes of the endpoint's response, and forwards the events that are complete.
@@ -68,6 +87,7 @@
 
         Raises:
             EventTooLarge: The incomplete event exceeds the largest size.
+            StreamNotResumed: The stream was resumed, and an event has no place in its order.
         """
         content = self._partial + received
         end = content.rfind(_EVENT_END)
@@ -91,8 +111,19 @@
         They are what follows the last blank line: nothing, an event or comment without its closing
         blank line, or a stream whose lines do not end with LF alone. They are neither completed
         nor checked for a repeated id.
+
+        Args:
+            status: Status for the caller, if the response has not begun.
+            fields: Header fields for the caller, if the response has not begun.
+
+        Raises:
+            StreamNotResumed: The stream was resumed, and there are bytes left that are no event.
         """
         remainder = self._partial
+        if self._is_resumed and remainder:
+            raise StreamNotResumed(
+                'it ends with {0} bytes that are no event'.format(len(remainder))
+            )
         self._partial = b''
         if not self.is_begun:
             await self._writer.start(status, fields, remainder)
@@ -114,11 +145,17 @@
 
         Returns:
             The events that are left, and the id of the last one.
+
+        Raises:
+            StreamNotResumed: The stream was resumed, and an event has no id, so that its place
+                among the events before it is not known.
         """
         kept = []
         last_event_id = self.last_event_id
         for event in events.split(_EVENT_END)[:-1]:
             number = _parse_event_id(event)
+            if number is None and self._is_resumed and _contains_event(event):
+                raise StreamNotResumed('it has an event without an id')
             if number is not None and number <= last_event_id:
                 continue
             last_event_id = last_event_id if number is None else number
