Bound the digits of event ids

An endpoint that sends an event id of more than 4,300 digits ended the process of the instance: int() refuses such text with ValueError, which nothing between the relay and the nursery of the listener caught. The scenario ended in an ExceptionGroup before. An id of more than 18 digits now counts as no id.

--- a/features/broken_streams.feature
+++ b/features/broken_streams.feature
@@ -35,3 +35,8 @@
     Given a response to a caller that does not read
     When a write is cancelled midway, and an error and a chunk are written after it
     Then both writes are refused, and the caller got only the part before them
+
+  Scenario: An event id that is too long for a number ends neither the stream nor the instance
+    Given a resumable stream route with one endpoint of behaviour "stream with a long id"
+    When a caller reads a stream byte by byte
+    Then its bytes are one head, 6 events and an event with a long id, with an end
--- a/src/fireflymux/entry/event_relay.py
+++ b/src/fireflymux/entry/event_relay.py
@@ -12,6 +12,8 @@
 _EVENT_END = b'\n\n'
 _ID_FIELD = b'id:'
 _COMMENT_PREFIX = b':'
+#: Longest number that counts as the id of an event.
+_MAXIMUM_ID_DIGITS = 18
 #: Largest event; an endpoint that sends more without ending one might never end it.
 _MAXIMUM_EVENT_BYTES = 1048576
 
@@ -171,10 +173,10 @@
 
 
 def _parse_event_id(event: bytes) -> int | None:
-    """Returns the id of an event, or None if it has none or one that is not a number."""
+    """Returns the id of an event, or None if it has none, or none of a number's form and length."""
     for line in event.split(b'\n'):
         if not line.startswith(_ID_FIELD):
             continue
         text = line[len(_ID_FIELD) :].strip()
-        return int(text) if text.isdigit() else None
+        return int(text) if text.isdigit() and len(text) <= _MAXIMUM_ID_DIGITS else None
     return None
