Let what fails one connection end that connection alone

Both scenarios ended in an ExceptionGroup before. The listener now logs `connection_crashed` with the traceback and closes the connection; a request whose handling fails is logged as `request_crashed` with its identifier and is told that its outcome is unknown, or its connection closes where a response has begun.

--- a/features/broken_streams.feature
+++ b/features/broken_streams.feature
@@ -36,7 +36,17 @@
     When a write is cancelled midway, and an error and a chunk are written after it
     Then both writes are refused, and the caller got only the part before them
 
+  Scenario: A caller that resets its connection as it is told to continue does not end the instance
+    Given a "safe" route whose only endpoint has behaviour "answer"
+    When 5 callers send the head of a request that waits to be told to continue, and reset their connections
+    Then another caller is still served
+
   Scenario: An event id that is too long for a number ends neither the stream nor the instance
     Given a resumable stream route with one endpoint of behaviour "stream with a long id"
     When a caller reads a stream byte by byte
     Then its bytes are one head, 6 events and an event with a long id, with an end
+
+  Scenario: A handler that fails ends its own connection alone
+    Given a listener whose handler fails for one path
+    When a caller asks for that path while another waits for its response
+    Then the other caller gets its response, and so does a new one
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -103,6 +103,14 @@
         self.running += 1
         try:
             await self._admit_and_handle(request, metadata, writer)
+        except OSError:
+            # The connection of the caller failed; whoever serves it closes it.
+            raise
+        except Exception:
+            _log.exception('request_crashed', request=metadata.attempt.decode('latin-1'))
+            # It may have run: nothing is said about that.
+            failure = CallFailure(ErrorKind.outcome_unknown)
+            await write_failure(failure, metadata, writer, self._state.rng)
         finally:
             self.running -= 1
 
--- a/src/fireflymux/entry/listeners.py
+++ b/src/fireflymux/entry/listeners.py
@@ -123,5 +123,8 @@
             await connection.serve(self._handler)
         except OSError as error:
             _log.debug('connection_failed', reason=repr(error))
+        except Exception:
+            # What fails one connection must not end those of the other callers.
+            _log.exception('connection_crashed')
         finally:
             self._connections.discard(connection)
