Tell a caller to continue between responses only

The task that reads a connection wrote `100 Continue` while another wrote the response to an earlier request: a caller that pipelines read the interim response among the chunks of its stream. It is now written by the task that handles requests, after the last response before it; the reading task writes it only where nothing is handled or queued. A write that fails counts as a disconnect of the caller.

--- a/features/broken_streams.feature
+++ b/features/broken_streams.feature
@@ -36,6 +36,11 @@
     When a write is cancelled midway, and an error and a chunk are written after it
     Then both writes are refused, and the caller got only the part before them
 
+  Scenario: The caller of a pipelined request is told to continue only after the response before it
+    Given a "streaming" route whose only endpoint has behaviour "stream"
+    When a caller reads a stream, and sends the head of a request that waits to be told to continue meanwhile
+    Then the caller reads the stream to its end, then the word to continue, then the second stream
+
   Scenario: A caller that resets its connection as it is told to continue does not end the instance
     Given a "safe" route whose only endpoint has behaviour "answer"
     When 5 callers send the head of a request that waits to be told to continue, and reset their connections
--- a/src/fireflymux/http/request_parser.py
+++ b/src/fireflymux/http/request_parser.py
@@ -42,7 +42,8 @@
             slow.
         is_in_head: Whether the parser is between the first byte and the end of a head.
         is_in_body: Whether the parser is between the end of a head and the end of the body.
-        expects_continue: Whether the current request has `Expect: 100-continue`.
+        expects_continue: Whether the caller waits to be told to send the body of the current
+            request. The connection clears it once the caller was told.
     """
 
     def __init__(self, limits: HttpLimits, on_request: Callable[[Request], None]) -> None:
--- a/src/fireflymux/http/server_connection.py
+++ b/src/fireflymux/http/server_connection.py
@@ -114,19 +114,37 @@
             received = await self._receive()
             if received is None:
                 break
-            if not received:
+            if not received or not await self._process(received):
                 # The caller disconnected; a half-closed connection counts as closed, too.
                 self._writer.abort()
                 return
-            was_in_head = self._parser.is_in_head
-            self._parser.feed(received)
-            self._extend_read_deadline(was_in_head=was_in_head)
-            if self._parser.expects_continue and self._parser.is_in_body:
-                self._parser.expects_continue = False
-                await self._writer.send_continue()
         self._is_reading_done = True
         self._notify()
 
+    async def _process(self, received: bytes) -> bool:
+        """Parses input; returns False if the connection failed."""
+        was_in_head = self._parser.is_in_head
+        self._parser.feed(received)
+        self._extend_read_deadline(was_in_head=was_in_head)
+        if self._is_handling or self._requests:
+            # The caller is told to go on after the responses to its earlier requests.
+            return True
+        try:
+            await self._send_due_continue()
+        except OSError:
+            return False
+        return True
+
+    async def _send_due_continue(self) -> None:
+        """Tells a caller that waits for it to send the body of its request.
+
+        Called only between responses, as the bytes would fall into one otherwise.
+        """
+        parser = self._parser
+        if parser.expects_continue and parser.is_in_body and parser.violation is None:
+            parser.expects_continue = False
+            await self._writer.send_continue()
+
     async def _receive(self) -> bytes | None:
         """Receives bytes; None if cancelled or timed out, empty if the connection closed."""
         self._read_scope = trio.CancelScope(deadline=self._read_deadline)
@@ -193,6 +211,8 @@
         if not self._writer.is_complete:
             # The response to the next request would continue the one that is not complete.
             self._writer.abort()
+        if not self._requests:
+            await self._send_due_continue()
         self._is_handling = False
         if self.is_idle:
             self.idle_since = trio.current_time()
