Send no body where the method or the status allows none

A HEAD request that failed was answered with the body of the error; the caller reads these bytes as the beginning of its next response. A response with status 204 or 304 was framed as if it had a body. The scenario failed before: the JSON of the error stood between the two heads. The response writer knows the method and the status and leaves the body out.

--- a/features/broken_streams.feature
+++ b/features/broken_streams.feature
@@ -55,3 +55,8 @@
     Given a listener whose handler fails for one path
     When a caller asks for that path while another waits for its response
     Then the other caller gets its response, and so does a new one
+
+  Scenario: An error to a HEAD request has no body that the next response would follow
+    Given a "safe" route whose only endpoint has behaviour "answer"
+    When a caller asks by HEAD without a key, and then by POST on the same connection
+    Then the two responses are read without a byte between them
--- a/features/steps/response_state_steps.py
+++ b/features/steps/response_state_steps.py
@@ -30,7 +30,7 @@
 
 def _open_writer(sock):
     writer = ResponseWriter(trio.socket.from_stdlib_socket(sock), sock, is_stopping=bool)
-    writer.begin(keeps_alive=True)
+    writer.begin(method=b'POST', keeps_alive=True)
     return writer
 
 
--- a/src/fireflymux/http/messages.py
+++ b/src/fireflymux/http/messages.py
@@ -13,6 +13,9 @@
 #: received or are to be sent.
 HeaderFields = list[tuple[bytes, bytes]]
 
+#: Statuses of final responses that have no body, whatever their header fields say.
+BODYLESS_STATUSES = frozenset((204, 304))
+
 _REASON_PHRASES: Mapping[int, bytes] = MappingProxyType(
     {
         200: b'OK',
--- a/src/fireflymux/http/response_parser.py
+++ b/src/fireflymux/http/response_parser.py
@@ -5,10 +5,9 @@
 import attrs
 import httptools
 
-from .messages import HeaderFields, ResponseHead, find_header
+from .messages import BODYLESS_STATUSES, HeaderFields, ResponseHead, find_header
 
 _FIRST_FINAL_STATUS = 200
-_BODYLESS_STATUSES = frozenset((204, 304))
 
 
 @attrs.define(eq=False)
@@ -98,7 +97,7 @@
                 is_chunked=is_chunked,
                 content_length=int(length) if length.isdigit() else None,
             ),
-            ends_at_close=not (is_chunked or length or status in _BODYLESS_STATUSES),
+            ends_at_close=not (is_chunked or length or status in BODYLESS_STATUSES),
         )
         self.responses.append(self._current_response)
         self.progress += 1
--- a/src/fireflymux/http/response_writer.py
+++ b/src/fireflymux/http/response_writer.py
@@ -11,10 +11,11 @@
 
 import trio
 
-from .messages import encode_head, status_line
+from .messages import BODYLESS_STATUSES, encode_head, status_line
 
 _LAST_CHUNK = b'0\r\n\r\n'
 _CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
+_HEAD_METHOD = b'HEAD'
 
 
 class ResponsePhase(enum.Enum):
@@ -63,6 +64,7 @@
         self._raw_socket = raw_socket
         self._is_stopping = is_stopping
         self._phase = ResponsePhase.complete
+        self._may_have_body = True
 
     @property
     def has_begun(self) -> bool:
@@ -79,15 +81,17 @@
         """Whether the connection is to be closed at once, within the current response."""
         return self._phase is ResponsePhase.broken
 
-    def begin(self, *, keeps_alive: bool) -> None:
+    def begin(self, *, method: bytes, keeps_alive: bool) -> None:
         """Prepares for the response to the next request, unless the connection is broken.
 
         Args:
+            method: HTTP method of the request.
             keeps_alive: Whether the connection stays open after the response.
         """
         if self.is_broken:
             return
         self._phase = ResponsePhase.pending
+        self._may_have_body = method != _HEAD_METHOD
         self.must_close = not keeps_alive
 
     def has_caller_disconnected(self) -> bool:
@@ -119,7 +123,7 @@
         Args:
             status: Status code.
             fields: Header fields, without those that state the body length.
-            content: Response body.
+            content: Response body; not sent if the method or status allows none.
 
         Raises:
             ResponseStateError: A response was sent already, in full or in part.
@@ -127,7 +131,7 @@
         self._require(ResponsePhase.pending)
         framing = (b'Content-Length', b'%d' % len(content))
         head = self._encode_head(status, fields, framing)
-        await self._send(head + content, ResponsePhase.complete)
+        await self._send(head + self._select_body(content), ResponsePhase.complete)
 
     async def start(
         self,
@@ -147,7 +151,7 @@
         """
         self._require(ResponsePhase.pending)
         head = self._encode_head(status, fields, (b'Transfer-Encoding', b'chunked'))
-        chunk = _encode_chunk(first_chunk)
+        chunk = self._select_body(_encode_chunk(first_chunk))
         await self._send(head + chunk, ResponsePhase.body)
 
     async def send_chunk(self, content: bytes) -> None:
@@ -160,7 +164,7 @@
             ResponseStateError: No chunked response was started, or it has ended.
         """
         self._require(ResponsePhase.body)
-        await self._send(_encode_chunk(content), ResponsePhase.body)
+        await self._send(self._select_body(_encode_chunk(content)), ResponsePhase.body)
 
     async def end(self) -> None:
         """Ends a chunked response.
@@ -169,7 +173,7 @@
             ResponseStateError: No chunked response was started, or it has ended.
         """
         self._require(ResponsePhase.body)
-        await self._send(_LAST_CHUNK, ResponsePhase.complete)
+        await self._send(self._select_body(_LAST_CHUNK), ResponsePhase.complete)
 
     def abort(self) -> None:
         """Marks the connection to be closed without ending the current response.
@@ -201,6 +205,9 @@
             elif len(view) < len(content):
                 self.abort()
 
+    def _select_body(self, encoded: bytes) -> bytes:
+        return encoded if self._may_have_body else b''
+
     def _encode_head(
         self,
         status: int,
@@ -208,7 +215,11 @@
         framing: tuple[bytes, bytes],
     ) -> bytes:
         """Encodes the head, with `Connection: close` if the connection closes afterwards."""
-        lines = [*fields, framing]
+        lines = list(fields)
+        if status in BODYLESS_STATUSES:
+            self._may_have_body = False
+        else:
+            lines.append(framing)
         if self._is_stopping():
             self.must_close = True
         if self.must_close:
--- a/src/fireflymux/http/server_connection.py
+++ b/src/fireflymux/http/server_connection.py
@@ -198,7 +198,7 @@
         """
         violation = self._parser.violation
         if violation is not None and not self._writer.must_close:
-            self._writer.begin(keeps_alive=False)
+            self._writer.begin(method=b'', keeps_alive=False)
             await self._writer.answer(violation.status, (), violation.reason.encode())
         if not self._writer.is_broken:
             await self._close_lingering()
@@ -206,7 +206,7 @@
     async def _handle_next(self, handler: Handler) -> None:
         request = self._requests.popleft()
         self._is_handling = True
-        self._writer.begin(keeps_alive=request.keeps_alive)
+        self._writer.begin(method=request.method, keeps_alive=request.keeps_alive)
         await handler(request, self._writer)
         if not self._writer.is_complete:
             # The response to the next request would continue the one that is not complete.
