--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -5,8 +5,9 @@
 
 import attrs
 
-from emulator.fleet import Fleet, Process
+from emulator.fleet import Fleet
 from emulator.load import AccountLoad
+from emulator.process import Process
 
 POOL = 'model'
 SLOTS = 8
--- a/bench/probe.py
+++ b/bench/probe.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from pathlib import Path
 
-from emulator.fleet import Process
+from emulator.process import Process
 
 #: Clock ticks per second, the unit of processor time in /proc.
 _TICKS_PER_SECOND = os.sysconf('SC_CLK_TCK')
--- /dev/null
+++ b/emulator/entry_variants.py
@@ -0,0 +1,193 @@
+"""Variants of entry instances, each with one mechanism disabled by monkey patching.
+
+`emulator.variants` lists them by name. The patches set private names of src, so a rename there
+must be made here.
+"""
+
+import attrs
+
+from fireflymux.decisions import (
+    crash_counts,
+    entry_configuration,
+    evacuations,
+    fair_shares,
+    membership,
+    retry,
+    warmup,
+)
+from fireflymux.decisions.fair_shares import FairShares
+from fireflymux.entry import (
+    attempt,
+    event_relay,
+    exchange,
+    peer_link,
+    report_datagrams,
+    state,
+    store_follower,
+    warmups,
+)
+from fireflymux.http import client_connection, connection_pool
+from fireflymux.platform import store
+
+
+def repeat_anything() -> None:
+    """Retries every failed attempt, up to 3 in all, even of a request that must run only once."""
+
+    def may_retry(history: retry.AttemptHistory, _ending: object, **_terms: object) -> bool:
+        return history.sends + history.unsent < 3
+
+    exchange.may_retry = may_retry
+
+
+def forget_leaving() -> None:
+    """Ignores the leaving state in the store rows of endpoints."""
+    original = store_follower.decode_endpoint
+
+    def decode(identifier: str, content: bytes) -> object:
+        endpoint = original(identifier, content)
+        return endpoint and attrs.evolve(endpoint, is_leaving=False)
+
+    store_follower.decode_endpoint = decode
+
+
+def forget_departures() -> None:
+    """Forgets departures: an endpoint is ready as soon as the store lists it as ready."""
+    membership.Membership.is_leaving = lambda _membership, _number: False
+    membership._ENTRY_EXPIRY_SECONDS = 0.0
+
+
+def no_wishes() -> None:
+    """Ignores what endpoints state in answers about leaving and backoffs."""
+    attempt.apply_response_signals = lambda _state, _live, _terms: None
+
+
+def no_last_look() -> None:
+    """Sends a placed request even if its endpoint has requested a backoff in the meantime."""
+    state.LiveEndpoint.accepts_work = lambda live, _now: not live.endpoint.is_leaving
+
+
+def windowed_shares() -> None:
+    """Compares the usage within the share window with the fair level, without token buckets."""
+
+    def bucket_deficit_of(shares: FairShares, account: str, now: float) -> float:
+        shares._refresh(now)
+        return shares.given.total(account, now)
+
+    def is_over(shares: FairShares, account: str, now: float) -> bool:
+        return (
+            shares.bucket_deficit_of(account, now) > shares._level * shares._time_constant_seconds
+        )
+
+    def is_short(shares: FairShares, account: str, now: float) -> bool:
+        return (
+            shares.bucket_deficit_of(account, now)
+            < 0.7 * shares._level * shares._time_constant_seconds
+        )
+
+    fair_shares._LEVEL_FRACTION = 1.0
+    FairShares.bucket_deficit_of = bucket_deficit_of
+    FairShares.is_over = is_over
+    FairShares.is_short = is_short
+
+
+def no_bounds() -> None:
+    """Removes the limits on the bytes and answers that are read from an endpoint."""
+    client_connection._MAXIMUM_BYTES_WITHOUT_PROGRESS = float('inf')
+    event_relay._MAXIMUM_EVENT_BYTES = float('inf')
+    attempt._MAXIMUM_UNSIZED_RESPONSE_BYTES = float('inf')
+    attempt._MAXIMUM_SKIPPED_RESPONSES = 10**9
+    attempt._MAXIMUM_SKIPPED_BYTES = 10**12
+    connection_pool.ConnectionPool.close_stale = lambda _pool: None
+
+
+def no_era() -> None:
+    """Ignores the era of the store, so that a restore from a backup goes unnoticed."""
+    store.StoreClient._read_era = lambda _client, _head: 0
+
+
+def first_configuration() -> None:
+    """Applies only the first configuration and ignores newer ones."""
+    original = state.EntryState.apply_configuration
+
+    def apply(entry_state: state.EntryState, *arguments: object) -> None:
+        if entry_state.configuration is None:
+            original(entry_state, *arguments)
+
+    state.EntryState.apply_configuration = apply
+
+
+def no_warmup() -> None:
+    """Does not limit the requests to endpoints that are warming up."""
+    warmups.Warmups._find_bound = lambda _warmups, _live: None
+    warmup.divide_bound = lambda _bound, **_options: warmup.WarmupShare(1000, 0)
+
+
+def own_warmup() -> None:
+    """Limits each instance by the whole bound, as if it were the only one."""
+    original = warmup.divide_bound
+
+    def divide(bound: warmup.WarmupBound, **options: object) -> warmup.WarmupShare:
+        return original(bound, **(options | {'others': ()}))
+
+    warmups.divide_bound = divide
+    warmup.divide_bound = divide
+
+
+def no_evacuation() -> None:
+    """Ignores evacuations."""
+    evacuations.Evacuations.list_domains = lambda _evacuations, _now: frozenset()
+
+
+def no_notices() -> None:
+    """Tells the other instances nothing of evacuations and of endpoints that are warming up."""
+    peer_link.apply_if_notice = lambda _state, _received: False
+
+
+def no_regions() -> None:
+    """Ignores the regions of routes and accounts."""
+    entry_configuration.Configuration.find_regions = lambda _found, _route, _account: None
+
+
+def no_stall() -> None:
+    """Disables the stall timeout: a stream may bring no event until the request times out."""
+    entry_configuration.Route.stall_seconds = float('inf')
+
+
+def no_generation() -> None:
+    """Does not clear the crash count of a request when it is answered."""
+    crash_counts.CrashCounts.record_response = lambda _counts, _fingerprint, _now: None
+
+
+def any_report() -> None:
+    """Applies every report, even an outdated one or one from before the sender restarted."""
+    original = report_datagrams.ReportAssembler.take
+
+    def take(assembler: report_datagrams.ReportAssembler, datagram: object) -> object:
+        for sender in assembler._senders.values():
+            sender.past_incarnations.clear()
+        received = original(assembler, datagram)
+        return received and attrs.evolve(received, is_newest=True)
+
+    report_datagrams.ReportAssembler.take = take
+
+
+#: All variants of entry instances.
+ENTRY_VARIANTS = (
+    repeat_anything,
+    forget_leaving,
+    first_configuration,
+    forget_departures,
+    no_wishes,
+    no_last_look,
+    windowed_shares,
+    no_bounds,
+    no_era,
+    no_warmup,
+    own_warmup,
+    no_evacuation,
+    no_notices,
+    no_regions,
+    no_stall,
+    no_generation,
+    any_report,
+)
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -11,84 +11,23 @@
 import subprocess
 import sys
 import tempfile
-import time
 from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
-import attrs
 import httpx
 import orjson
 
+from .contract_rows import build_contract_puts
+from .process import Process, find_addresses, wait_until
+
 FLEET_KEY = 'development-fleet-key'
 PLATFORM_CREDENTIAL = 'development-platform-credential'
 _START_TIMEOUT_SECONDS = 30.0
 _STOP_TIMEOUT_SECONDS = 10.0
 
 
-@attrs.define(eq=False)
-class Process:
-    """One process that the fleet started.
-
-    Attributes:
-        name: Name of the instance in the live list, and of its settings file.
-        popen: The process.
-        log: File that receives its standard output and standard error.
-        addresses: URLs that it listens on.
-    """
-
-    name: str
-    popen: subprocess.Popen[bytes]
-    log: Path
-    addresses: list[str] = attrs.field(factory=list)
-
-    @property
-    def address(self) -> str:
-        """First URL that it listens on."""
-        return self.addresses[0]
-
-    def freeze(self) -> None:
-        """Suspends the process with SIGSTOP."""
-        self.popen.send_signal(signal.SIGSTOP)
-
-    def thaw(self) -> None:
-        """Resumes the process after `freeze`."""
-        self.popen.send_signal(signal.SIGCONT)
-
-    def kill(self) -> None:
-        """Ends the process with SIGKILL and waits for its end."""
-        self.popen.kill()
-        self.popen.wait()
-
-    def terminate(self) -> None:
-        """Asks the process to shut down with SIGTERM, without waiting."""
-        self.popen.terminate()
-
-
-def wait_until(condition: Callable[[], Any], *, seconds: float, what: str) -> Any:
-    """Polls a condition until it holds.
-
-    Args:
-        condition: Returns a value that is true once the condition holds.
-        seconds: Timeout.
-        what: Message of the error at a timeout, which says what did not happen.
-
-    Returns:
-        The value of the condition.
-
-    Raises:
-        TimeoutError: The condition did not hold in time.
-    """
-    deadline = time.monotonic() + seconds
-    while time.monotonic() < deadline:
-        result = condition()
-        if result:
-            return result
-        time.sleep(0.02)
-    raise TimeoutError(what)
-
-
 class Fleet:
     """Processes of one fleet; a context manager that ends them.
 
@@ -247,43 +186,7 @@
             contracts: Fields of each contract that replace the defaults, which set no limit in
                 practice.
         """
-        from fireflymux.messages import ConfigChange, ConfigHead, Contract
-        from fireflymux.web.credentials import compute_key_digest
-        from fireflymux.wire import codec
-
-        puts = []
-        for version, terms in enumerate(contracts, start=1):
-            contract = Contract(
-                **{
-                    'weight': 1.0,
-                    'rate_per_second': 1e6,
-                    'concurrency': 100000,
-                    'queue_length': 1000000,
-                    'key_digest': compute_key_digest('secret'),
-                    **terms,
-                }
-            )
-            change = ConfigChange(
-                version=version,
-                change_id=str(version),
-                operator='test',
-                contract=contract,
-            )
-            puts.append(
-                {
-                    'key': 'config/changes/{0:012d}'.format(version),
-                    'expected_version': 0,
-                    'value': codec.to_builtins(change),
-                }
-            )
-        head = ConfigHead(version=len(contracts), snapshot_version=0)
-        puts.append(
-            {
-                'key': 'config/head',
-                'expected_version': 0,
-                'value': codec.to_builtins(head),
-            }
-        )
+        puts = build_contract_puts(contracts)
         for start in range(0, len(puts), 100):
             self.client.post(
                 self._platform_url + '/table/transactions',
@@ -448,24 +351,8 @@
         process = Process(name, popen, log)
         self.processes[name] = process
         process.addresses = wait_until(
-            lambda: _find_addresses(process),
+            lambda: find_addresses(process),
             seconds=_START_TIMEOUT_SECONDS,
             what='{0} did not start'.format(name),
         )
         return process
-
-
-def _find_addresses(process: Process) -> list[str]:
-    """Returns the URLs in the log line `listening`; empty if it is not written yet.
-
-    Raises:
-        RuntimeError: The process has ended.
-    """
-    if process.popen.poll() is not None:
-        raise RuntimeError(process.log.read_text())
-    for line in process.log.read_text().splitlines():
-        if '"listening"' not in line:
-            continue
-        message = orjson.loads(line)
-        return message.get('addresses') or [message['address']]
-    return []
--- a/emulator/small_fleet.py
+++ b/emulator/small_fleet.py
@@ -4,7 +4,8 @@
 from functools import partial
 from typing import Any
 
-from .fleet import Fleet, Process
+from .fleet import Fleet
+from .process import Process
 
 ACCOUNTS = (
     {
--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from emulator.callers import call, find_answer_violations, run_concurrently
-from emulator.fleet import wait_until
+from emulator.process import wait_until
 from emulator.small_fleet import effects, start_small_fleet
 
 _PATH = '/services/bookings/reservations'
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies
 
 from emulator.callers import chat
-from emulator.fleet import wait_until
+from emulator.process import wait_until
 from fireflymux.messages import ConfigChange, Contract
 from fireflymux.store.configuration import Configuration
 from fireflymux.web.credentials import compute_key_digest
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -9,7 +9,8 @@
 from behave import given, then, when
 
 from emulator.callers import chat
-from emulator.fleet import FLEET_KEY, wait_until
+from emulator.fleet import FLEET_KEY
+from emulator.process import wait_until
 
 _VALID_SETTINGS = """[instance]
 name = r
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -8,7 +8,8 @@
 from behave import given, then, when
 
 from emulator.callers import chat
-from emulator.fleet import Fleet, wait_until
+from emulator.fleet import Fleet
+from emulator.process import wait_until
 from emulator.small_fleet import ACCOUNTS
 from fireflymux.decisions.admission_window import AdmissionWindow
 
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from emulator.callers import CHAT, Answer, authorization, call, chat, run_concurrently, send
-from emulator.fleet import wait_until
+from emulator.process import wait_until
 
 _VALID_BODY = {'model': 'stylist', 'messages': [{'role': 'user', 'content': 'hello'}]}
 
--- a/features/steps/whole_answer_steps.py
+++ b/features/steps/whole_answer_steps.py
@@ -17,7 +17,7 @@
     run_concurrently,
     send,
 )
-from emulator.fleet import wait_until
+from emulator.process import wait_until
 from emulator.small_fleet import histories, start_engine_sidecar, start_small_fleet
 
 
