A connection to the endpoint carries one call, so that no late answer belongs to the next

Callers of a pool could be told "not run, try again" for a call that the endpoint ran, or get the answer of another call: what an endpoint writes after a whole answer stays in the reader's buffer of the kept connection, and is read as the answer to the next call. The client's own check, whether an idle connection is readable, sees only what is still in the socket. A call to a plain service states no identifier that could be compared, and an engine's refusal states none either. A call with a key could be sent on such a connection too; only keeping it afterwards was ruled out.

Seen before the fix, on an endpoint that writes "200, 503" to its first call (features/ role_responses.feature): the engine's second call failed as endpoint_unreachable, which says "not run"; the service's second call was answered with the refusal, b'full'.

The client for the endpoint now sends Connection: close and keeps no connection, for each call. The first answer on a new connection can only be that of its call. The endpoint is beside the sidecar, so a connection costs little there; what it costs was not measured.

--- /dev/null
+++ b/features/steps/role_responses_steps.py
@@ -0,0 +1,74 @@
+"""Steps for answers of endpoints, sidecars and the platform that routers and sidecars get."""
+
+import trio
+from behave import given, then, when
+
+from emulator.scripted_server import ScriptedAnswer, ScriptedServer, answer
+from fireflymux._settings_generated import TlsSettings
+from fireflymux.messages import RunOrder
+from fireflymux.sidecar.endpoint_call import EndpointCall, EndpointClient
+from fireflymux.sidecar.response_buffer import ResponseBuffer
+from fireflymux.web.http_clients import create_endpoint_client
+
+
+def _order(**members):
+    return RunOrder(
+        **{
+            'request': 'request',
+            'attempt': 1,
+            'router': 'router',
+            'account': 'families',
+            'pool': 'pool',
+            'method': 'POST',
+            'path': '/v1/chat/completions',
+            'fingerprint': 'fingerprint',
+            **members,
+        }
+    )
+
+
+def _send_calls(kind, answers, orders, body=b'{}'):
+    """Returns the buffers of calls that a sidecar sends to a scripted endpoint one by one."""
+    buffers = []
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            server = await ScriptedServer.start(nursery, answers)
+            async with create_endpoint_client(TlsSettings()) as client:
+                endpoint = EndpointClient(
+                    client,
+                    server.url,
+                    check=lambda: None,
+                    prompt_token_weight=1.0,
+                    cost_per_second=1.0,
+                )
+                send = endpoint.call_engine if kind == 'engine' else endpoint.call_service
+                for order in orders:
+                    buffer = ResponseBuffer()
+                    buffers.append(buffer)
+                    await send(EndpointCall(order, body, buffer, lambda _: None, lambda _: None))
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+    return buffers
+
+
+@given('a {kind} that writes an earlier refusal once more behind its next answer')
+def prepare_repeated_refusal(context, kind):
+    context.kind = kind
+    first = answer(200, b'{"first": 1}').content
+    refusal = answer(503, b'full').content
+    context.answers = [ScriptedAnswer(first + refusal), answer(200, b'{"own": 1}')]
+
+
+@when('a sidecar sends it two calls one after the other')
+def send_two_calls(context):
+    orders = [_order(request='first'), _order(request='second')]
+    context.buffers = _send_calls(context.kind, context.answers, orders)
+
+
+@then('the second call gets its own answer')
+def check_own_answer(context):
+    buffer = context.buffers[1]
+    assert buffer.is_complete, buffer.failure
+    assert buffer.content == b'{"own": 1}', buffer.content
--- a/src/fireflymux/sidecar/endpoint_call.py
+++ b/src/fireflymux/sidecar/endpoint_call.py
@@ -277,10 +277,6 @@
         }
         if call.order.idempotency_key:
             headers['Idempotency-Key'] = call.order.idempotency_key
-            # The connection is not kept alive after this call: the endpoint may close such a
-            # connection just as the next request is sent, whose outcome would then be unknown.
-            # The call itself may still use one that an earlier call without a key left open.
-            headers['Connection'] = 'close'
         if call.order.traceparent:
             headers['traceparent'] = call.order.traceparent
         return headers
--- a/src/fireflymux/web/http_clients.py
+++ b/src/fireflymux/web/http_clients.py
@@ -11,6 +11,7 @@
 #: Timeout of a short request to another process of the fleet, such as a heartbeat.
 FLEET_REQUEST_TIMEOUT_SECONDS = 1.0
 _UNLIMITED = httpx.Limits(max_connections=None, max_keepalive_connections=None)
+_WITHOUT_KEEP_ALIVE = httpx.Limits(max_connections=None, max_keepalive_connections=0)
 
 
 def create_ssl_context(tls: TlsSettings) -> ssl.SSLContext:
@@ -104,7 +105,11 @@
 
 
 def create_endpoint_client(tls: TlsSettings) -> httpx.AsyncClient:
-    """Creates a sidecar's client for its endpoint.
+    """Creates a sidecar's client for its endpoint, which opens a connection for each request.
+
+    On a kept connection, what the endpoint wrote after its previous response would be read as the
+    response to the next request. The endpoint may also close such a connection just as the next
+    request is sent, whose outcome would then be unknown.
 
     Args:
         tls: Section [tls] of the settings.
@@ -115,6 +120,7 @@
     return httpx.AsyncClient(
         verify=create_ssl_context(tls),
         timeout=httpx.Timeout(None, connect=_CONNECT_TIMEOUT_SECONDS),
-        limits=_UNLIMITED,
+        headers={'Connection': 'close'},
+        limits=_WITHOUT_KEEP_ALIVE,
         trust_env=False,
     )
