A sidecar takes only a stream as the rest of a stream, and resumes nothing else

Callers of models got bytes that are no answer, in a response that counted as complete: - A stream broke off, and the engine answered the request for its rest with 200 and a body that is no stream: the body was appended to the events, and the run counted as complete. - A response without streaming broke off, before its head or within its body: its "rest" was requested as well, which an engine sends as events. They were given to a caller that had asked for none, or spliced behind the part of the JSON.

Cause: whatever came with status 200 was appended to the buffer, and any call that may have run was resumed, although only streams can be.

Seen before the fix (features/role_responses.feature): b'data: {"id": 0} data: {"id": 1} {"error": "gone"}', b'{"id"data: {"id": 0} ... data: [DONE]', both complete. An error, the stream of another request and a closed connection as answer to the request for the rest held before, too.

A rest must be an event stream now, and a call is resumed only if its caller asked for a stream and no other kind of response has begun. The run order says so (is_stream), since the sidecar that resumes need not be the one that got the body; orders of routers without the field count as streams.

--- a/features/steps/role_responses_steps.py
+++ b/features/steps/role_responses_steps.py
@@ -3,7 +3,7 @@
 import trio
 from behave import given, then, when
 
-from emulator.scripted_server import ScriptedAnswer, ScriptedServer, answer
+from emulator.scripted_server import ScriptedAnswer, ScriptedServer, answer, broken_off
 from fireflymux._settings_generated import TlsSettings
 from fireflymux.messages import RunOrder
 from fireflymux.sidecar.endpoint_call import EndpointCall, EndpointClient
@@ -72,3 +72,51 @@
     buffer = context.buffers[1]
     assert buffer.is_complete, buffer.failure
     assert buffer.content == b'{"own": 1}', buffer.content
+
+
+_EVENTS = b'data: {"id": 0}\n\ndata: {"id": 1}\n\n'
+_END = b'data: [DONE]\n\n'
+_STREAM = b'text/event-stream'
+_OTHER_ID = [(b'X-Request-Id', b'another.1')]
+_BROKEN_STREAM = broken_off(200, _EVENTS, _STREAM)
+_RESUMED = {
+    'a success without events': answer(200, b'{"error": "gone"}'),
+    'an error': answer(500, b'{"error": "gone"}'),
+    "another request's stream": answer(200, _EVENTS + _END, _STREAM, _OTHER_ID),
+    'nothing': ScriptedAnswer(b'', closes=True),
+}
+_PARTS = {'before the head': b'', 'within the body': b'{"id"'}
+
+
+@given('an engine that breaks off a stream and answers the request for the rest with {name}')
+def prepare_broken_stream(context, name):
+    context.answers = [_BROKEN_STREAM, _RESUMED[name]]
+
+
+@given('an engine that breaks off {part} and answers the request for the rest with a stream')
+def prepare_broken_response(context, part):
+    content = _PARTS[part]
+    first = broken_off(200, content, b'application/json') if content else _RESUMED['nothing']
+    context.answers = [first, answer(200, _EVENTS + _END, _STREAM)]
+
+
+@when('a sidecar sends it a streaming call')
+def send_streaming_call(context):
+    context.buffers = _send_calls('engine', context.answers, [_order()], b'{"stream": true}')
+
+
+@when('a sidecar sends it a call without streaming')
+def send_plain_call(context):
+    context.buffers = _send_calls('engine', context.answers, [_order(is_stream=False)])
+
+
+@then('the response has the events before the break and is not complete')
+def check_events_only(context):
+    assert context.buffers[0].content == _EVENTS, context.buffers[0].content
+    assert not context.buffers[0].is_complete
+
+
+@then('the response is {part} and is not complete')
+def check_part_only(context, part):
+    assert context.buffers[0].content == _PARTS[part], context.buffers[0].content
+    assert not context.buffers[0].is_complete
--- a/src/fireflymux/_messages_generated.py
+++ b/src/fireflymux/_messages_generated.py
@@ -83,6 +83,7 @@
     traceparent: str = ''
     config_version: int = 0
     isolated: bool = False
+    is_stream: bool = True
     headers: dict[str, str] = field(factory=dict)
 
 
--- a/src/fireflymux/router/caller_requests.py
+++ b/src/fireflymux/router/caller_requests.py
@@ -48,7 +48,7 @@
         content_type: Content type of the body.
         idempotency_key: Key of a call that must run at most once; empty for other requests.
         may_repeat: Whether the request may run more than once.
-        is_stream: Whether the caller asked for server-sent events; not used by the router.
+        is_stream: Whether the caller asked a model for server-sent events.
         timeout_seconds: Time after its arrival at which the request stops waiting in the queue and
             is not retried any more. An attempt that runs then is not ended.
         traceparent: Trace context of the caller.
--- a/src/fireflymux/router/dispatch.py
+++ b/src/fireflymux/router/dispatch.py
@@ -211,6 +211,7 @@
             content_type=request.content_type,
             idempotency_key=request.idempotency_key,
             traceparent=traceparent,
+            is_stream=request.is_stream,
             headers=request.headers,
         )
         deadline = trio.current_time() + request.timeout_seconds
--- a/src/fireflymux/sidecar/endpoint_call.py
+++ b/src/fireflymux/sidecar/endpoint_call.py
@@ -14,7 +14,7 @@
 
 from ..errors import CallFailure, ErrorKind, ExecutionStatus
 from ..messages import RunOrder
-from ..wire.headers import EVENT_STREAM, STREAM_END, filter_forwarded_headers
+from ..wire.headers import STREAM_END, filter_forwarded_headers
 from .response_buffer import ResponseBuffer, ResponseHead
 
 REQUEST_ID_HEADER = 'X-Request-Id'
@@ -55,6 +55,12 @@
         """Identifier of this attempt, sent to the endpoint as the request identifier."""
         return '{0}.{1}'.format(self.order.request, self.order.attempt)
 
+    @property
+    def is_resumable(self) -> bool:
+        """Whether the rest of the response may be requested, which an engine sends as a stream."""
+        head = self.buffer.head
+        return self.order.is_stream and (head is None or head.is_stream)
+
 
 class _SendRefused(Exception):
     """The admission check failed just before the call was sent."""
@@ -143,7 +149,8 @@
             extensions={'trace': self._check_before_send},
         )
         failure = await self._send_and_receive(call, request, sent_at=trio.current_time())
-        if failure is not None and failure.outcome is not ExecutionStatus.no:
+        may_have_run = failure is not None and failure.outcome is not ExecutionStatus.no
+        if may_have_run and call.is_resumable:
             # If the resume fails too, the first failure is the one that is reported.
             resume_failure = await self.resume_stream(call)
             failure = None if resume_failure is None else failure
@@ -224,17 +231,20 @@
     ) -> CallFailure | None:
         """Appends a response to the buffer of the call, and meters its tokens.
 
-        The response to a resume request with a status other than 200 means that the stream is
-        gone. For a first response, status 503 counts as `endpoint_unreachable`, that is as not
-        run, and the endpoint backs off. Any other status from 500 on counts as a crash.
+        A response to a resume request that has a status other than 200 or is no stream means that
+        the stream is gone. For a first response, status 503 counts as `endpoint_unreachable`,
+        that is as not run, and the endpoint backs off. Any other status from 500 on counts as a
+        crash.
         """
-        if sent_at is None and response.status_code != httpx.codes.OK:
+        head = ResponseHead(
+            response.status_code, _content_type(response), _forwarded_headers(response)
+        )
+        is_rest = head.status == httpx.codes.OK and head.is_stream
+        if sent_at is None and not is_rest:
             return CallFailure(ErrorKind.answer_expired, 'the engine holds no such stream')
         echoed = response.headers.get(REQUEST_ID_HEADER, call.endpoint_request_id)
         if echoed != call.endpoint_request_id:
             return CallFailure(ErrorKind.answer_cut, 'the engine answered another request')
-        content_type = _content_type(response)
-        is_stream = content_type.startswith(EVENT_STREAM)
         if response.status_code == httpx.codes.SERVICE_UNAVAILABLE:
             return CallFailure(ErrorKind.endpoint_unreachable, 'the engine takes no requests now')
         if response.status_code >= httpx.codes.INTERNAL_SERVER_ERROR:
@@ -242,20 +252,18 @@
                 ErrorKind.endpoint_crashed,
                 'status {0}'.format(response.status_code),
             )
-        call.buffer.publish_head(
-            ResponseHead(response.status_code, content_type, _forwarded_headers(response))
-        )
+        call.buffer.publish_head(head)
         async for chunk in response.aiter_raw():
             if sent_at is not None:
                 call.observe_first_token(trio.current_time() - sent_at)
                 # Observes the time for the first chunk only.
                 sent_at = None
             call.buffer.append(chunk)
-            if is_stream:
+            if head.is_stream:
                 # Counts each event, whatever it holds, as one generated token, which costs one
                 # unit. The end marker counts too; an event end split over two chunks does not.
                 call.meter(chunk.count(_EVENT_END))
-        if not is_stream:
+        if not head.is_stream:
             call.meter(_count_completion_tokens(call.buffer.content))
             return None
         if call.buffer.ends_with(STREAM_END):
--- a/src/fireflymux/sidecar/response_buffer.py
+++ b/src/fireflymux/sidecar/response_buffer.py
@@ -10,6 +10,7 @@
 import trio
 
 from ..errors import CallFailure
+from ..wire.headers import EVENT_STREAM
 
 UNLIMITED_BYTES = 1 << 62
 
@@ -22,6 +23,11 @@
     content_type: str
     headers: dict[str, str] = attrs.field(factory=dict)
 
+    @property
+    def is_stream(self) -> bool:
+        """Whether the body is a stream of server-sent events."""
+        return self.content_type.startswith(EVENT_STREAM)
+
 
 class ResponseBuffer:
     """Response of one attempt, from its head to its end or failure."""
@@ -42,6 +48,11 @@
         self._finished = False
         self._changed = trio.Event()
 
+    @property
+    def head(self) -> ResponseHead | None:
+        """The head, or None until it is published."""
+        return self._head
+
     @property
     def content(self) -> bytes:
         """Bytes of the body that are still in the buffer."""
--- a/src/fireflymux/sidecar/sidecar.py
+++ b/src/fireflymux/sidecar/sidecar.py
@@ -450,8 +450,8 @@
     stream.
 
     Returns:
-        The new run, or None if the endpoint is no engine, the sidecar is shutting down or there
-        is no valid run order.
+        The new run, or None if the endpoint is no engine, the sidecar is shutting down, the
+        caller asked for no stream or there is no valid run order.
     """
     if sidecar.sidecar_settings.kind != 'engine' or sidecar.is_stopping:
         return None
@@ -459,6 +459,8 @@
         order = codec.decode(request.headers.get(headers.RUN_ORDER, ''), RunOrder)
     except codec.DecodeError:
         return None
+    if not order.is_stream:
+        return None
     slot: Slot = sidecar.scheduler.admit_resumed(order.account)
     run = sidecar.runs.create(order, b'', slot, start=offset)
     nursery.start_soon(sidecar.runs.resume, run)
@@ -506,10 +508,7 @@
         headers.ENDPOINT_HEADERS_HEADER: codec.encode(head.headers).decode(),
         'Content-Type': head.content_type,
     }
-    if (
-        head.content_type.startswith(headers.EVENT_STREAM)
-        and sidecar.sidecar_settings.kind == 'engine'
-    ):
+    if head.is_stream and sidecar.sidecar_settings.kind == 'engine':
         chunks = _read_chunks(sidecar, run, offset)
         return build_stream_response(chunks, status=head.status, headers=response_headers)
     await run.buffer.wait_finished()
