A header field with a negative, long or great number ends no instance

What callers and operators would see: one request with, say, `X-Token-Usage: -5` or a prompt part whose identifier has more than 64 bits ended the whole process, and so did one answer of an endpoint with a long number in `Keep-Alive` or `X-Warmup-Ms`. All requests of the instance broke off; a repeated one took the next instance.

Cause: numbers of header fields were converted with int() without a range. Converting some of them to a float, counting a negative one in a metric, or packing one of over 64 bits into a report to the other instances raises an error that nothing catches, in the task of the request or of the reports.

Fix: such numbers are read by functions with a range and a bound on digits (bounded_values); what is beyond counts as missing, as other malformed fields do.

--- a/emulator/backend.py
+++ b/emulator/backend.py
@@ -32,6 +32,7 @@
         left: Identifiers of the attempts whose connection ended before the answer was complete.
         retry_after: Value of `Retry-After` in its answers while it is full; empty for none.
         turned_away: Number of requests that it rejected without running them.
+        extra_fields: Header fields that it adds to the answers to the requests that it runs.
     """
 
     def __init__(self, name: str, behaviour: str = 'answer') -> None:
@@ -39,6 +40,7 @@
         self.behaviour = behaviour
         self.retry_after = ''
         self.turned_away = 0
+        self.extra_fields: HeaderFields = []
         self.requests: list[Request] = []
         self.left: list[bytes] = []
 
@@ -65,6 +67,7 @@
             return
         self.requests.append(request)
         fields = [(b'X-Attempt-Id', attempt), (b'X-Server-Signature', self.name.encode())]
+        fields.extend(self.extra_fields)
         try:
             await _BEHAVIOURS[self.behaviour](request, writer, fields)
         except BaseException:
--- /dev/null
+++ b/src/fireflymux/bounded_values.py
@@ -0,0 +1,108 @@
+"""Decodes values from outside within bounds.
+
+Header fields, stored rows and messages of other instances can state any value. Python integers
+have no limit, and their conversion to a float, to MessagePack or to JSON raises an error beyond
+some size, as does the conversion of many digits to an integer. Values are therefore checked where
+they enter the process.
+
+The functions `parse_...` decode text and return None if it is not valid. The functions `check_...`
+take decoded JSON or MessagePack and raise `OutOfBounds`.
+"""
+
+import string
+from typing import Any
+
+#: Greatest integer that floats, and so all implementations of JSON, represent exactly.
+MAXIMUM_INTEGER = 9007199254740991
+MAXIMUM_PORT = 65535
+#: Greatest number of tokens of one prompt part, prompt or response.
+MAXIMUM_TOKENS = 1000000000
+#: Greatest identifier of a prompt part, which messages between instances hold in 64 bits.
+MAXIMUM_IDENTIFIER = 18446744073709551615
+#: Greatest number of seconds of a warm-up, a timeout or another span of time.
+MAXIMUM_SECONDS = 86400.0
+#: Greatest length of a name in characters.
+MAXIMUM_NAME_CHARACTERS = 200
+#: Digits after which a text counts as no number, whatever they are.
+_MAXIMUM_DIGITS = 20
+_DECIMAL = 10
+_DECIMAL_DIGITS = frozenset(string.digits.encode())
+_HEXADECIMAL_DIGITS = frozenset(string.hexdigits.encode())
+
+
+class OutOfBounds(ValueError):
+    """A value from outside is missing, has another type, or is out of its range."""
+
+
+def parse_integer(text: bytes, *, maximum: int, base: int = _DECIMAL) -> int | None:
+    """Decodes an integer that is not negative.
+
+    Args:
+        text: Its digits, without a sign; spaces around them are ignored.
+        maximum: Greatest integer that is valid.
+        base: 10 or 16.
+
+    Returns:
+        The integer; None if the text is something else, too long, or exceeds the maximum.
+    """
+    digits = text.strip()
+    allowed = _DECIMAL_DIGITS if base == _DECIMAL else _HEXADECIMAL_DIGITS
+    if not digits or len(digits) > _MAXIMUM_DIGITS or not allowed.issuperset(digits):
+        return None
+    number = int(digits, base)
+    return number if number <= maximum else None
+
+
+def is_header_text(text: str) -> bool:
+    """Tells whether a text can be the value of a header field: not empty, and on one line."""
+    return bool(text) and text.isprintable() and text == text.strip()
+
+
+def check_integer(value: Any, *, maximum: int = MAXIMUM_INTEGER, minimum: int = 0) -> int:
+    """Checks a decoded integer.
+
+    Args:
+        value: The decoded value.
+        maximum: Greatest integer that is valid.
+        minimum: Least integer that is valid.
+
+    Returns:
+        The integer.
+
+    Raises:
+        OutOfBounds: It is no integer, or out of range.
+    """
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise OutOfBounds('{0} in place of an integer'.format(type(value).__name__))
+    if not minimum <= value <= maximum:
+        raise OutOfBounds('an integer is not from {0} to {1}'.format(minimum, maximum))
+    return value
+
+
+def check_number(value: Any, *, maximum: float, minimum: float = 0) -> float:
+    """Checks a decoded integer or float; the arguments and errors are those of `check_integer`."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise OutOfBounds('{0} in place of a number'.format(type(value).__name__))
+    # A float that is not a number fails every comparison.
+    if not minimum <= value <= maximum:
+        raise OutOfBounds('a number is not from {0} to {1}'.format(minimum, maximum))
+    return float(value)
+
+
+def check_name(value: Any) -> str:
+    """Checks a decoded name, which may be sent as the value of a header field.
+
+    Args:
+        value: The decoded value.
+
+    Returns:
+        The name.
+
+    Raises:
+        OutOfBounds: It is no text, too long, or not valid in a header field.
+    """
+    if not isinstance(value, str):
+        raise OutOfBounds('{0} in place of a name'.format(type(value).__name__))
+    if len(value) > MAXIMUM_NAME_CHARACTERS or not is_header_text(value):
+        raise OutOfBounds('a name is empty, too long, or has control characters')
+    return value
--- a/src/fireflymux/platform/call_headers.py
+++ b/src/fireflymux/platform/call_headers.py
@@ -8,6 +8,13 @@
 
 import attrs
 
+from ..bounded_values import (
+    MAXIMUM_IDENTIFIER,
+    MAXIMUM_INTEGER,
+    MAXIMUM_SECONDS,
+    MAXIMUM_TOKENS,
+    parse_integer,
+)
 from ..decisions.prompts import PromptPart
 from ..http.messages import HeaderFields, Request, ResponseHead, find_header
 from ..observability.logs import get_logger
@@ -38,6 +45,8 @@
 _MISDIRECTED_STATUS = 421
 _MILLISECONDS_PER_SECOND = 1000.0
 _KEEP_ALIVE_TIMEOUT_OPTION = b'timeout='
+_HEXADECIMAL = 16
+_MAXIMUM_WARMUP_MILLISECONDS = int(MAXIMUM_SECONDS * _MILLISECONDS_PER_SECOND)
 
 #: Hop-by-hop and framing fields, and Expect; none of them is forwarded.
 _HOP_BY_HOP = frozenset(
@@ -133,22 +142,23 @@
         request: The request.
 
     Returns:
-        Its metadata. Malformed fields are treated as missing, except that the prompt parts before
-        the first malformed one count. X-Token-Usage has the form `prompt,output`, both in tokens;
+        Its metadata. Malformed fields are treated as missing, and so are numbers that are negative
+        or out of range, except that the prompt parts before the first malformed one count. X-Token-Usage has the form `prompt,output`, both in tokens;
         a single number counts as both. X-Length-Hint takes precedence for the output. Of a field
         that is repeated, the last value counts.
     """
     found = {name.lower(): value for name, value in request.fields}
     tokens = found.get(_TOKEN_USAGE, b'').split(b',')
-    resume_after = found.get(_LAST_EVENT_ID, b'')
+    output_tokens = _parse_tokens(found.get(_LENGTH_HINT, b''))
+    resume_after = parse_integer(found.get(_LAST_EVENT_ID, b''), maximum=MAXIMUM_INTEGER)
     return RequestMetadata(
         attempt=found.get(_ATTEMPT_ID, b''),
         deadline_seconds=_decode_deadline(found.get(_DEADLINE_MS, b'')),
         key=_decode_key(found.get(_AUTHORIZATION, b'')),
-        prompt_tokens=_to_int(tokens[0], 0),
-        output_tokens=_to_int(found.get(_LENGTH_HINT, b''), _to_int(tokens[-1], 0)),
+        prompt_tokens=_parse_tokens(tokens[0]) or 0,
+        output_tokens=(_parse_tokens(tokens[-1]) or 0) if output_tokens is None else output_tokens,
         parts=_decode_parts(found.get(_PROMPT_PREFIX, b'')),
-        resume_after=_to_int(resume_after, -1),
+        resume_after=-1 if resume_after is None else resume_after,
     )
 
 
@@ -213,11 +223,12 @@
         head: Status and header fields of the response.
 
     Returns:
-        Its metadata. Malformed fields are treated as missing, except that a malformed timeout in
-        Keep-Alive is treated as zero. X-Not-Executed counts with any value. Of a field that is
+        Its metadata. Malformed fields are treated as missing, and so are numbers that are negative
+        or out of range, except that such a timeout in Keep-Alive is treated as zero. X-Not-Executed counts with any value. Of a field that is
         repeated, the last value counts.
     """
     found = {name.lower(): value for name, value in head.fields}
+    warmup = parse_integer(found.get(_WARMUP_MS, b''), maximum=_MAXIMUM_WARMUP_MILLISECONDS)
     return ResponseMetadata(
         attempt=found.get(_ATTEMPT_ID, b''),
         has_signature=bool(found.get(_SERVER_SIGNATURE)),
@@ -225,7 +236,7 @@
         idle_seconds=_decode_idle_timeout(found.get(_KEEP_ALIVE, b'')),
         is_leaving=found.get(_SERVER_LEAVING, b'').strip() == _LEAVING_VALUE,
         requested_backoff_seconds=_decode_backoff(head.status, found.get(_RETRY_AFTER, b'')),
-        warmup_seconds=max(_to_int(found.get(_WARMUP_MS, b''), 0), 0) / _MILLISECONDS_PER_SECOND,
+        warmup_seconds=(warmup or 0) / _MILLISECONDS_PER_SECOND,
     )
 
 
@@ -310,11 +321,12 @@
     # Later parts are useful only if all earlier ones are known, so parsing stops at an error.
     parts = []
     for entry in text.split(b','):
-        identifier, _, tokens = entry.strip().partition(b':')
-        try:
-            parts.append(PromptPart(int(identifier, 16), int(tokens)))
-        except ValueError:
+        hexadecimal, _, decimal = entry.partition(b':')
+        identifier = parse_integer(hexadecimal, maximum=MAXIMUM_IDENTIFIER, base=_HEXADECIMAL)
+        tokens = _parse_tokens(decimal)
+        if identifier is None or tokens is None:
             break
+        parts.append(PromptPart(identifier, tokens))
     return tuple(parts)
 
 
@@ -322,7 +334,8 @@
     for option in text.split(b','):
         name = option.strip().lower()
         if name.startswith(_KEEP_ALIVE_TIMEOUT_OPTION):
-            return float(_to_int(name[len(_KEEP_ALIVE_TIMEOUT_OPTION) :], 0))
+            seconds = name[len(_KEEP_ALIVE_TIMEOUT_OPTION) :]
+            return float(parse_integer(seconds, maximum=MAXIMUM_INTEGER) or 0)
     return None
 
 
@@ -346,8 +359,5 @@
     return min(stated, _MAXIMUM_BACKOFF_SECONDS)
 
 
-def _to_int(text: bytes, default: int) -> int:
-    try:
-        return int(text)
-    except ValueError:
-        return default
+def _parse_tokens(text: bytes) -> int | None:
+    return parse_integer(text, maximum=MAXIMUM_TOKENS)
