--- a/features/steps/message_steps.py
+++ b/features/steps/message_steps.py
@@ -71,12 +71,16 @@
 
     def __init__(self):
         self.content = b''
+        self.has_begun = False
         self.is_ended = False
 
     async def start(self, status, fields, first_chunk):
+        assert not self.has_begun
+        self.has_begun = True
         self.content += first_chunk
 
     async def send_chunk(self, content):
+        assert self.has_begun
         self.content += content
 
     async def end(self):
@@ -96,7 +100,7 @@
             relay = EventRelay(caller, resume_after=-1, has_event_ids=True)
             for start in range(0, broken_at, piece):
                 await relay.forward(whole[start : min(start + piece, broken_at)], 200, [])
-            relay.restart()
+            relay.begin_attempt([])
             # The next endpoint resumes after the last complete event, or repeats that event.
             rest = b''.join(events[max(relay.last_event_id, 0) :])
             for start in range(0, len(rest), piece):
