An odd entry among those of the endpoints ends no instance

What operators saw: another writer left an entry with a port out of range in the list of endpoints, and the instances that read the list ended again and again. This could happen here: an entry with the address 127.0.0.1:70000 was listed as an endpoint, and connecting to it raises OverflowError, which is no OSError, in the task of a request. An identifier with a line break was listed, too, and became a header field of the writer's choice in the requests (X-Expect-Instance is its own line, X-Tenant the next).

Cause: port, slots, incarnation and warm-up were checked for their type, not their range, and the identifier, which is sent in a header field, not at all.

--- a/features/outside_values.feature
+++ b/features/outside_values.feature
@@ -34,3 +34,43 @@
       | X-Warmup-Ms | 9 x 400          |
       | X-Warmup-Ms | 9 x 100          |
       | X-Warmup-Ms | 9 x 5000         |
+
+  Scenario Outline: One odd entry among those of the endpoints ends no instance and hides no other entry
+    Given a "safe" route with two endpoints that answer
+    When another writer leaves the entry "odd" with <member> <value> among those of the endpoints
+    Then every request is served by the other endpoints, also after a start, and a new endpoint is used
+
+    Examples:
+      | member         | value               |
+      | address        | "127.0.0.1:70000"   |
+      | address        | "127.0.0.1:0"       |
+      | address        | "127.0.0.1:-1"      |
+      | address        | "127.0.0.1:9 x 5000" |
+      | address        | [[[[[["a"]]]]]]     |
+      | batch_slots    | -3                  |
+      | batch_slots    | 1e300               |
+      | batch_slots    | 18446744073709551615 |
+      | born           | -1                  |
+      | born           | 18446744073709551615 |
+      | warmup_left_ms | 1e308               |
+      | warmup_left_ms | -1e308              |
+      | zone           | ""                  |
+      | service        | {"a": [1]}          |
+      | state          | ["ready"]           |
+      | everything     | [ x 900] x 900      |
+      | everything     | [ x 100000] x 100000 |
+      | everything     | 9 x 100000          |
+      | everything     | nothing             |
+
+  Scenario Outline: An entry whose identifier can't be a header value names no endpoint
+    Given a "safe" route with two endpoints that answer
+    When another writer leaves a copy of the entry of "e0" with the identifier <identifier>
+    Then every request is served by the other endpoints, also after a start, and a new endpoint is used
+
+    Examples:
+      | identifier               |
+      | "x\r\nX-Tenant: partner" |
+      | "x\nX-Tenant: partner"    |
+      | ""                       |
+      | "x\x00"                  |
+      | "y x 300"                |
--- a/features/steps/outside_values_steps.py
+++ b/features/steps/outside_values_steps.py
@@ -2,6 +2,7 @@
 
 import re
 
+import orjson
 import trio
 from behave import given, then, when
 
@@ -71,3 +72,58 @@
     replies, warming = context.result
     assert [reply.status for reply in replies] == [200] * 5, replies
     assert warming == [False, False], warming
+
+
+@when(
+    'another writer leaves the entry "{name}" with {member} {value} among those of the endpoints'
+)
+def leave_odd_entry(context, name, member, value):
+    async def act(fleet):
+        entry, _ = fleet.store._tables['servers']['e0']
+        text = '' if value == 'nothing' else _expand(value)
+        if member != 'everything':
+            members = orjson.loads(entry)
+            members[member] = '(odd)'
+            text = orjson.dumps(members).decode().replace('"(odd)"', text)
+        return await _serve_beside(fleet, name, text.encode())
+
+    _run_on_fleet(context, act)
+
+
+@when('another writer leaves a copy of the entry of "{name}" with the identifier {identifier}')
+def leave_odd_identifier(context, name, identifier):
+    async def act(fleet):
+        entry, _ = fleet.store._tables['servers'][name]
+        key = _expand(identifier[1:-1]).encode().decode('unicode_escape')
+        return await _serve_beside(fleet, key, entry)
+
+    _run_on_fleet(context, act)
+
+
+async def _serve_beside(fleet, key, entry):
+    """Writes an odd entry, starts a second instance, and replaces the endpoints by a new one."""
+    fleet.store.put('servers', key, entry)
+    await fleet.add_instance(fleet.settings[0].store_address)
+    await fleet.wait_ready(1)
+    replies = [await fleet.call('/', number) for number in (0, 1) for _ in range(4)]
+    await fleet.add_backend('later', 'pool')
+    for name in ('e0', 'e1'):
+        fleet.store.remove('servers', name)
+    await trio.sleep(0.8)
+    last = [await fleet.call('/', number) for number in (0, 1) for _ in range(8)]
+    return replies, last
+
+
+@then(
+    'every request is served by the other endpoints, also after a start,'
+    ' and a new endpoint is used'
+)
+def check_served_beside(context):
+    replies, last = context.result
+    assert {reply.status for reply in replies} == {200}, replies
+    assert {(reply.status, reply.content) for reply in last} == {(200, b'answer of later')}, last
+    turned_away = [backend.turned_away for backend in context.entry_fleet.backends.values()]
+    assert turned_away == [0, 0, 0], turned_away
+    for instance in context.entry_fleet.instances:
+        (listed,) = instance._state.list_endpoints()
+        assert listed.endpoint.identifier == 'later', listed
