A connection carries no request whose answer could be an earlier one's

Callers were told 503 (not run, try again) for unsafe requests that the endpoint had run, unsafe requests ran at two endpoints, and callers got the success or the stream of another request.

Cause: an answer is matched to a request by the identifier that it repeats, on a connection that may have carried the same identifier before: the caller sent it again, or sent none. An endpoint that writes its earlier answer once more then has it taken for the answer to the present request.

The copies that bear another identifier than the present request, or none where that has one, were skipped before as well, and one that arrives with the first answer closes the connection.

Each connection now knows the identifiers that it carried, as hashes, and is not taken for a request with one of these; a request without an identifier gets a connection that carried none. What is matched can therefore belong to no earlier request. After 256 requests a connection is replaced, which bounds the memory: 300 requests with identifiers of their own use 2 connections (1 before). The store repeats no identifiers and uses its connections as before.

Steps that replace `pool.take` pass its new argument on.

--- /dev/null
+++ b/emulator/repeating_backend.py
@@ -0,0 +1,120 @@
+"""Emulates an endpoint that writes its first answer once more on the connection."""
+
+from collections.abc import Mapping
+from types import MappingProxyType
+
+import attrs
+import trio
+
+from fireflymux.http.messages import (
+    HeaderFields,
+    Request,
+    encode_head,
+    find_header,
+    status_line,
+)
+from fireflymux.http.response_writer import ResponseWriter
+
+from .backend import Backend
+from .raw_response import encode_answer, send_raw
+
+#: Pause between the parts of a copy, so that they arrive in reads of their own.
+_PAUSE_SECONDS = 0.03
+_ATTEMPT_ID = b'X-Attempt-Id'
+_INTERIM_ANSWER = b'HTTP/1.1 103 Early Hints\r\n\r\n'
+_REFUSED_STATUSES: Mapping[str, int] = MappingProxyType(
+    {'refusal 503': 503, 'refusal 429': 429, 'refusal 421': 421}
+)
+
+
+@attrs.define(frozen=True)
+class CopyTiming:
+    """How the copy of an answer is written.
+
+    Attributes:
+        bytes_at_once: Bytes of it that follow the answer at once; None for all. The others come
+            when the next request has arrived on the connection, before its answer.
+        prefix: Bytes before it.
+        pause_after: Bytes of the others that are written before a pause.
+        has_id: Whether it repeats the identifier of the attempt.
+    """
+
+    bytes_at_once: int | None = 0
+    prefix: bytes = b''
+    pause_after: int = 0
+    has_id: bool = True
+
+
+COPY_TIMINGS: Mapping[str, CopyTiming] = MappingProxyType(
+    {
+        'with the next request': CopyTiming(),
+        'without its id': CopyTiming(has_id=False),
+        'after an interim answer': CopyTiming(prefix=_INTERIM_ANSWER),
+        'in two reads': CopyTiming(pause_after=-4),
+        'at once': CopyTiming(bytes_at_once=None),
+        'begun at once': CopyTiming(bytes_at_once=9),
+        'begun at once and without its id': CopyTiming(bytes_at_once=9, has_id=False),
+    }
+)
+
+
+class RepeatingBackend(Backend):
+    """An endpoint that writes its first answer twice, and answers other requests as it should.
+
+    The body of each success names the target of its request.
+
+    Attributes:
+        first: Kind of the first answer: a key of `_REFUSED_STATUSES`, `success`, or `stream` for a
+            success in chunks.
+        timing: How the copy is written.
+        connections: Connections on which requests arrived.
+    """
+
+    def __init__(self, name: str, first: str, timing: CopyTiming) -> None:
+        super().__init__(name)
+        self.first = first
+        self.timing = timing
+        self.connections: set[ResponseWriter] = set()
+        self._due: dict[ResponseWriter, bytes] = {}
+        self._is_first = True
+
+    async def respond(self, request: Request, writer: ResponseWriter) -> None:
+        """Handles one request, after the part of a copy that is due on its connection."""
+        self.connections.add(writer)
+        attempt = find_header(request.fields, _ATTEMPT_ID.lower())
+        fields = [(_ATTEMPT_ID, attempt)] if attempt else []
+        if not self._is_first:
+            self.requests.append(request)
+            await self._send_due(writer)
+            await send_raw(writer, self._encode_success(request, fields))
+            return
+        self._is_first = False
+        if self.first not in _REFUSED_STATUSES:
+            self.requests.append(request)
+        copy_fields = fields if self.timing.has_id else []
+        copy = self.timing.prefix + self._encode_first(request, copy_fields)
+        at_once = len(copy) if self.timing.bytes_at_once is None else self.timing.bytes_at_once
+        self._due[writer] = copy[at_once:]
+        await send_raw(writer, self._encode_first(request, fields) + copy[:at_once])
+
+    async def _send_due(self, writer: ResponseWriter) -> None:
+        due = self._due.pop(writer, b'')
+        if due and self.timing.pause_after:
+            await send_raw(writer, due[: self.timing.pause_after])
+            await trio.sleep(_PAUSE_SECONDS)
+            due = due[self.timing.pause_after :]
+        await send_raw(writer, due)
+
+    def _encode_first(self, request: Request, fields: HeaderFields) -> bytes:
+        status = _REFUSED_STATUSES.get(self.first)
+        if status is None:
+            return self._encode_success(request, fields)
+        return encode_answer(status, [*fields, (b'X-Not-Executed', b'1')], b'not run')
+
+    def _encode_success(self, request: Request, fields: HeaderFields) -> bytes:
+        content = b'id: 0\ndata: %b\n\n' % request.target
+        signed = [*fields, (b'X-Server-Signature', b'e0')]
+        if self.first != 'stream':
+            return encode_answer(200, signed, content)
+        head = encode_head(status_line(200), [*signed, (b'Transfer-Encoding', b'chunked')])
+        return b'%b%x\r\n%b\r\n0\r\n\r\n' % (head, len(content), content)
--- a/emulator/variants.py
+++ b/emulator/variants.py
@@ -301,6 +301,11 @@
     connection_pool.ConnectionPool.close_stale = lambda _pool: None
 
 
+def any_connection() -> None:
+    """Uses connections again whose earlier requests had the identifier of the present one."""
+    client_connection.ClientConnection.can_identify = lambda _connection, _identifier: True
+
+
 def no_era() -> None:
     """Ignores the era of the store, so that a restore from a backup goes unnoticed."""
     store.StoreClient._read_era = lambda _client, _head: 0
@@ -406,6 +411,7 @@
             no_last_look,
             windowed_shares,
             no_bounds,
+            any_connection,
             no_era,
             no_warmup,
             own_warmup,
--- /dev/null
+++ b/features/kept_connections.feature
@@ -0,0 +1,61 @@
+Feature: Answers on kept connections to endpoints are matched to their own requests
+  A faulty endpoint may write an earlier answer once more, at once or when the connection is used again.
+
+  Scenario Outline: A refusal that is written again is not taken for the answer to a request that runs
+    Given a "unsafe" route whose only endpoint writes its first answer, a "<first>", again "<timing>"
+    When callers send two requests one after the other, the second with "<id>"
+    Then the first is told that it was not run, and the second gets its own response
+    And no request that was refused has run, and none has run twice
+
+    Examples: Copies that bear the identifier of the second request, or none as it does
+      | first       | timing                           | id          |
+      | refusal 503 | with the next request            | the same id |
+      | refusal 429 | with the next request            | the same id |
+      | refusal 421 | with the next request            | the same id |
+      | refusal 503 | after an interim answer          | the same id |
+      | refusal 503 | in two reads                     | the same id |
+      | refusal 503 | begun at once                    | the same id |
+      | refusal 503 | with the next request            | no id       |
+      | refusal 503 | with the next request            | an empty id |
+      | refusal 503 | without its id                   | no id       |
+      | refusal 503 | begun at once and without its id | no id       |
+      | refusal 503 | without its id                   | an empty id |
+
+    Examples: Copies that can be told apart
+      | first       | timing                | id                |
+      | refusal 503 | at once               | the same id       |
+      | refusal 503 | with the next request | another id        |
+      | refusal 503 | without its id        | another id        |
+      | refusal 503 | without its id        | the same id       |
+      | refusal 503 | in two reads          | another id        |
+      | refusal 503 | begun at once         | another id        |
+      | refusal 503 | with the next request | an id in capitals |
+
+  Scenario: A refusal that is written again sends no request that runs to a second endpoint
+    Given a "unsafe" route whose two endpoints each write their first answer, a "refusal 503", again
+    When callers send two requests one after the other, the second with "the same id"
+    Then no request that was refused has run, and none has run twice
+    And the first is told that it was not run, and the second gets its own response
+
+  Scenario: Requests with identifiers of their own share few connections
+    Given a "unsafe" route whose only endpoint has behaviour "answer"
+    When callers send 300 requests one after the other, each with an id of its own
+    Then all are answered on 2 connections
+
+  Scenario Outline: A success that is written again is not taken for the answer to another request
+    Given a "<kind>" route whose only endpoint writes its first answer, a "<first>", again "<timing>"
+    When callers send two requests one after the other, the second with "<id>"
+    Then both get their own responses
+    And no request that was refused has run, and none has run twice
+
+    Examples:
+      | kind      | first   | timing                | id          |
+      | unsafe    | success | with the next request | the same id |
+      | unsafe    | success | in two reads          | the same id |
+      | unsafe    | success | with the next request | no id       |
+      | unsafe    | success | with the next request | another id  |
+      | unsafe    | success | at once               | the same id |
+      | streaming | stream  | with the next request | the same id |
+      | streaming | stream  | in two reads          | the same id |
+      | streaming | stream  | with the next request | no id       |
+      | streaming | stream  | with the next request | another id  |
--- a/features/steps/endpoint_wishes_steps.py
+++ b/features/steps/endpoint_wishes_steps.py
@@ -155,9 +155,9 @@
         live = _find_live_endpoint(fleet, used)
         original = live.pool.take
 
-        async def take():
+        async def take(identifier):
             live.record.record_requested_backoff(trio.current_time() + 2.0)
-            return await original()
+            return await original(identifier)
 
         live.pool.take = take
         fleet.backends[used].requests.clear()
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -693,8 +693,8 @@
         pool = _find_only_pool(fleet)
         take = pool.take
 
-        async def take_and_disconnect():
-            connection = await take()
+        async def take_and_disconnect(identifier):
+            connection = await take(identifier)
             # No checkpoint follows, so that the task that reads from the caller does not notice
             # the disconnect before the request is about to be sent.
             stream.socket.close()
@@ -759,7 +759,7 @@
         pool = _find_only_pool(fleet)
         take = pool.take
 
-        async def fail_without_descriptor():
+        async def fail_without_descriptor(identifier):
             raise ConnectFailed(OSError(errno.EMFILE, 'no descriptor'))
 
         pool.take = fail_without_descriptor
--- /dev/null
+++ b/features/steps/kept_connection_steps.py
@@ -0,0 +1,120 @@
+"""Steps for answers on kept connections to endpoints."""
+
+from behave import given, then, when
+
+from emulator.entry_fleet import encode_call, exchange, free_port, route
+from emulator.repeating_backend import COPY_TIMINGS, RepeatingBackend
+from features.steps.entry_steps import _put_configuration, _run_on_fleet, _start_instances
+
+_ID_LINE = b'X-Attempt-Id: a1\r\n'
+#: Header lines with the identifier of the second request, by description.
+_SECOND_ID_LINES = {
+    'the same id': _ID_LINE,
+    'another id': b'X-Attempt-Id: a2\r\n',
+    'an id in capitals': b'X-Attempt-Id: A1\r\n',
+    'an empty id': b'X-Attempt-Id:\r\n',
+    'no id': b'',
+}
+
+
+async def _add_repeating_backend(fleet, name, first, timing):
+    backend = RepeatingBackend(name, first, COPY_TIMINGS[timing])
+    fleet.backends[name] = backend
+    address = '127.0.0.1:{0}'.format(free_port())
+    await fleet._listen(address, backend.respond)
+    fleet.announce(name, 'pool', address)
+
+
+def _set_up_repeating_endpoints(context, names, kind, first, timing):
+    async def build(fleet):
+        for name in names:
+            await _add_repeating_backend(fleet, name, first, timing)
+        _put_configuration(fleet, 5, [route('/', kind, 'pool', timeout_ms=1000)])
+        await _start_instances(fleet)
+
+    context.build = build
+
+
+@given(
+    'a "{kind}" route whose only endpoint writes its first answer, a "{first}", again "{timing}"'
+)
+def repeating_endpoint(context, kind, first, timing):
+    _set_up_repeating_endpoints(context, ['e0'], kind, first, timing)
+
+
+@given('a "{kind}" route whose two endpoints each write their first answer, a "{first}", again')
+def repeating_endpoints(context, kind, first):
+    _set_up_repeating_endpoints(context, ['e0', 'e1'], kind, first, 'with the next request')
+
+
+def _encode(path, id_line):
+    return encode_call(path, attempt='a1').replace(_ID_LINE, id_line)
+
+
+@when('callers send two requests one after the other, the second with "{description}"')
+def send_two(context, description):
+    second = _SECOND_ID_LINES[description]
+    first = second if b':' not in second or second.endswith(b':\r\n') else _ID_LINE
+
+    async def act(fleet):
+        address = fleet.settings[0].caller_address
+        return {
+            '/1': await exchange(address, _encode('/1', first)),
+            '/2': await exchange(address, _encode('/2', second)),
+        }
+
+    _run_on_fleet(context, act)
+
+
+def _check_own_response(context, path):
+    reply = context.result[path]
+    assert reply.status == 200 and reply.is_whole, reply
+    assert reply.content == 'id: 0\ndata: {0}\n\n'.format(path).encode(), reply
+
+
+@then('the first is told that it was not run, and the second gets its own response')
+def check_refused_and_served(context):
+    assert context.result['/1'].status == 503, context.result
+    _check_own_response(context, '/2')
+
+
+@then('both get their own responses')
+def check_both_served(context):
+    _check_own_response(context, '/1')
+    _check_own_response(context, '/2')
+
+
+@then('no request that was refused has run, and none has run twice')
+def check_runs(context):
+    targets = [
+        request.target.decode()
+        for backend in context.entry_fleet.backends.values()
+        for request in backend.requests
+    ]
+    assert len(targets) == len(set(targets)), targets
+    refused = {path for path, reply in context.result.items() if reply.status in {429, 503}}
+    assert not refused.intersection(targets), (targets, context.result)
+
+
+@when('callers send {count:d} requests one after the other, each with an id of its own')
+def send_with_own_ids(context, count):
+    async def act(fleet):
+        (live,) = fleet.instances[0]._state._endpoints.values()
+        open_connection = live.pool.open
+        opened = []
+
+        async def count_and_open():
+            opened.append(await open_connection())
+            return opened[-1]
+
+        live.pool.open = count_and_open
+        replies = [await fleet.call('/a') for _ in range(count)]
+        return [reply.status for reply in replies], len(opened)
+
+    _run_on_fleet(context, act)
+
+
+@then('all are answered on {connections:d} connections')
+def check_reuse(context, connections):
+    statuses, opened = context.result
+    assert set(statuses) == {200} and opened == connections, (statuses, opened)
--- a/src/fireflymux/entry/attempt.py
+++ b/src/fireflymux/entry/attempt.py
@@ -113,7 +113,7 @@
     """Sends the request and handles the response; reuses the connection only if both succeed."""
     live = attempt.live
     try:
-        connection = await live.pool.take()
+        connection = await live.pool.take(attempt.metadata.attempt)
     except ConnectFailed as error:
         return NotSent(str(error), is_local=error.is_local)
     if attempt.has_caller_disconnected():
--- a/src/fireflymux/experiment/engine_connections.py
+++ b/src/fireflymux/experiment/engine_connections.py
@@ -97,7 +97,7 @@
         self.maximum_idle_connections = 0
         self._connection_arguments = (engines, endpoint, prompts)
 
-    async def take(self) -> EngineConnection:
+    async def take(self, identifier: bytes) -> EngineConnection:
         """Opens a connection."""
         return EngineConnection(*self._connection_arguments)
 
--- a/src/fireflymux/http/client_connection.py
+++ b/src/fireflymux/http/client_connection.py
@@ -3,6 +3,10 @@
 A server can nevertheless send several responses, and one read can return bytes of more than one.
 The parser therefore has a queue of responses; a connection with a response left in it is not
 reused.
+
+An earlier response can also be sent again after the connection was reused. Only an identifier that
+the server repeats tells it from the response to the present request. A connection therefore
+remembers the identifiers of its requests, and carries none whose response could be mistaken.
 """
 
 import errno
@@ -22,6 +26,9 @@
 #: Maximum bytes received without a complete response head or body data. It bounds the size of a
 #: head and stops a server that sends chunk framing or interim responses without end.
 _MAXIMUM_BYTES_WITHOUT_PROGRESS = 131072
+#: Maximum number of requests with an identifier on one connection. It bounds the memory for the
+#: identifiers, and is large enough that a new connection for each of so many is no burden.
+_MAXIMUM_IDENTIFIERS = 256
 _RESOURCE_EXHAUSTED_ERRNOS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 
 
@@ -63,6 +70,9 @@
     _parser: ResponseParser = attrs.field(factory=ResponseParser)
     # Bytes received since the parser last made progress.
     _bytes_without_progress: int = 0
+    # Hashes of the identifiers of all requests so far; a caller's identifier can be long. Two that
+    # share a hash only cost a new connection.
+    _identifier_hashes: set[int] = attrs.field(factory=set)
     idle_until: float = float('inf')
 
     @classmethod
@@ -100,7 +110,10 @@
     @property
     def is_reusable(self) -> bool:
         """Whether the connection is open and has no unread response or unexpected input."""
-        if self._parser.is_malformed or self._parser.responses or not self._parser.keeps_alive:
+        parser = self._parser
+        if parser.is_malformed or parser.responses:
+            return False
+        if not parser.keeps_alive or len(self._identifier_hashes) >= _MAXIMUM_IDENTIFIERS:
             return False
         try:
             self._raw_socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
@@ -111,6 +124,24 @@
         # The server sent unrequested bytes or closed the connection.
         return False
 
+    def can_identify(self, identifier: bytes) -> bool:
+        """Tells whether the response to a request could be told from any to an earlier request.
+
+        Args:
+            identifier: Identifier of the request, which its response repeats; empty for none.
+
+        Returns:
+            Whether no earlier request had the identifier. Without one, a response without an
+            identifier could belong to any earlier request, so that there must be none.
+        """
+        if not identifier:
+            return not self._identifier_hashes
+        return hash(identifier) not in self._identifier_hashes
+
+    def add_identifier(self, identifier: bytes) -> None:
+        """Records the identifier of a request that is about to be sent; empty for none."""
+        self._identifier_hashes.add(hash(identifier))
+
     def close(self) -> None:
         """Closes the connection."""
         self._socket.close()
--- a/src/fireflymux/http/connection_pool.py
+++ b/src/fireflymux/http/connection_pool.py
@@ -48,7 +48,7 @@
 
     maximum_idle_connections: int
 
-    async def take(self) -> UpstreamConnection:
+    async def take(self, identifier: bytes) -> UpstreamConnection:
         """Returns an idle connection or opens a new one; `release_connection` gives it back."""
 
     def release_connection(self, connection: Any, idle_seconds: float | None) -> None:
@@ -84,10 +84,36 @@
         self._connect_timeout_seconds = connect_timeout_seconds
         self._idle: deque[ClientConnection] = deque()
 
-    async def take(self) -> ClientConnection:
+    async def take(self, identifier: bytes) -> ClientConnection:
+        """Returns the most recently used idle connection that suits a request, or opens a new one.
+
+        Idle connections that timed out or were closed by the server are discarded. Those on which
+        the response could be mistaken for one to an earlier request stay idle.
+
+        Args:
+            identifier: Identifier of the request, which its response repeats; empty for none.
+
+        Returns:
+            A connection with no request in progress, which counts the identifier as used.
+
+        Raises:
+            ConnectFailed: No connection could be opened.
+        """
+        unsuitable: list[ClientConnection] = []
+        connection = self._pop_idle()
+        while connection is not None and not connection.can_identify(identifier):
+            unsuitable.append(connection)
+            connection = self._pop_idle()
+        self._idle.extend(reversed(unsuitable))
+        if connection is None:
+            connection = await self.open()
+        connection.add_identifier(identifier)
+        return connection
+
+    async def take_any(self) -> ClientConnection:
         """Returns the most recently used idle connection, or opens a new one.
 
-        Idle connections that timed out or were closed by the server are discarded.
+        It is for a server whose responses repeat no identifier, and never sends one twice.
 
         Returns:
             A connection with no request in progress.
@@ -95,12 +121,7 @@
         Raises:
             ConnectFailed: No connection could be opened.
         """
-        while self._idle:
-            connection = self._idle.pop()
-            if trio.current_time() < connection.idle_until and connection.is_reusable:
-                return connection
-            connection.close()
-        return await self.open()
+        return self._pop_idle() or await self.open()
 
     async def open(self) -> ClientConnection:
         """Opens a new connection.
@@ -147,6 +168,15 @@
             connection.close()
         self._idle = kept
 
+    def _pop_idle(self) -> ClientConnection | None:
+        """Removes the most recently used idle connection that can be reused; None if none can."""
+        while self._idle:
+            connection = self._idle.pop()
+            if trio.current_time() < connection.idle_until and connection.is_reusable:
+                return connection
+            connection.close()
+        return None
+
     def _evict(self) -> None:
         """Closes idle connections from the oldest on, those that timed out or exceed the maximum.
 
--- a/src/fireflymux/platform/store.py
+++ b/src/fireflymux/platform/store.py
@@ -266,7 +266,7 @@
         return reply
 
     async def _exchange(self, start_line: str, content: bytes) -> _Reply:
-        connection = await self._pool.take()
+        connection = await self._pool.take_any()
         fields: HeaderFields = [(b'Host', self._address.encode())]
         if content:
             fields.append((b'Content-Type', b'application/json'))
--- a/tools/show_red.py
+++ b/tools/show_red.py
@@ -90,6 +90,14 @@
     ('no_bounds', 'An endless response is rejected -- @1.6 '),
     ('no_bounds', 'A stream with an endless event ends and does not look complete'),
     ('no_bounds', 'Endless data after a complete response reaches no caller -- @1.2 '),
+    (
+        'any_connection',
+        'A refusal that is written again sends no request that runs to a second endpoint',
+    ),
+    (
+        'any_connection',
+        'A success that is written again is not taken for the answer to another request -- @1.1 ',
+    ),
     (
         'windowed_shares',
         'Capacity used while other accounts were idle does not count against an account later',
