No request is sent behind the first bytes of an answer that nobody asked for

Callers were told 502 for a request that the endpoint ran and answered: where an endpoint began another answer behind a complete one, and the first bytes of it arrived in the same read, the connection counted as reusable, and the next answer was read as the rest of the one begun.

Cause: a connection was kept unless a whole head was left in it; the parser did not tell that it stood within a head, or behind an interim answer that announces one.

Evidence, features/kept_connections.feature on the code before:

begun at once and never ended: Reply(status=502, ... {"kind":"endpoint_crashed","title":"The endpoint broke off while it ran the request"}) begun at once; an interim answer at once: the requests arrived on 1 connection

The parser now states whether it is within a response, from its first byte to the end of the final one, and the connection is then not reused.

--- a/emulator/repeating_backend.py
+++ b/emulator/repeating_backend.py
@@ -37,12 +37,14 @@
         prefix: Bytes before it.
         pause_after: Bytes of the others that are written before a pause.
         has_id: Whether it repeats the identifier of the attempt.
+        is_ended: Whether the others are written at all.
     """
 
     bytes_at_once: int | None = 0
     prefix: bytes = b''
     pause_after: int = 0
     has_id: bool = True
+    is_ended: bool = True
 
 
 COPY_TIMINGS: Mapping[str, CopyTiming] = MappingProxyType(
@@ -50,9 +52,13 @@
         'with the next request': CopyTiming(),
         'without its id': CopyTiming(has_id=False),
         'after an interim answer': CopyTiming(prefix=_INTERIM_ANSWER),
+        'an interim answer at once': CopyTiming(
+            bytes_at_once=len(_INTERIM_ANSWER), prefix=_INTERIM_ANSWER
+        ),
         'in two reads': CopyTiming(pause_after=-4),
         'at once': CopyTiming(bytes_at_once=None),
         'begun at once': CopyTiming(bytes_at_once=9),
+        'begun at once and never ended': CopyTiming(bytes_at_once=9, is_ended=False),
         'begun at once and without its id': CopyTiming(bytes_at_once=9, has_id=False),
     }
 )
@@ -94,7 +100,7 @@
         copy_fields = fields if self.timing.has_id else []
         copy = self.timing.prefix + self._encode_first(request, copy_fields)
         at_once = len(copy) if self.timing.bytes_at_once is None else self.timing.bytes_at_once
-        self._due[writer] = copy[at_once:]
+        self._due[writer] = copy[at_once:] if self.timing.is_ended else b''
         await send_raw(writer, self._encode_first(request, fields) + copy[:at_once])
 
     async def _send_due(self, writer: ResponseWriter) -> None:
--- a/features/kept_connections.feature
+++ b/features/kept_connections.feature
@@ -37,6 +37,18 @@
     Then no request that was refused has run, and none has run twice
     And the first is told that it was not run, and the second gets its own response
 
+  Scenario Outline: The next request is not sent behind the first bytes of an answer that nobody asked for
+    Given a "unsafe" route whose only endpoint writes its first answer, a "success", again "<timing>"
+    When callers send two requests one after the other, the second with "another id"
+    Then both get their own responses
+    And the requests arrived on 2 connections
+
+    Examples:
+      | timing                        |
+      | begun at once and never ended |
+      | begun at once                 |
+      | an interim answer at once     |
+
   Scenario: Requests with identifiers of their own share few connections
     Given a "unsafe" route whose only endpoint has behaviour "answer"
     When callers send 300 requests one after the other, each with an id of its own
--- a/features/steps/kept_connection_steps.py
+++ b/features/steps/kept_connection_steps.py
@@ -84,6 +84,12 @@
     _check_own_response(context, '/2')
 
 
+@then('the requests arrived on {count:d} connections')
+def check_connections(context, count):
+    connections = context.entry_fleet.backends['e0'].connections
+    assert len(connections) == count, connections
+
+
 @then('no request that was refused has run, and none has run twice')
 def check_runs(context):
     targets = [
--- a/src/fireflymux/http/client_connection.py
+++ b/src/fireflymux/http/client_connection.py
@@ -1,8 +1,8 @@
 """Client side of an HTTP/1.1 connection, carrying one request and response at a time.
 
 A server can nevertheless send several responses, and one read can return bytes of more than one.
-The parser therefore has a queue of responses; a connection with a response left in it is not
-reused.
+The parser therefore has a queue of responses; a connection with a response left in it, or with a
+part of one, is not reused.
 
 An earlier response can also be sent again after the connection was reused. Only an identifier that
 the server repeats tells it from the response to the present request. A connection therefore
@@ -111,7 +111,7 @@
     def is_reusable(self) -> bool:
         """Whether the connection is open and has no unread response or unexpected input."""
         parser = self._parser
-        if parser.is_malformed or parser.responses:
+        if parser.is_malformed or parser.responses or parser.is_in_response:
             return False
         if not parser.keeps_alive or len(self._identifier_hashes) >= _MAXIMUM_IDENTIFIERS:
             return False
--- a/src/fireflymux/http/response_parser.py
+++ b/src/fireflymux/http/response_parser.py
@@ -39,6 +39,8 @@
     Attributes:
         responses: Final responses in the order received; the reader removes each one.
         is_malformed: Whether the server sent bytes that are not valid HTTP.
+        is_in_response: Whether bytes of a response were received, interim ones included, whose
+            final response is not complete yet.
         keeps_alive: Whether the connection can carry another request (HTTP keep-alive).
         progress: Number of final response heads plus body bytes received so far, which is only
             compared with an earlier value: it does not grow while a server sends only header or
@@ -49,6 +51,7 @@
         """Creates a parser for a new connection."""
         self.responses: deque[IncomingResponse] = deque()
         self.is_malformed = False
+        self.is_in_response = False
         self.keeps_alive = True
         self.progress = 0
         self._parser = httptools.HttpResponseParser(self)
@@ -77,6 +80,7 @@
 
     def on_message_begin(self) -> None:
         """Resets the state for a new response."""
+        self.is_in_response = True
         self._fields = []
         self._current_response = None
 
@@ -113,5 +117,6 @@
         """Marks the current response as complete."""
         if self._current_response is None:
             return
+        self.is_in_response = False
         self._current_response.is_complete = True
         self.keeps_alive = self.keeps_alive and self._parser.should_keep_alive()
