Spaces behind the value of a header field are no part of it

A caller that writes `X-Attempt-Id: a1 ` got 504 at the end of its time for a request that the endpoint had run and answered at once; one that writes `Host: models.example ` got 404.

Cause: httptools strips the spaces before a value and leaves those behind it. The identifier was compared with spaces to the one that an endpoint repeats without, as HTTP has it (RFC 9112, 5.1).

Both parsers now strip them, so that no reader of a field sees them.

--- a/emulator/repeating_backend.py
+++ b/emulator/repeating_backend.py
@@ -87,7 +87,8 @@
     async def respond(self, request: Request, writer: ResponseWriter) -> None:
         """Handles one request, after the part of a copy that is due on its connection."""
         self.connections.add(writer)
-        attempt = find_header(request.fields, _ATTEMPT_ID.lower())
+        # HTTP does not count spaces around a value as part of it.
+        attempt = find_header(request.fields, _ATTEMPT_ID.lower()).strip()
         fields = [(_ATTEMPT_ID, attempt)] if attempt else []
         if not self._is_first:
             self.requests.append(request)
@@ -120,6 +121,8 @@
     def _encode_success(self, request: Request, fields: HeaderFields) -> bytes:
         content = b'id: 0\ndata: %b\n\n' % request.target
         signed = [*fields, (b'X-Server-Signature', b'e0')]
+        if request.method == b'HEAD':
+            return encode_answer(200, signed, content).removesuffix(content)
         if self.first != 'stream':
             return encode_answer(200, signed, content)
         head = encode_head(status_line(200), [*signed, (b'Transfer-Encoding', b'chunked')])
--- a/features/kept_connections.feature
+++ b/features/kept_connections.feature
@@ -49,6 +49,17 @@
       | begun at once                 |
       | an interim answer at once     |
 
+  Scenario Outline: A request with an unusual header gets its response, and no deadline passes meanwhile
+    Given a "unsafe" route whose only endpoint writes its first answer, a "success", again "with the next request"
+    When a caller sends a "<method>" request with "<header>"
+    Then it is answered <status>, within half of its time
+    And the endpoint ran <runs> requests, with the id "<id>"
+
+    Examples:
+      | method | header                                                 | status | runs | id |
+      | POST   | X-Attempt-Id: a1 \t                                    | 200    | 1    | a1 |
+      | POST   | Host: models.example \t                                | 200    | 1    | a1 |
+
   Scenario: Requests with identifiers of their own share few connections
     Given a "unsafe" route whose only endpoint has behaviour "answer"
     When callers send 300 requests one after the other, each with an id of its own
--- a/features/steps/kept_connection_steps.py
+++ b/features/steps/kept_connection_steps.py
@@ -1,5 +1,8 @@
 """Steps for answers on kept connections to endpoints."""
 
+import re
+
+import trio
 from behave import given, then, when
 
 from emulator.entry_fleet import encode_call, exchange, free_port, route
@@ -124,3 +127,35 @@
 def check_reuse(context, connections):
     statuses, opened = context.result
     assert set(statuses) == {200} and opened == connections, (statuses, opened)
+
+
+@when('a caller sends a "{method}" request with "{header}"')
+def send_with_header(context, method, header):
+    line = header.replace(r'\r', '\r').replace(r'\n', '\n').replace(r'\t', '\t')
+    raw = encode_call('/1', method=method, attempt='a1')
+    name = line.partition(':')[0].encode()
+    raw = re.sub(name + b': .*\r\n', line.encode() + b'\r\n', raw, count=1)
+
+    async def act(fleet):
+        started = trio.current_time()
+        reply = await exchange(fleet.settings[0].caller_address, raw)
+        return reply, trio.current_time() - started
+
+    _run_on_fleet(context, act)
+
+
+@then('it is answered {status:d}, within half of its time')
+def check_answered_in_time(context, status):
+    reply, seconds = context.result
+    assert reply.status == status and reply.is_whole, (reply, seconds)
+    assert seconds < 0.5, seconds
+
+
+@then('the endpoint ran {count:d} requests, with the id "{identifier}"')
+@then('the endpoint ran {count:d} requests, with the id ""')
+def check_identifiers(context, count, identifier=''):
+    requests = context.entry_fleet.backends['e0'].requests
+    assert len(requests) == count, requests
+    for request in requests:
+        values = {text for name, text in request.fields if name.lower() == b'x-attempt-id'}
+        assert values == {identifier.encode()}, values
--- a/src/fireflymux/http/messages.py
+++ b/src/fireflymux/http/messages.py
@@ -13,6 +13,10 @@
 #: received or are to be sent.
 HeaderFields = list[tuple[bytes, bytes]]
 
+#: Whitespace around the value of a header field, which is not a part of it; httptools strips only
+#: what precedes the value.
+FIELD_WHITESPACE = b' \t'
+
 _REASON_PHRASES: Mapping[int, bytes] = MappingProxyType(
     {
         200: b'OK',
--- a/src/fireflymux/http/request_parser.py
+++ b/src/fireflymux/http/request_parser.py
@@ -10,7 +10,7 @@
 import attrs
 import httptools
 
-from .messages import HeaderFields, HttpLimits, Request, find_header
+from .messages import FIELD_WHITESPACE, HeaderFields, HttpLimits, Request, find_header
 
 _BAD_REQUEST = 400
 _CONTENT_TOO_LARGE = 413
@@ -95,7 +95,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header field."""
-        self._fields.append((name, value))
+        self._fields.append((name, value.rstrip(FIELD_WHITESPACE)))
         self._add_head_bytes(len(name) + len(value) + len(b': \r\n'))
 
     def on_headers_complete(self) -> None:
--- a/src/fireflymux/http/response_parser.py
+++ b/src/fireflymux/http/response_parser.py
@@ -5,7 +5,7 @@
 import attrs
 import httptools
 
-from .messages import HeaderFields, ResponseHead, find_header
+from .messages import FIELD_WHITESPACE, HeaderFields, ResponseHead, find_header
 
 _FIRST_FINAL_STATUS = 200
 _BODYLESS_STATUSES = frozenset((204, 304))
@@ -86,7 +86,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header field."""
-        self._fields.append((name, value))
+        self._fields.append((name, value.rstrip(FIELD_WHITESPACE)))
 
     def on_headers_complete(self) -> None:
         """Starts a final response and determines how its body is delimited."""
