--- a/src/fireflymux/http/messages.py
+++ b/src/fireflymux/http/messages.py
@@ -16,6 +16,10 @@
 #: Statuses of final responses that have no body, whatever their header fields say.
 BODYLESS_STATUSES = frozenset((204, 304))
 
+#: Whitespace around the value of a header field, which is not a part of it; httptools strips only
+#: what precedes the value.
+FIELD_WHITESPACE = b' \t'
+
 _REASON_PHRASES: Mapping[int, bytes] = MappingProxyType(
     {
         200: b'OK',
--- a/src/fireflymux/http/response_parser.py
+++ b/src/fireflymux/http/response_parser.py
@@ -5,7 +5,13 @@
 import attrs
 import httptools
 
-from .messages import BODYLESS_STATUSES, HeaderFields, ResponseHead, find_header
+from .messages import (
+    BODYLESS_STATUSES,
+    FIELD_WHITESPACE,
+    HeaderFields,
+    ResponseHead,
+    find_header,
+)
 
 _FIRST_FINAL_STATUS = 200
 
@@ -38,6 +44,8 @@
     Attributes:
         responses: Final responses in the order received; the reader removes each one.
         is_malformed: Whether the server sent bytes that are not valid HTTP.
+        is_in_response: Whether bytes of a response were received, interim ones included, whose
+            final response is not complete yet.
         keeps_alive: Whether the connection can carry another request (HTTP keep-alive).
         progress: Number of final response heads plus body bytes received so far, which is only
             compared with an earlier value: it does not grow while a server sends only header or
@@ -48,6 +56,7 @@
         """Creates a parser for a new connection."""
         self.responses: deque[IncomingResponse] = deque()
         self.is_malformed = False
+        self.is_in_response = False
         self.keeps_alive = True
         self.progress = 0
         self._parser = httptools.HttpResponseParser(self)
@@ -76,12 +85,13 @@
 
     def on_message_begin(self) -> None:
         """Resets the state for a new response."""
+        self.is_in_response = True
         self._fields = []
         self._current_response = None
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header field."""
-        self._fields.append((name, value))
+        self._fields.append((name, value.rstrip(FIELD_WHITESPACE)))
 
     def on_headers_complete(self) -> None:
         """Starts a final response and determines how its body is delimited."""
@@ -112,5 +122,6 @@
         """Marks the current response as complete."""
         if self._current_response is None:
             return
+        self.is_in_response = False
         self._current_response.is_complete = True
         self.keeps_alive = self.keeps_alive and self._parser.should_keep_alive()
