A router opens no answer after the last transfer of a stream that it reads

Where all five transfers of a stream broke off, the router requested the rest a sixth time, got an answer and left it: the connection stayed open until it was collected, and the sidecar counted a reader of the run, which neither expired nor let the sidecar drain.

Seen before the fix (features/role_responses.feature): 6 requests for 5 transfers. That the sidecar kept the reader was read, not run.

The last transfer is the last thing that is read; nothing is requested behind it.

--- a/features/role_responses.feature
+++ b/features/role_responses.feature
@@ -31,3 +31,8 @@
       | part            |
       | before the head |
       | within the body |
+
+  Scenario: A stream whose transfers all break leaves no answer open that nobody reads
+    Given a sidecar that breaks off every transfer of a stream
+    When a router reads the stream to its end
+    Then the sidecar was asked for 5 transfers and the stream is not whole
--- a/features/steps/role_responses_steps.py
+++ b/features/steps/role_responses_steps.py
@@ -11,7 +11,7 @@
 from fireflymux.web.http_clients import create_endpoint_client
 
 
-def _order(**members):
+def build_order(**members):
     return RunOrder(
         **{
             'request': 'request',
@@ -63,7 +63,7 @@
 
 @when('a sidecar sends it two calls one after the other')
 def send_two_calls(context):
-    orders = [_order(request='first'), _order(request='second')]
+    orders = [build_order(request='first'), build_order(request='second')]
     context.buffers = _send_calls(context.kind, context.answers, orders)
 
 
@@ -102,12 +102,12 @@
 
 @when('a sidecar sends it a streaming call')
 def send_streaming_call(context):
-    context.buffers = _send_calls('engine', context.answers, [_order()], b'{"stream": true}')
+    context.buffers = _send_calls('engine', context.answers, [build_order()], b'{"stream": true}')
 
 
 @when('a sidecar sends it a call without streaming')
 def send_plain_call(context):
-    context.buffers = _send_calls('engine', context.answers, [_order(is_stream=False)])
+    context.buffers = _send_calls('engine', context.answers, [build_order(is_stream=False)])
 
 
 @then('the response has the events before the break and is not complete')
--- /dev/null
+++ b/features/steps/router_responses_steps.py
@@ -0,0 +1,96 @@
+"""Steps for answers of sidecars that routers get."""
+
+import trio
+from behave import given, then, when
+
+from emulator.scripted_server import ScriptedServer, answer, broken_off
+from fireflymux._settings_generated import FleetSettings, TlsSettings
+from fireflymux.errors import ErrorKind
+from fireflymux.observability.metrics import Metrics
+from fireflymux.router import run_client
+from fireflymux.router.backlog import Placement
+from fireflymux.router.run_client import BufferedResponse, RunClient, StreamedResponse, is_whole
+from fireflymux.web.http_clients import FleetClients
+from fireflymux.wire import headers
+
+from features.steps.role_responses_steps import build_order
+
+_EVENT = b'data: {"id": 0}\n\n'
+_ECHO = (headers.REQUEST_ECHO.encode(), b'request')
+_STREAM = b'text/event-stream'
+
+
+class _NoPeers:
+    def find(self, _address):
+        return None
+
+
+def _receive(context, answers, orders=None):
+    """Sends run orders to a scripted sidecar one by one, and reads what answers the last one."""
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            context.server = await ScriptedServer.start(nursery, answers)
+            client = RunClient(
+                FleetClients(FleetSettings(key='key'), TlsSettings()), _NoPeers(), Metrics()
+            )
+            placement = Placement(context.server.url, 'sidecar')
+            for order in orders or [build_order()]:
+                context.result = await client.send_order(placement, order, b'{}')
+            if isinstance(context.result, StreamedResponse):
+                async for _chunk in client.read_stream(context.result):
+                    continue
+            nursery.cancel_scope.cancel()
+
+    context.closers.append(_shorten_resumes())
+    trio.run(run)
+
+
+def _shorten_resumes():
+    seconds = run_client._RESUME_TIMEOUT_SECONDS
+    run_client._RESUME_TIMEOUT_SECONDS = 0.5
+
+    def restore():
+        run_client._RESUME_TIMEOUT_SECONDS = seconds
+
+    return restore
+
+
+@given('a sidecar that breaks off every transfer of a stream')
+def prepare_broken_transfers(context):
+    context.answers = [broken_off(200, _EVENT, _STREAM, [_ECHO])]
+
+
+@given('a sidecar of a plain service that answered with events and no end marker')
+def prepare_service_events(context):
+    stated = (headers.ENDPOINT_HEADERS_HEADER.encode(), b'{"x-note": "1"}')
+    context.answers = [answer(200, _EVENT, _STREAM, [_ECHO, stated])]
+
+
+@given('a sidecar whose answers state unreadable headers of the endpoint')
+def prepare_unreadable_headers(context):
+    stated = (headers.ENDPOINT_HEADERS_HEADER.encode(), b'{"x-note": ')
+    context.answers = [answer(200, b'{}', fields=[_ECHO, stated])]
+
+
+@when('a router reads the stream to its end')
+@when('a router sends it a call')
+def receive(context):
+    _receive(context, context.answers)
+
+
+@then('the sidecar was asked for {count:d} transfers and the stream is not whole')
+def check_transfers(context, count):
+    assert len(context.server.requests) == count, len(context.server.requests)
+    assert not is_whole(context.result)
+
+
+@then('the router has the whole response with the headers of the service')
+def check_service_response(context):
+    expected = BufferedResponse(200, 'text/event-stream', _EVENT, {'x-note': '1'})
+    assert context.result == expected, context.result
+
+
+@then('the router reports that the outcome is unknown')
+def check_unknown_outcome(context):
+    assert getattr(context.result, 'kind', None) is ErrorKind.outcome_unknown, context.result
--- a/src/fireflymux/router/run_client.py
+++ b/src/fireflymux/router/run_client.py
@@ -124,10 +124,12 @@
             The chunks of the body without gaps or overlaps. Afterwards `is_whole` tells whether
             the stream is complete.
         """
-        for _ in range(_MAXIMUM_TRANSFERS):
+        transfer_count = 0
+        while True:
             async for chunk in self._read_transfer(stream):
                 yield chunk
-            if is_whole(stream):
+            transfer_count += 1
+            if is_whole(stream) or transfer_count == _MAXIMUM_TRANSFERS:
                 return
             result = await self._reopen(
                 stream.placement,
