A router passes on events of a plain service as they are

A plain service whose answer has the content type text/event-stream got to its callers with an error event behind it that the service never sent, and without the headers of the service: the router took it for the stream of a model, which ends with "data: [DONE]", asked the sidecar five times for the rest and wrote that the answer was cut.

Seen before the fix (features/role_responses.feature): a StreamedResponse in place of the whole response.

The sidecar reads the answer of a plain service to its end and states its length. An answer with a stated length is whole once that many bytes are there, whatever they are, so the router reads it as a whole response. Streams of models have no stated length (checked on the server that both roles use). The scripted server's broken answers are chunked now, as those of sidecars are.

--- a/emulator/scripted_server.py
+++ b/emulator/scripted_server.py
@@ -6,6 +6,8 @@
 import attrs
 import trio
 
+from fireflymux.http.messages import encode_head, status_line
+
 from .raw_response import encode_answer
 
 _HEAD_END = b'\r\n\r\n'
@@ -104,6 +106,7 @@
     content_type: bytes,
     fields: Sequence[tuple[bytes, bytes]] = (),
 ) -> ScriptedAnswer:
-    """Returns a response whose connection is closed before the body is complete."""
-    whole = answer(status, content + b' ', content_type, fields)
-    return ScriptedAnswer(whole.content[:-1], closes=True)
+    """Returns a chunked response whose connection is closed before the last chunk."""
+    framing = [(b'Content-Type', content_type), (b'Transfer-Encoding', b'chunked')]
+    head = encode_head(status_line(status), [*framing, *fields])
+    return ScriptedAnswer(head + b'%x\r\n%s\r\n' % (len(content), content), closes=True)
--- a/features/role_responses.feature
+++ b/features/role_responses.feature
@@ -36,3 +36,8 @@
     Given a sidecar that breaks off every transfer of a stream
     When a router reads the stream to its end
     Then the sidecar was asked for 5 transfers and the stream is not whole
+
+  Scenario: Events that a plain service sends are passed on unchanged
+    Given a sidecar of a plain service that answered with events and no end marker
+    When a router sends it a call
+    Then the router has the whole response with the headers of the service
--- a/src/fireflymux/router/run_client.py
+++ b/src/fireflymux/router/run_client.py
@@ -96,7 +96,8 @@
             body: Body of the request.
 
         Returns:
-            The complete response, or a stream if it is an event stream, or why there is none.
+            The complete response, or a stream if it is an event stream without a stated length, or
+            why there is none.
         """
         request_headers = {
             headers.RUN_ORDER: codec.encode(order).decode(),
@@ -258,7 +259,10 @@
         if response.headers[headers.REQUEST_ECHO] != order.request:
             await response.aclose()
             return CallFailure(ErrorKind.outcome_unknown, 'the answer of another request arrived')
-        if content_type.startswith(headers.EVENT_STREAM):
+        # Of events with a stated length, as plain services send them, the sidecar has the end: they
+        # need no end marker.
+        is_open_ended = 'Content-Length' not in response.headers
+        if is_open_ended and content_type.startswith(headers.EVENT_STREAM):
             return StreamedResponse(response.status_code, content_type, order, placement, response)
         body = await response.aread()
         return BufferedResponse(
