Unreadable headers in a sidecar's answer fail one attempt, not the handler of the request

The caller got a bare 500 of the web framework, with no problem document, if the header in which a sidecar states the endpoint's header fields could not be read.

Seen before the fix (features/role_responses.feature): DecodeError out of send_order.

Reading them belongs to reading the response now and has the outcome of any unreadable answer: unknown.

--- a/features/role_responses.feature
+++ b/features/role_responses.feature
@@ -41,3 +41,8 @@
     Given a sidecar of a plain service that answered with events and no end marker
     When a router sends it a call
     Then the router has the whole response with the headers of the service
+
+  Scenario: An answer of a sidecar with unreadable headers fails only its request
+    Given a sidecar whose answers state unreadable headers of the endpoint
+    When a router sends it a call
+    Then the router reports that the outcome is unknown
--- a/src/fireflymux/router/run_client.py
+++ b/src/fireflymux/router/run_client.py
@@ -265,9 +265,11 @@
         if is_open_ended and content_type.startswith(headers.EVENT_STREAM):
             return StreamedResponse(response.status_code, content_type, order, placement, response)
         body = await response.aread()
-        return BufferedResponse(
-            response.status_code, content_type, body, _decode_endpoint_headers(response)
-        )
+        try:
+            endpoint_headers = _decode_endpoint_headers(response)
+        except codec.DecodeError as error:
+            return CallFailure(ErrorKind.outcome_unknown, str(error))
+        return BufferedResponse(response.status_code, content_type, body, endpoint_headers)
 
 
 def is_whole(stream: StreamedResponse) -> bool:
