A suspect whose router leaves while it waits no longer closes its endpoint for good

A sidecar took no more requests, until it was restarted, after a router had sent a request that is suspected of crashing endpoints and had left (its caller had gone, or the router was stopped) before the endpoint was idle: the wait was cancelled, and the mark that the endpoint is kept for a suspect stayed set. No slot was offered from then on, and every other request was refused as sidecar_busy.

The mark is taken back whenever the wait ends without a slot, however it ends.

--- a/features/role_responses.feature
+++ b/features/role_responses.feature
@@ -46,3 +46,8 @@
     Given a sidecar whose answers state unreadable headers of the endpoint
     When a router sends it a call
     Then the router reports that the outcome is unknown
+
+  Scenario: A suspect whose router leaves while it waits does not keep its endpoint to itself
+    Given the slots of a sidecar whose endpoint runs a request
+    When a router sends a suspect and leaves before the endpoint is idle
+    Then the sidecar offers its other slots again
--- a/src/fireflymux/sidecar/grants.py
+++ b/src/fireflymux/sidecar/grants.py
@@ -180,18 +180,13 @@
         if self._is_isolated:
             return CallFailure(ErrorKind.sidecar_busy, 'another suspect runs alone')
         self._is_isolated = True
-        with trio.move_on_after(_ISOLATION_TIMEOUT_SECONDS):
-            while self._running or self._pending_grants:
-                await trio.sleep(_ISOLATION_POLL_SECONDS)
-        refused = self._check_admission()
-        if refused is None and (self._running or self._pending_grants):
-            refused = CallFailure(ErrorKind.sidecar_busy, 'the endpoint did not become idle')
-        if refused is not None:
-            self._is_isolated = False
-            return refused
-        slot = self._occupy(self._shares.open_charge(account))
-        self._isolated_slot = slot
-        return slot
+        try:
+            return await self._wait_for_isolation(account)
+        finally:
+            # Holds for a refusal, and if the router leaves meanwhile, which cancels the wait.
+            if self._isolated_slot is None:
+                self._is_isolated = False
+                self.notify()
 
     def admit_resumed(self, account: str) -> Slot:
         """Assigns a slot to a request that is already running on the endpoint.
@@ -300,6 +295,18 @@
             await pending.request_arrived.wait()
         self._close_grant(grant, 'expired')
 
+    async def _wait_for_isolation(self, account: str) -> Slot | CallFailure:
+        with trio.move_on_after(_ISOLATION_TIMEOUT_SECONDS):
+            while self._running or self._pending_grants:
+                await trio.sleep(_ISOLATION_POLL_SECONDS)
+        refused = self._check_admission()
+        if refused is not None:
+            return refused
+        if self._running or self._pending_grants:
+            return CallFailure(ErrorKind.sidecar_busy, 'the endpoint did not become idle')
+        self._isolated_slot = self._occupy(self._shares.open_charge(account))
+        return self._isolated_slot
+
     def _build_offer(self, grant: str, account: str) -> GrantOffer:
         return GrantOffer(
             grant=grant,
