A request that ran or may have run gets no status that says "not run, try again"

Callers go by the status: 429 and 503 promise that a request has not run. Routers wrote them all the same for requests that had run or might be running, and only the document behind the head said so: - an attempt broke off at an endpoint, and the next one waited in vain or was refused: the failure was changed to "unknown", and written as 503 with Retry-After (`_adjust_outcome`); - the recorded answer of a call with a key could not be read back: 503 for a call that had run. A caller that comes back without a key then has its call run twice.

Cause: the status came from the kind of the error alone, whatever was known of its outcome.

The status is a property of the failure now: where the outcome is not "no", a status that promises it is replaced by 502 (ran) or 504 (unknown). The kind, the document and Retry-After stay.

The entry role writes its errors itself and is not changed here.

--- a/features/role_responses.feature
+++ b/features/role_responses.feature
@@ -51,3 +51,8 @@
     Given the slots of a sidecar whose endpoint runs a request
     When a router sends a suspect and leaves before the endpoint is idle
     Then the sidecar offers its other slots again
+
+  Scenario: A request that may have run is not answered with a status that promises it has not
+    Given failures of every kind of requests that ran or may have run
+    When a role answers with them
+    Then no status is 408, 421, 429 or 503
--- a/features/steps/router_responses_steps.py
+++ b/features/steps/router_responses_steps.py
@@ -2,15 +2,17 @@
 
 import trio
 from behave import given, then, when
+from quart_trio import QuartTrio
 
 from emulator.scripted_server import ScriptedServer, answer, broken_off
 from fireflymux._settings_generated import FleetSettings, TlsSettings
-from fireflymux.errors import ErrorKind
+from fireflymux.errors import CallFailure, ErrorKind, ExecutionStatus
 from fireflymux.observability.metrics import Metrics
 from fireflymux.router import run_client
 from fireflymux.router.backlog import Placement
 from fireflymux.router.run_client import BufferedResponse, RunClient, StreamedResponse, is_whole
 from fireflymux.web.http_clients import FleetClients
+from fireflymux.web.responses import build_problem_response
 from fireflymux.wire import headers
 
 from features.steps.role_responses_steps import build_order
@@ -94,3 +96,28 @@
 @then('the router reports that the outcome is unknown')
 def check_unknown_outcome(context):
     assert getattr(context.result, 'kind', None) is ErrorKind.outcome_unknown, context.result
+
+
+@given('failures of every kind of requests that ran or may have run')
+def prepare_failures(context):
+    context.failures = [
+        CallFailure(kind, '', ran)
+        for kind in ErrorKind
+        for ran in (ExecutionStatus.yes, ExecutionStatus.unknown)
+    ]
+
+
+@when('a role answers with them')
+def build_responses(context):
+    async def run():
+        async with QuartTrio('role').app_context():
+            return [build_problem_response(failure).status_code for failure in context.failures]
+
+    context.statuses = trio.run(run)
+
+
+@then('no status is 408, 421, 429 or 503')
+def check_statuses(context):
+    found = dict(zip(context.failures, context.statuses))
+    broken = [failure for failure, status in found.items() if status in {408, 421, 429, 503}]
+    assert not broken, broken
--- a/src/fireflymux/errors.py
+++ b/src/fireflymux/errors.py
@@ -55,7 +55,7 @@
     """Response to a caller for one kind of error.
 
     Attributes:
-        status: HTTP status code.
+        status: HTTP status code; `CallFailure.status` replaces it if `ran` turns out otherwise.
         ran: Whether the endpoint executed the request.
         retry_after_seconds: Delay before a retry; zero where a retry does not help.
         title: Summary of the error kind in one line.
@@ -197,6 +197,10 @@
 )
 
 
+#: Status codes that promise the caller that its request has not run and never will.
+_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+
+
 @dataclass(frozen=True, slots=True)
 class CallFailure:
     """Outcome of a call that failed.
@@ -222,6 +226,17 @@
         """Whether the endpoint executed the request."""
         return ERROR_RESPONSES[self.kind].ran if self.ran is None else self.ran
 
+    @property
+    def status(self) -> int:
+        """HTTP status code, which promises that the request has not run only if that is so."""
+        status = ERROR_RESPONSES[self.kind].status
+        if self.outcome is ExecutionStatus.no or status not in _NOT_RUN_STATUSES:
+            return status
+        kind = ErrorKind.answer_cut
+        if self.outcome is ExecutionStatus.unknown:
+            kind = ErrorKind.outcome_unknown
+        return ERROR_RESPONSES[kind].status
+
 
 def to_problem(refused: CallFailure) -> Problem:
     """Builds the problem document of a failed call.
@@ -236,7 +251,7 @@
     return Problem(
         kind=refused.kind.value,
         title=response.title,
-        status=response.status,
+        status=refused.status,
         detail=refused.detail,
         ran=refused.outcome.value,
         retry_after_seconds=response.retry_after_seconds,
--- a/src/fireflymux/web/responses.py
+++ b/src/fireflymux/web/responses.py
@@ -47,7 +47,7 @@
         headers['Retry-After'] = str(round(error_response.retry_after_seconds))
     return Response(
         codec.encode(to_problem(failure)),
-        status=error_response.status,
+        status=failure.status,
         headers=headers,
         content_type=PROBLEM_JSON,
     )
