A cookie that an endpoint sets for one caller is not sent with the calls of the next

Callers could act in the session of another caller: the sidecar's HTTP client keeps cookies by default, and sent those of any answer with every later call to the endpoint, whoever it was from. The endpoint ran a call with a header that its caller had not sent.

Found while looking at what is kept between two requests of a client. Seen before the fix (features/ role_responses.feature): the second of two calls carries "Cookie: session=first", for engines and plain services alike.

The clients of all roles get a jar that takes nothing. Set-Cookie and Cookie still pass through as headers of their own call.

--- a/features/role_responses.feature
+++ b/features/role_responses.feature
@@ -56,3 +56,13 @@
     Given failures of every kind of requests that ran or may have run
     When a role answers with them
     Then no status is 408, 421, 429 or 503
+
+  Scenario Outline: What an endpoint sets in one call is not sent with the next one
+    Given a <kind> that sets a cookie in its answers
+    When a sidecar sends it two calls one after the other
+    Then no call has a cookie
+
+    Examples:
+      | kind    |
+      | engine  |
+      | service |
--- a/features/steps/role_responses_steps.py
+++ b/features/steps/role_responses_steps.py
@@ -27,13 +27,13 @@
     )
 
 
-def _send_calls(kind, answers, orders, body=b'{}'):
-    """Returns the buffers of calls that a sidecar sends to a scripted endpoint one by one."""
-    buffers = []
+def _send_calls(context, kind, orders, body=b'{}'):
+    """Sends calls to a scripted endpoint one by one, as a sidecar does."""
+    buffers = context.buffers = []
 
     async def run():
         async with trio.open_nursery() as nursery:
-            server = await ScriptedServer.start(nursery, answers)
+            server = context.server = await ScriptedServer.start(nursery, context.answers)
             async with create_endpoint_client(TlsSettings()) as client:
                 endpoint = EndpointClient(
                     client,
@@ -50,7 +50,6 @@
             nursery.cancel_scope.cancel()
 
     trio.run(run)
-    return buffers
 
 
 @given('a {kind} that writes an earlier refusal once more behind its next answer')
@@ -64,7 +63,7 @@
 @when('a sidecar sends it two calls one after the other')
 def send_two_calls(context):
     orders = [build_order(request='first'), build_order(request='second')]
-    context.buffers = _send_calls(context.kind, context.answers, orders)
+    _send_calls(context, context.kind, orders)
 
 
 @then('the second call gets its own answer')
@@ -102,12 +101,12 @@
 
 @when('a sidecar sends it a streaming call')
 def send_streaming_call(context):
-    context.buffers = _send_calls('engine', context.answers, [build_order()], b'{"stream": true}')
+    _send_calls(context, 'engine', [build_order()], b'{"stream": true}')
 
 
 @when('a sidecar sends it a call without streaming')
 def send_plain_call(context):
-    context.buffers = _send_calls('engine', context.answers, [build_order(is_stream=False)])
+    _send_calls(context, 'engine', [build_order(is_stream=False)])
 
 
 @then('the response has the events before the break and is not complete')
@@ -120,3 +119,24 @@
 def check_part_only(context, part):
     assert context.buffers[0].content == _PARTS[part], context.buffers[0].content
     assert not context.buffers[0].is_complete
+
+
+@given('a {kind} that sets a cookie in its answers')
+def prepare_cookie(context, kind):
+    context.kind = kind
+    context.answers = [answer(200, b'{}', fields=[(b'Set-Cookie', b'session=first; Path=/')])]
+
+
+@then('no call has a cookie')
+def check_no_cookie(context):
+    assert not [call for call in context.server.requests if b'session' in call]
+
+
+@given('an engine that answers')
+def prepare_engine(context):
+    context.answers = [answer(200, _EVENTS + _END, _STREAM)]
+
+
+@then('the call asks for no encoding')
+def check_no_encoding(context):
+    assert b'accept-encoding: identity' in context.server.requests[0].lower()
--- a/src/fireflymux/web/http_clients.py
+++ b/src/fireflymux/web/http_clients.py
@@ -1,6 +1,7 @@
 """HTTP clients for the platform, for other processes of the fleet and for endpoints."""
 
 import ssl
+from http.cookiejar import CookieJar, DefaultCookiePolicy
 
 import httpx
 
@@ -26,6 +27,11 @@
     return ssl.create_default_context(cafile=tls.ca_file or None)
 
 
+def _refuse_cookies() -> CookieJar:
+    """Creates a jar that stays empty: all callers share a client, and its jar would mix them up."""
+    return CookieJar(DefaultCookiePolicy(allowed_domains=()))
+
+
 def create_platform_client(platform: PlatformSettings, tls: TlsSettings) -> httpx.AsyncClient:
     """Creates the client for the services of the platform.
 
@@ -43,6 +49,7 @@
         if platform.credential
         else {},
         limits=_UNLIMITED,
+        cookies=_refuse_cookies(),
         trust_env=False,
     )
 
@@ -96,6 +103,7 @@
             timeout=httpx.Timeout(None, connect=_CONNECT_TIMEOUT_SECONDS),
             headers={'Authorization': BEARER_PREFIX + self._fleet_key},
             limits=_UNLIMITED,
+            cookies=_refuse_cookies(),
             trust_env=False,
         )
         # No process of the fleet reads these headers, and they would enlarge every heartbeat.
@@ -122,5 +130,6 @@
         timeout=httpx.Timeout(None, connect=_CONNECT_TIMEOUT_SECONDS),
         headers={'Connection': 'close'},
         limits=_WITHOUT_KEEP_ALIVE,
+        cookies=_refuse_cookies(),
         trust_env=False,
     )
