--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -97,7 +97,8 @@
             program.
 
     Returns:
-        The violations. If there are any, the folder of the logs is kept and printed.
+        The violations. If there are any, the folder of the logs is kept, gets all of them, and is
+        printed.
     """
     plan = Plan.from_seed(seed, scale)
     folder = Path(tempfile.mkdtemp(prefix='soak-'))
@@ -120,6 +121,7 @@
     if not violations:
         shutil.rmtree(folder)
         return violations
+    (folder / 'violations.txt').write_text('\n'.join(violations))
     counts: Counter[str] = Counter()
     for violation in violations:
         check = violation.partition(':')[0]
