--- a/src/fireflymux/entry/attempt.py
+++ b/src/fireflymux/entry/attempt.py
@@ -25,9 +25,18 @@
 )
 from .endpoint_wishes import apply_response_signals
 from .entry_metrics import EntryMetrics
-from .event_relay import EventRelay, EventTooLarge
+from .event_relay import EventRelay, EventTooLarge, StreamNotResumed
 from .live_endpoint import LiveEndpoint
-from .outcomes import Abandoned, Broken, NotSent, Outcome, Rejected, Relayed, Whole
+from .outcomes import (
+    Abandoned,
+    Broken,
+    NotResumed,
+    NotSent,
+    Outcome,
+    Rejected,
+    Relayed,
+    Whole,
+)
 from .state import EntryState
 
 #: Largest body of a response that is not a stream and states its length.
@@ -104,7 +113,7 @@
         if not outcome.is_local:
             state.record_connect_failure(live)
         return outcome
-    failed = isinstance(outcome, Broken | Rejected)
+    failed = isinstance(outcome, Broken | NotResumed | Rejected)
     state.record_result(live, failed=failed or (isinstance(outcome, Whole) and outcome.is_failure))
     return outcome
 
@@ -141,6 +150,8 @@
             is_complete = True
     except (ConnectionBroken, EventTooLarge) as error:
         return Broken(str(error))
+    except StreamNotResumed as error:
+        return NotResumed(str(error))
     finally:
         if not is_complete:
             connection.close()
@@ -202,7 +213,8 @@
 ) -> Outcome:
     """Reads a response to its end, or relays it if the route streams and the status is a success.
 
-    A success must be signed. A response that is not relayed and states that the request was not
+    A success must be signed. An error to a request that resumes a stream is not forwarded, as the
+    caller has the head of a success already. A response that is not relayed and states that the request was not
     executed counts as rejected, even if it is unsigned and no success. Any other must be signed.
     """
     head = response.head
@@ -218,6 +230,8 @@
         return Rejected(head.status)
     if not metadata.has_signature:
         raise ConnectionBroken('the answer is not signed')
+    if attempt.relay is not None and attempt.relay.is_begun:
+        return NotResumed('it has status {0}'.format(head.status))
     return Whole(head.status, filter_response_headers(head), content)
 
 
@@ -232,10 +246,10 @@
     # Cannot be None: the only caller has checked it.
     if relay is None:
         raise ConnectionBroken('the answer is not a stream')
-    relay.restart()
     started_at = trio.current_time()
     head: ResponseHead = response.head
     fields = filter_response_headers(head)
+    relay.begin_attempt(fields)
     while True:
         part = await connection.next_body_part(response)
         if not part:
