--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,17 +10,13 @@
 import fire
 import trio
 
-from .callers import Caller
 from .checks import find_violations
 from .faults import inject_fault
-from .history import Disturbance, History
+from .history import History
 from .plan import FAULT_FREE_SECONDS, FAULT_PHASE_SECONDS, Plan
 from .testbed import Testbed
+from .traffic import start_traffic
 
-#: Interval at which the soak checks whether it is starved of processor time.
-_TICK_SECONDS = 0.05
-#: Gap between two such checks above which starvation is recorded.
-_STARVATION_THRESHOLD_SECONDS = 0.25
 _REGRESSION_SEEDS_PATH = Path(__file__).parent / 'seeds.txt'
 _MAXIMUM_VIOLATIONS_SHOWN = 8
 
@@ -38,7 +34,7 @@
         Record of what was observed.
     """
     async with trio.open_nursery() as nursery:
-        testbed = Testbed(plan, folder, nursery, mutant)
+        testbed = Testbed(plan, folder, nursery, mutant=mutant)
         try:
             await testbed.start()
             await _run_phases(testbed)
@@ -52,14 +48,7 @@
     """Sends requests throughout a phase with faults and a phase without them."""
     history = testbed.history
     async with trio.open_nursery() as caller_tasks:
-        caller_tasks.start_soon(_record_starvation, history)
-        for number, instance in enumerate(testbed.instances):
-            caller_tasks.start_soon(
-                Caller(testbed, 'v{0}'.format(number), instance).probe_configuration
-            )
-            for count in range(testbed.plan.callers_per_instance):
-                name = 'c{0}.{1}'.format(number, count)
-                caller_tasks.start_soon(Caller(testbed, name, None).run)
+        start_traffic(testbed, caller_tasks)
         started = trio.current_time()
         async with trio.open_nursery() as fault_tasks:
             for event in testbed.plan.events:
@@ -72,19 +61,6 @@
         caller_tasks.cancel_scope.cancel()
 
 
-async def _record_starvation(history: History) -> None:
-    """Records when the soak got no processor time, since bounds on time mean nothing then."""
-    last = trio.current_time()
-    while True:
-        await trio.sleep(_TICK_SECONDS)
-        now = trio.current_time()
-        if now - last > _STARVATION_THRESHOLD_SECONDS:
-            history.disturbances.append(
-                Disturbance(kind='starved', target='', start=last, end=now)
-            )
-        last = now
-
-
 def run_seed(seed: int, *, scale: int = 1, mutant: str = '') -> list[str]:
     """Runs the plan of one seed and prints the result.
 
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -8,7 +8,8 @@
 
 import attrs
 
-_ROOT = Path(__file__).resolve().parent.parent
+#: Folder of the build in the work tree.
+ROOT = Path(__file__).resolve().parent.parent
 _SETTINGS = """[entry]
 name = {name}
 failure_domain = {failure_domain}
@@ -21,6 +22,7 @@
 store_address = {store_address}
 shutdown_timeout_seconds = 8
 retry_constant = 10
+metrics_address = {metrics_address}
 """
 
 
@@ -43,6 +45,8 @@
         folder: Folder for its settings file and its log.
         mutant: Variant of the program with one mechanism disabled, from `emulator.variants`; empty
             for the unchanged program.
+        metrics_address: Address of its metrics; empty for none.
+        source_root: Folder of the build that it runs from its next start on, which has its `src`.
         incarnation: Number of starts so far.
         process: Process of the last start; None before the first one.
     """
@@ -58,6 +62,8 @@
     store_address: str
     folder: Path
     mutant: str = ''
+    metrics_address: str = ''
+    source_root: Path = ROOT
     incarnation: int = 0
     process: subprocess.Popen[bytes] | None = None
 
@@ -80,8 +86,8 @@
         with self.log_path.open('ab') as stream:
             self.process = subprocess.Popen(
                 [sys.executable, '-m', *program, 'entry', str(path)],
-                cwd=_ROOT,
-                env=os.environ | {'PYTHONPATH': '{0}/src:{0}'.format(_ROOT)},
+                cwd=self.source_root,
+                env=os.environ | {'PYTHONPATH': '{0}/src:{0}'.format(self.source_root)},
                 stdout=stream,
                 stderr=subprocess.STDOUT,
             )
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -27,7 +27,7 @@
 )
 from .endpoints import SLOTS, SoakEndpoint
 from .history import Disturbance, History
-from .instances import InstanceProcess
+from .instances import ROOT, InstanceProcess
 from .plan import Plan
 from .proxies import TcpProxy, UdpProxy
 
@@ -131,7 +131,15 @@
         ready: Names of the instances to which a load balancer would direct new connections.
     """
 
-    def __init__(self, plan: Plan, folder: Path, nursery: trio.Nursery, mutant: str) -> None:
+    def __init__(
+        self,
+        plan: Plan,
+        folder: Path,
+        nursery: trio.Nursery,
+        *,
+        mutant: str = '',
+        source_root: Path = ROOT,
+    ) -> None:
         """Creates a testbed in which nothing runs yet.
 
         Args:
@@ -140,6 +148,7 @@
             nursery: Runs the tasks of the simulated components.
             mutant: Variant of the program with one mechanism disabled; empty for the unchanged
                 program.
+            source_root: Folder of the build that the instances run at first.
         """
         self.plan = plan
         self.history = History()
@@ -153,6 +162,7 @@
         self._folder = folder
         self._nursery = nursery
         self._mutant = mutant
+        self._source_root = source_root
         self._address_block = AddressBlock()
         self._outages: dict[str, str] = {}
         self._endpoint_entries: dict[str, dict[str, Any]] = {}
@@ -297,6 +307,7 @@
                     store_address=store_address,
                     folder=self._folder,
                     mutant=self._mutant,
+                    source_root=self._source_root,
                 )
             )
 
