--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -21,7 +21,7 @@
 )
 from emulator.entry_fleet import configuration, exchange, route
 from emulator.faulty_endpoint import SLOTS, FaultyEndpoint
-from emulator.instance_process import InstanceProcess
+from emulator.instance_process import ROOT, InstanceProcess
 from emulator.overlaps import Overlap
 from emulator.proxies import TcpProxy, UdpProxy
 from emulator.row_store import RowStore
@@ -135,7 +135,15 @@
         ready: Names of the instances to which a load balancer would direct new connections.
     """
 
-    def __init__(self, plan: Plan, folder: Path, nursery: trio.Nursery, mutant: str) -> None:
+    def __init__(
+        self,
+        plan: Plan,
+        folder: Path,
+        nursery: trio.Nursery,
+        *,
+        mutant: str = '',
+        source_root: Path = ROOT,
+    ) -> None:
         """Creates a testbed in which nothing runs yet.
 
         Args:
@@ -144,6 +152,7 @@
             nursery: Runs the tasks of the simulated components.
             mutant: Variant of the program with one mechanism disabled; empty for the unchanged
                 program.
+            source_root: Folder of the build that the instances run at first.
         """
         self.plan = plan
         self.history = History()
@@ -157,6 +166,7 @@
         self._folder = folder
         self._nursery = nursery
         self._mutant = mutant
+        self._source_root = source_root
         self._address_block = AddressBlock()
         self._outages: dict[str, Overlap[str]] = {}
         self._endpoint_entries: dict[str, dict[str, Any]] = {}
@@ -305,6 +315,7 @@
                     store_address=store_address,
                     folder=self._folder,
                     mutant=self._mutant,
+                    source_root=self._source_root,
                 )
             )
 
