Bytes that are part of no answer count against the new build only

On the merged code the roll to the new build and back failed with 38 violations of check_bytes: 'an interim response that no request waits for', 100 Continue in front of the answer to another request.

An upgrade can only end such a fault. The check holds for all connections to the new build; every other check, and the one for lost requests, holds for both. A caller that read such bytes closes its connection, so that an answer which is not complete then counts as given up.

--- a/features/steps/upgrade_steps.py
+++ b/features/steps/upgrade_steps.py
@@ -10,6 +10,7 @@
 from behave import given, then, when
 
 from emulator.entry_fleet import KEY, encode_call, exchange, free_port, route
+from emulator.instance_process import InstanceProcess
 from emulator.production_build import (
     ROOT,
     BuildUnavailable,
@@ -18,7 +19,6 @@
 )
 from features.steps.entry_steps import _put_configuration, _run_on_fleet
 from fireflymux.http.client_connection import ConnectFailed
-from emulator.instance_process import InstanceProcess
 from soak.upgrade import find_upgrade_violations, run_upgrade
 
 _NEW_KEY = 'new-key'
@@ -304,7 +304,7 @@
     async def run():
         return await run_upgrade(context.production, context.folder, seed=1)
 
-    context.history = trio.run(run)
+    context.record = trio.run(run)
 
 
 @then(
@@ -312,8 +312,8 @@
     ' and no check of the soak finds a violation'
 )
 def check_roll(context):
-    history = context.history
-    violations = find_upgrade_violations(history)
+    history = context.record.history
+    violations = find_upgrade_violations(context.record)
     assert not violations, (len(violations), context.folder, violations[:5])
     assert [stop.exit_code for stop in history.stops] == [0] * 6, history.stops
     served = {
--- a/soak/upgrade.py
+++ b/soak/upgrade.py
@@ -3,12 +3,14 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+import attrs
 import trio
 
+from emulator.instance_process import ROOT
+
 from .checks import find_violations
 from .faults import inject_fault
 from .history import Exchange, History
-from emulator.instance_process import ROOT
 from .plan import Event, Plan
 from .testbed import Testbed
 from .traffic import start_traffic
@@ -28,7 +30,24 @@
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
-async def run_upgrade(production: Path, folder: Path, *, seed: int) -> History:
+@attrs.define
+class UpgradeRecord:
+    """Record of a run with two builds.
+
+    Attributes:
+        history: What was observed.
+        production_starts: Name and incarnation of each process of the build in production.
+    """
+
+    history: History
+    production_starts: set[tuple[str, int]] = attrs.field(factory=set)
+
+    def is_by_production(self, exchange: Exchange) -> bool:
+        """Tells whether a request was sent to a process of the build in production."""
+        return (exchange.instance, exchange.incarnation) in self.production_starts
+
+
+async def run_upgrade(production: Path, folder: Path, *, seed: int) -> UpgradeRecord:
     """Rolls a fleet from the build in production to that of the work tree, and back.
 
     The configuration changes and an endpoint drains while builds are mixed.
@@ -50,13 +69,16 @@
     )
     async with trio.open_nursery() as nursery:
         testbed = Testbed(plan, folder, nursery, source_root=production)
+        record = UpgradeRecord(testbed.history)
         try:
             await testbed.start()
+            _record_production(record, testbed, production)
             async with trio.open_nursery() as caller_tasks:
                 start_traffic(testbed, caller_tasks)
                 await trio.sleep(_PAUSE_SECONDS)
                 for build in (ROOT, production):
                     await _roll(testbed, build)
+                    _record_production(record, testbed, production)
                 testbed.history.faults_ended_at = trio.current_time()
                 await trio.sleep(2 * _ANSWER_SECONDS)
                 testbed.history.ended_at = trio.current_time()
@@ -64,7 +86,7 @@
         finally:
             testbed.close()
         nursery.cancel_scope.cancel()
-    return testbed.history
+    return record
 
 
 async def _roll(testbed: Testbed, build: Path) -> None:
@@ -85,18 +107,42 @@
     return Event(start_seconds=0.0, kind=kind, target=target, duration_seconds=0.0)
 
 
-def find_upgrade_violations(history: History) -> list[str]:
+def _record_production(record: UpgradeRecord, testbed: Testbed, production: Path) -> None:
+    record.production_starts |= {
+        (instance.name, instance.incarnation)
+        for instance in testbed.instances
+        if instance.source_root == production
+    }
+
+
+def find_upgrade_violations(record: UpgradeRecord) -> list[str]:
     """Runs the checks of the soak, and those of a planned upgrade, during which all is served.
 
+    Bytes that are part of no answer count on connections to the new build only: the build in
+    production may send them, and an upgrade can only end that. Everything else counts for both.
+
     Args:
-        history: Record of a run.
+        record: Record of a run.
 
     Returns:
         One text for each violation.
     """
+    exchanges = [_excuse_bytes(record, exchange) for exchange in record.history.exchanges]
+    history = attrs.evolve(record.history, exchanges=exchanges)
     return [*find_violations(history), *_find_lost(history)]
 
 
+def _excuse_bytes(record: UpgradeRecord, exchange: Exchange) -> Exchange:
+    """Returns an exchange without such bytes of the build in production.
+
+    A caller that reads them closes its connection, and so gives up an answer that is not complete.
+    """
+    if not exchange.violation or not record.is_by_production(exchange):
+        return exchange
+    given_up_at = float('inf') if exchange.is_complete else exchange.ended_at
+    return attrs.evolve(exchange, violation='', abandoned_at=given_up_at)
+
+
 def _find_lost(history: History) -> Iterator[str]:
     """Yields the requests that got neither an answer nor the promise that they did not run."""
     arrivals = history.arrivals_by_attempt()
