Read what is known of the messages of a later build

Shown twice: with one item added to the reports of the new build, nine of the eleven scenarios of features/upgrade.feature fail beside production (the instances never hear each other); and the new scenario fails on the code before (instances heard, ready, evacuations; the third one starts with its store away):

ASSERT FAILED: [(0, True, frozenset({'b'})), (0, True, frozenset({'b'})), (0, False, frozenset())]

ASSERT FAILED: [(2, True, frozenset({'b'})), (1, True, frozenset({'b'})), (1, False, frozenset({'b'}))]

The messages have one encoder and one decoder now, which ignore further items and take the default of a field that an earlier build does not send.

--- a/features/upgrade.feature
+++ b/features/upgrade.feature
@@ -55,3 +55,8 @@
   Scenario: Without the commit in the history the build in production is missing loudly
     When the build of a commit that the history lacks is unpacked
     Then that fails and says which commit is missing, and how to get it
+
+  Scenario: An instance reads what it knows of the messages of a later build
+    Given two instances, one of which sees the store outage "silent"
+    When all that instances send each other has a further field, failure domain "b" is evacuated, and a third one starts
+    Then all three are ready, hear each other and know of the evacuation
--- a/src/fireflymux/entry/peer_notices.py
+++ b/src/fireflymux/entry/peer_notices.py
@@ -5,9 +5,6 @@
 once. Instances that do not know notices drop them as malformed.
 """
 
-import typing
-
-import attrs
 import msgspec
 import trio
 
@@ -15,6 +12,7 @@
 from ..decisions.evacuations import EvacuationList
 from ..decisions.store_version import StoreVersion
 from .evacuating import apply_evacuations
+from .peer_messages import build_decoder, encode_message
 from .state import EntryState
 
 #: Value of the field `kind`, which tells a notice from other datagrams.
@@ -32,15 +30,12 @@
 #: Numbers for each endpoint that warms up: its number and the milliseconds left.
 _WARMING_FIELDS = 2
 _MILLISECONDS_PER_SECOND = 1000.0
-_NOTICE_FIELDS = tuple(field.name for field in attrs.fields(PeerNotice))
-_NOTICE_DECODER: msgspec.msgpack.Decoder[typing.Any] = msgspec.msgpack.Decoder(
-    tuple[tuple(typing.get_type_hints(PeerNotice).values())]  # type: ignore[misc]
-)
+_decode_notice = build_decoder(PeerNotice)
 
 
 def encode_notice(notice: PeerNotice) -> bytes:
     """Encodes a notice."""
-    return msgspec.msgpack.encode(attrs.astuple(notice, recurse=False))
+    return encode_message(notice)
 
 
 def decode_notice(received: bytes) -> PeerNotice | None:
@@ -53,10 +48,9 @@
         The notice; None if the datagram is something else.
     """
     try:
-        values = _NOTICE_DECODER.decode(received)
+        notice = _decode_notice(received)
     except msgspec.MsgspecError:
         return None
-    notice = PeerNotice(**dict(zip(_NOTICE_FIELDS, values, strict=True)))
     return notice if notice.kind == _KIND else None
 
 
--- a/src/fireflymux/entry/peer_snapshot.py
+++ b/src/fireflymux/entry/peer_snapshot.py
@@ -50,6 +50,7 @@
 _UNSTATED_VERSION = -1
 #: Fields of a snapshot that state the evacuations.
 _EVACUATION_FIELDS = ('evacuated', 'op_era', 'op_version')
+_SNAPSHOT_FIELDS = tuple(field.name for field in attrs.fields(EntrySnapshot))
 _OK = 200
 _NOT_FOUND = 404
 
@@ -193,7 +194,7 @@
         try:
             with trio.fail_after(_FETCH_TIMEOUT_SECONDS):
                 content = await self._request_snapshot(host)
-            return EntrySnapshot(**orjson.loads(content))
+            return _decode_snapshot(content)
         except (ConnectFailed, ConnectionBroken, trio.TooSlowError) as error:
             _log.debug('snapshot_not_fetched', host=host, reason=repr(error))
         except (ValueError, TypeError) as error:
@@ -248,6 +249,17 @@
         self._state.apply_configuration(configuration, row, host)
 
 
+def _decode_snapshot(content: bytes) -> EntrySnapshot:
+    """Decodes a snapshot; members that only a later build knows are ignored.
+
+    Raises:
+        ValueError: It is not JSON.
+        TypeError: It is no object, or a member is missing.
+    """
+    raw = orjson.loads(content)
+    return EntrySnapshot(**{name: raw[name] for name in _SNAPSHOT_FIELDS if name in raw})
+
+
 def _list_named_hosts(snapshots: Iterable[EntrySnapshot]) -> set[str]:
     """Returns the IPv4 addresses of the instances that snapshots name."""
     named: set[str] = set()
--- a/src/fireflymux/entry/report_datagrams.py
+++ b/src/fireflymux/entry/report_datagrams.py
@@ -7,13 +7,13 @@
 """
 
 import random
-import typing
 from collections import OrderedDict, deque
 
 import attrs
 import msgspec
 
 from .._messages_generated import PeerDatagram, PeerReport
+from .peer_messages import build_decoder, encode_message
 
 #: Bytes of a report in one datagram, which with all headers fits into one Ethernet frame.
 _PART_BYTES = 1300
@@ -25,20 +25,13 @@
 _MAXIMUM_PAST_INCARNATIONS = 8
 
 
-def _build_tuple_type(message: type) -> typing.Any:
-    """Returns the type that decodes a message: a tuple of its field types, without their names."""
-    return tuple[tuple(typing.get_type_hints(message).values())]  # type: ignore[misc]
-
-
-_REPORT_FIELDS = tuple(field.name for field in attrs.fields(PeerReport))
-_DATAGRAM_FIELDS = tuple(field.name for field in attrs.fields(PeerDatagram))
-_REPORT_DECODER = msgspec.msgpack.Decoder(_build_tuple_type(PeerReport))
-_DATAGRAM_DECODER = msgspec.msgpack.Decoder(_build_tuple_type(PeerDatagram))
+_decode_report = build_decoder(PeerReport)
+_decode_datagram = build_decoder(PeerDatagram)
 
 
 def encode_report(report: PeerReport) -> bytes:
     """Encodes a report."""
-    return msgspec.msgpack.encode(attrs.astuple(report, recurse=False))
+    return encode_message(report)
 
 
 def decode_report(content: bytes) -> PeerReport:
@@ -53,13 +46,12 @@
     Raises:
         msgspec.MsgspecError: The bytes are not a valid report.
     """
-    values = _REPORT_DECODER.decode(content)
-    return PeerReport(**dict(zip(_REPORT_FIELDS, values, strict=True)))
+    return _decode_report(content)
 
 
 def encode_datagram(datagram: PeerDatagram) -> bytes:
     """Encodes a datagram."""
-    return msgspec.msgpack.encode(attrs.astuple(datagram, recurse=False))
+    return encode_message(datagram)
 
 
 def decode_datagram(received: bytes) -> PeerDatagram:
@@ -74,8 +66,7 @@
     Raises:
         msgspec.MsgspecError: The bytes are not a valid datagram.
     """
-    values = _DATAGRAM_DECODER.decode(received)
-    datagram = PeerDatagram(**dict(zip(_DATAGRAM_FIELDS, values, strict=True)))
+    datagram = _decode_datagram(received)
     if datagram.parts > _MAXIMUM_PARTS or datagram.part not in range(datagram.parts):
         raise msgspec.ValidationError('invalid part {0.part} of {0.parts}'.format(datagram))
     return datagram
