--- a/emulator/entry_fleet.py
+++ b/emulator/entry_fleet.py
@@ -136,8 +136,11 @@
         """
         address = '127.0.0.1:{0}'.format(free_port())
 
+        def find_outage() -> str:
+            return self._outage_by_address.get(address, '')
+
         async def respond(request: Request, writer: ResponseWriter) -> None:
-            await self.store.respond(request, writer, self._outage_by_address.get(address, ''))
+            await self.store.respond(request, writer, find_outage)
 
         await self._listen(address, respond)
         return address
--- a/emulator/row_store.py
+++ b/emulator/row_store.py
@@ -6,6 +6,7 @@
 
 import base64
 import copy
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -74,23 +75,20 @@
         """Returns the keys of a table in order."""
         return sorted(self._tables.get(table, {}))
 
-    async def respond(self, request: Request, writer: ResponseWriter, outage: str) -> None:
+    async def respond(
+        self, request: Request, writer: ResponseWriter, find_outage: Callable[[], str]
+    ) -> None:
         """Handles one request.
 
         Args:
             request: The request.
             writer: Writes the response.
-            outage: `busy` for status 503, `reset` to close the connection, `silent` to send no
-                response; empty for none.
+            find_outage: Returns the outage that is in force: `busy` for status 503, `reset` to
+                close the connection, `silent` to send no response; empty for none. One that begins
+                while a request waits for changes affects that request as well.
         """
         self.calls += 1
-        if outage == 'silent':
-            await trio.sleep_forever()
-        if outage == 'reset':
-            writer.abort()
-            return
-        if outage == 'busy':
-            await writer.answer(_STATUS_UNAVAILABLE, self._response_fields(), b'')
+        if not await _let_pass(writer, find_outage(), self._response_fields()):
             return
         query = {name: values[0] for name, values in parse_qs(request.query.decode()).items()}
         operation = request.path.rpartition(b'/')[2]
@@ -100,6 +98,8 @@
             response = self._read_table(query['table'])
         else:
             response = await self._wait_for_changes(query)
+        if not await _let_pass(writer, find_outage(), self._response_fields()):
+            return
         status = _STATUS_GONE if response is None else _STATUS_OK
         await writer.answer(status, self._response_fields(), orjson.dumps(response or {}))
 
@@ -158,6 +158,17 @@
         self._changed = trio.Event()
 
 
+async def _let_pass(writer: ResponseWriter, outage: str, fields: HeaderFields) -> bool:
+    """Answers as the outage says; returns whether there is none."""
+    if outage == 'silent':
+        await trio.sleep_forever()
+    if outage == 'reset':
+        writer.abort()
+    if outage == 'busy':
+        await writer.answer(_STATUS_UNAVAILABLE, fields, b'')
+    return not outage
+
+
 def _encode_row(table: str, key: str, raw: bytes | None, version: int) -> dict[str, Any]:
     row: dict[str, Any] = {'table': table, 'part': '', 'key': key, 'ver': version}
     if raw is None:
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -329,7 +329,7 @@
         self._outages[address] = outage
 
         async def respond(request: Request, writer: ResponseWriter) -> None:
-            await self.store.respond(request, writer, outage.current)
+            await self.store.respond(request, writer, lambda: outage.current)
 
         listener = Listener(address, respond, limits=HttpLimits, is_stopping=bool)
         await self._nursery.start(listener.run)
