--- a/features/steps/upgrade_steps.py
+++ b/features/steps/upgrade_steps.py
@@ -10,6 +10,7 @@
 from behave import given, then, when
 
 from emulator.entry_fleet import KEY, encode_call, exchange, free_port, route
+from emulator.instance_process import InstanceProcess
 from emulator.production_build import (
     ROOT,
     BuildUnavailable,
@@ -18,7 +19,6 @@
 )
 from features.steps.entry_steps import _put_configuration, _run_on_fleet
 from fireflymux.http.client_connection import ConnectFailed
-from emulator.instance_process import InstanceProcess
 from soak.upgrade import find_upgrade_violations, run_upgrade
 
 _NEW_KEY = 'new-key'
--- a/soak/upgrade.py
+++ b/soak/upgrade.py
@@ -5,10 +5,11 @@
 
 import trio
 
+from emulator.instance_process import ROOT
+
 from .checks import find_violations
 from .faults import inject_fault
 from .history import Exchange, History
-from emulator.instance_process import ROOT
 from .plan import Event, Plan
 from .testbed import Testbed
 from .traffic import start_traffic
