--- a/emulator/raw_response.py
+++ b/emulator/raw_response.py
@@ -20,13 +20,22 @@
     await writer._send(content, writer._phase)
 
 
+def end_raw(writer: ResponseWriter) -> None:
+    """Ends a response that was sent as raw bytes, so that its connection stays open.
+
+    Args:
+        writer: Writes the response to the request.
+    """
+    writer._phase = ResponsePhase.complete
+
+
 def end_at_close(writer: ResponseWriter) -> None:
     """Ends a response that was sent as raw bytes by closing the connection after it.
 
     Args:
         writer: Writes the response to the request.
     """
-    writer._phase = ResponsePhase.complete
+    end_raw(writer)
     writer.must_close = True
 
 
--- a/emulator/repeating_backend.py
+++ b/emulator/repeating_backend.py
@@ -16,7 +16,7 @@
 from fireflymux.http.response_writer import ResponseWriter
 
 from .backend import Backend
-from .raw_response import encode_answer, send_raw
+from .raw_response import encode_answer, end_raw, send_raw
 
 #: Pause between the parts of a copy, so that they arrive in reads of their own.
 _PAUSE_SECONDS = 0.03
@@ -94,6 +94,7 @@
             self.requests.append(request)
             await self._send_due(writer)
             await send_raw(writer, self._encode_success(request, fields))
+            end_raw(writer)
             return
         self._is_first = False
         if self.first not in _REFUSED_STATUSES:
@@ -103,6 +104,7 @@
         at_once = len(copy) if self.timing.bytes_at_once is None else self.timing.bytes_at_once
         self._due[writer] = copy[at_once:] if self.timing.is_ended else b''
         await send_raw(writer, self._encode_first(request, fields) + copy[:at_once])
+        end_raw(writer)
 
     async def _send_due(self, writer: ResponseWriter) -> None:
         due = self._due.pop(writer, b'')
