A reply of the store of another shape ends no instance, and one odd row hides no other

What operators would see: a reply of the store without rows, with a row without a key or with bad base64, or with a version of another type ended every instance that follows the table, and a version or an era that is too great was kept: the instance asked for changes since 1e30 from then on (it stopped following), or could not pack its reports to the others and ended.

Cause: only the transport and the JSON of a reply were checked. Its members were used as they were, outside the block whose errors count as an outage of the store.

Fix: a reply is decoded in one place, into rows with checked members. A reply without rows or with an invalid version counts as an outage, so that the follower pauses and asks again. A row without a key is left out, one with an unreadable value has no content, so that it names no endpoint; each is logged. A malformed era counts as not stated.

--- a/features/outside_values.feature
+++ b/features/outside_values.feature
@@ -74,3 +74,51 @@
       | ""                       |
       | "x\x00"                  |
       | "y x 300"                |
+
+  Scenario: Replies of the store of another shape end no instance, and following goes on
+    Given a "safe" route with two endpoints that answer
+    When the store answers oddly for a while, in turn with
+      | operation | reply                                      |
+      | rows-feed | {}                                         |
+      | rows-feed | [1]                                        |
+      | rows-feed |                                            |
+      | rows-feed | {"rows": 5, "ver": 9}                      |
+      | rows-feed | {"rows": [], "ver": "9"}                   |
+      | rows-feed | {"rows": [], "ver": null}                  |
+      | rows-feed | {"rows": [], "ver": -1}                    |
+      | rows-feed | {"rows": [], "ver": 1e30}                  |
+      | rows-feed | [ x 900] x 900                             |
+      | rows-get  | {}                                         |
+      | rows-get  | {"rows": [], "ver": 9, "more_pages": true} |
+      | rows-get  | {"rows": [], "ver": 18446744073709551615}  |
+      | rows-get  | {"rows": {"a": 1}, "ver": 9}               |
+      | rows-tx   | [ x 9000                                   |
+    Then the instances go on, and learn of a new endpoint and a new version
+
+  Scenario: Odd rows in a reply of the store hide no other row
+    Given a "safe" route with two endpoints that answer
+    When each reply of the store has these rows before the others
+      | row                                             |
+      | 5                                               |
+      | null                                            |
+      | {}                                              |
+      | {"key": 7, "value": "", "ver": 5}               |
+      | {"key": "odd", "value": "no base64!", "ver": 5} |
+      | {"key": "odd", "value": 5, "ver": 5}            |
+      | {"key": "odd", "value": "e30=", "ver": "x"}     |
+      | {"key": "odd", "value": "e30=", "ver": 1e30}    |
+      | {"key": "odd", "value": "e30=", "ver": -4}      |
+      | {"key": "odd", "removed": true, "ver": "x"}     |
+      | {"key": "odd", "removed": true}                 |
+      | [ x 900] x 900                                  |
+    Then the instances go on, and learn of a new endpoint and a new version
+
+  Scenario: An era of the store without bounds ends no instance and is passed on to none
+    Given a "safe" route with two endpoints that answer
+    When the store states for a while the eras
+      | era     |
+      | 9 x 30  |
+      | 9 x 400 |
+      | -9      |
+      | x       |
+    Then the instances go on, and learn of a new endpoint and a new version
--- a/features/steps/outside_values_steps.py
+++ b/features/steps/outside_values_steps.py
@@ -1,6 +1,7 @@
 """Steps for values from outside that are out of range, too long or of another shape."""
 
 import re
+from collections import defaultdict
 
 import orjson
 import trio
@@ -9,6 +10,8 @@
 from emulator.entry_fleet import encode_call, exchange, route
 from features.steps.entry_steps import _put_configuration, _run_on_fleet, _start_instances
 
+#: What each of two instances knows at last: configuration, endpoints, and how many it hears.
+_LEARNED = (6, {'e0', 'e1', 'later'}, 1)
 _ENGINE = {'batch_slots': 4, 'kv_capacity': 100000}
 
 
@@ -127,3 +130,98 @@
     for instance in context.entry_fleet.instances:
         (listed,) = instance._state.list_endpoints()
         assert listed.endpoint.identifier == 'later', listed
+
+
+@when('the store answers oddly for a while, in turn with')
+def answer_oddly(context):
+    replies = defaultdict(list)
+    for row in context.table:
+        replies[row['operation'].encode()].append(_expand(row['reply']).encode())
+
+    def change(operation, fields, content):
+        odd = replies[operation]
+        return fields, odd.pop(0) if odd else content
+
+    _change_replies(context, change, list_left=lambda: any(replies.values()))
+
+
+@when('each reply of the store has these rows before the others')
+def add_odd_rows(context):
+    odd = _expand(','.join(row['row'] for row in context.table)).encode()
+
+    def change(operation, fields, content):
+        changed = content.replace(b'"rows":[', b'"rows":[%b,' % odd, 1)
+        return fields, changed.replace(b',]', b']')
+
+    _change_replies(context, change)
+
+
+@when('the store states for a while the eras')
+def state_odd_eras(context):
+    eras = [_expand(row['era']).encode() for row in context.table]
+    # Each era is stated to both instances, with full tables and with changes.
+    stated = [era for era in eras for _ in range(6)]
+
+    def change(operation, fields, content):
+        return [(b'Store-Era', stated.pop(0))] if stated else fields, content
+
+    _change_replies(context, change, list_left=lambda: stated)
+
+
+def _change_replies(context, change, *, list_left=list):
+    """Changes the store's replies to two instances, then adds an endpoint and a configuration.
+
+    The rest of `list_left` tells that there are changed replies to come.
+    """
+
+    async def act(fleet):
+        fleet.store.respond = _respond_changed(fleet.store.respond, change)
+        fleet.store.forget_history()
+        await trio.sleep(0.3)
+        await fleet.add_instance(fleet.settings[0].store_address)
+        with trio.move_on_after(8):
+            while list_left():
+                # A change that concerns no instance, so that followers get a reply.
+                fleet.store.put('op', 'note', {})
+                await trio.sleep(0.1)
+        await fleet.add_backend('later', 'pool')
+        _put_configuration(fleet, 6, [route('/', 'safe', 'pool')])
+        learned = []
+        with trio.move_on_after(5):
+            while learned != [_LEARNED, _LEARNED]:
+                await trio.sleep(0.1)
+                learned = [_describe(instance) for instance in fleet.instances]
+        assert not list_left(), list_left()
+        return learned
+
+    _run_on_fleet(context, act)
+
+
+def _respond_changed(respond, change):
+    """Returns a responder of the store whose answers are those that `change` returns."""
+
+    async def respond_changed(request, writer, outage):
+        async def answer(status, fields, content):
+            operation = request.path.rpartition(b'/')[2]
+            # Only status 200 has a body that is read.
+            changed = change(operation, fields, content) if status == 200 else (fields, content)
+            await answer_plainly(status, *changed)
+
+        answer_plainly, writer.answer = writer.answer, answer
+        try:
+            await respond(request, writer, outage)
+        finally:
+            writer.answer = answer_plainly
+
+    return respond_changed
+
+
+def _describe(instance):
+    """Returns the configuration and the endpoints that an instance knows, and whom it hears."""
+    endpoints = {live.endpoint.identifier for live in instance._state.list_endpoints()}
+    return instance._state.configuration_version, endpoints, instance._peers.count_heard()
+
+
+@then('the instances go on, and learn of a new endpoint and a new version')
+def check_learns(context):
+    assert context.result == [_LEARNED, _LEARNED], context.result
--- a/src/fireflymux/platform/store.py
+++ b/src/fireflymux/platform/store.py
@@ -13,6 +13,7 @@
 import orjson
 import trio
 
+from ..bounded_values import MAXIMUM_INTEGER, OutOfBounds, check_integer, parse_integer
 from ..decisions.store_version import StoreVersion
 from ..http.client_connection import ConnectFailed, ConnectionBroken
 from ..http.connection_pool import ConnectionPool
@@ -28,6 +29,8 @@
 _FOLLOW_SLACK_SECONDS = 0.6
 _MAXIMUM_RESPONSE_BYTES = 8388608
 _ROWS_PER_PAGE = 500
+#: Bytes of a malformed header field that are logged.
+_LOGGED_BYTES = 100
 _MILLISECONDS_PER_SECOND = 1000
 #: Response field with the store's era, which increases when it is restored from an older copy.
 _ERA_FIELD = b'store-era'
@@ -36,8 +39,8 @@
 class StoreUnavailable(Exception):
     """A call to the store gave no usable response; a write may still have taken effect.
 
-    It failed, was rejected, or its response was not valid JSON or was of an outdated era; or
-    the era changed while a table was read.
+    It failed, was rejected, or its response was not valid JSON, had another shape or was of an
+    outdated era; or the era changed while a table was read.
     """
 
 
@@ -49,9 +52,9 @@
 
     Attributes:
         key: Key of the row.
-        content: Content of the row; None if the row was removed.
+        content: Content of the row; None if the row was removed, empty if it cannot be decoded.
         number: Number of its last change, as in `StoreVersion.number`, within one era of the
-            store; zero if the store does not state it for a removal.
+            store; zero if the store does not state a valid one.
     """
 
     key: str
@@ -91,6 +94,21 @@
     json_body: Any
 
 
+@dataclass(frozen=True, slots=True)
+class _Page:
+    """Rows in a response of the store, without those that have no valid key.
+
+    Attributes:
+        rows: The rows.
+        version: Version of the store at which they were read.
+        has_more: Whether there are rows after them.
+    """
+
+    rows: tuple[Row, ...]
+    version: StoreVersion
+    has_more: bool
+
+
 class StoreClient:
     """Client of the store for one process.
 
@@ -153,18 +171,18 @@
         while True:
             # Tables are always used with the empty `part`.
             query = {'table': table, 'part': '', 'from': start, 'limit': _ROWS_PER_PAGE}
-            reply = await self._call('GET', 'rows-get', query)
-            if reply.status != _OK:
-                raise StoreUnavailable('store responded with status {0}'.format(reply.status))
-            rows.extend(_decode_row(raw) for raw in reply.json_body['rows'])
+            page = _decode_page(await self._call('GET', 'rows-get', query))
+            rows.extend(page.rows)
             # The version of the first page: changes made since then are followed from there.
-            version = version or StoreVersion(reply.era, reply.json_body['ver'])
-            if version.era != reply.era:
+            version = version or page.version
+            if version.era != page.version.era:
                 raise StoreUnavailable('the store restarted from an older copy between two pages')
-            if not reply.json_body.get('more_pages'):
+            if not page.has_more:
                 return TableRows(tuple(rows), version)
+            if not page.rows or page.rows[-1].key < start:
+                raise StoreUnavailable('a page of the table does not go on after the one before')
             # The first key in order after the last one read.
-            start = '{0}\0'.format(rows[-1].key)
+            start = '{0}\0'.format(page.rows[-1].key)
 
     async def follow_table(
         self,
@@ -203,10 +221,8 @@
         # era, so changes since a version of an older era cannot be requested.
         if reply is None or after.era != self.era or reply.status == _GONE:
             return HistoryLost()
-        if reply.status != _OK:
-            raise StoreUnavailable('store responded with status {0}'.format(reply.status))
-        rows = tuple(_decode_row(raw) for raw in reply.json_body['rows'])
-        return TableRows(rows, StoreVersion(reply.era, reply.json_body['ver']))
+        page = _decode_page(reply)
+        return TableRows(page.rows, page.version)
 
     async def put_row(self, table: str, key: str, content: bytes) -> None:
         """Writes a row unconditionally.
@@ -289,12 +305,62 @@
         return _Reply(status, era, json_body)
 
     def _read_era(self, head: ResponseHead) -> int:
-        """Returns the era stated in a response, or the known one if it states none."""
+        """Returns the era stated in a response, or the known one if it states no valid one."""
         stated = find_header(head.fields, _ERA_FIELD)
-        return int(stated) if stated.isdigit() else self.era
+        era = parse_integer(stated, maximum=MAXIMUM_INTEGER)
+        if era is None and stated:
+            _log.warning('era_malformed', stated=stated[:_LOGGED_BYTES].decode('latin-1'))
+        return self.era if era is None else era
+
+
+def _decode_page(reply: _Reply) -> _Page:
+    """Decodes the response to a read.
 
+    Args:
+        reply: The response.
 
-def _decode_row(raw: dict[str, Any]) -> Row:
+    Returns:
+        The rows in it.
+
+    Raises:
+        StoreUnavailable: The store rejected the call, or the response has another shape.
+    """
+    if reply.status != _OK:
+        raise StoreUnavailable('store responded with status {0}'.format(reply.status))
+    body = reply.json_body
+    if not isinstance(body, dict) or not isinstance(body.get('rows'), list):
+        raise StoreUnavailable('the response holds no rows')
+    try:
+        version = StoreVersion(reply.era, check_integer(body.get('ver')))
+    except OutOfBounds as error:
+        raise StoreUnavailable('the response states no version: {0}'.format(error)) from error
+    decoded = [_decode_row(raw) for raw in body['rows']]
+    rows = tuple(row for row in decoded if row is not None)
+    return _Page(rows, version, bool(body.get('more_pages')))
+
+
+def _decode_row(raw: Any) -> Row | None:
+    """Decodes a row; one without a valid key is left out, so that it does not hide the others."""
+    if not isinstance(raw, dict) or not isinstance(raw.get('key'), str):
+        _log.warning('row_malformed', key='', reason='no key')
+        return None
+    key = raw['key']
     if raw.get('removed'):
-        return Row(raw['key'], None, raw.get('ver', 0))
-    return Row(raw['key'], base64.b64decode(raw['value']), raw['ver'])
+        return Row(key, None, _decode_number(key, raw.get('ver', 0)))
+    return Row(key, _decode_content(key, raw.get('value')), _decode_number(key, raw.get('ver')))
+
+
+def _decode_content(key: str, encoded: Any) -> bytes:
+    try:
+        return base64.b64decode(encoded, validate=True)
+    except (TypeError, ValueError) as error:
+        _log.warning('row_malformed', key=key, reason=repr(error))
+        return b''
+
+
+def _decode_number(key: str, stated: Any) -> int:
+    try:
+        return check_integer(stated)
+    except OutOfBounds as error:
+        _log.warning('row_malformed', key=key, reason=repr(error))
+        return 0
