The store is not asked without a pause where it makes no progress

What operators would see: an instance whose row is acknowledged but not listed, or a store that answers each question for changes with 410, got calls as fast as it answers them, which uses up the rate that all nodes share.

Cause: the loops that register the instance and that follow a table paused after an error only, not where a call succeeds and changes nothing.

That a store answers at once with no newer version is covered by the same pause; this was read, not run.

--- a/features/outside_values.feature
+++ b/features/outside_values.feature
@@ -122,3 +122,13 @@
       | -9      |
       | x       |
     Then the instances go on, and learn of a new endpoint and a new version
+
+  Scenario: An instance that doesn't find itself in the table of instances pauses before it registers again
+    Given a "safe" route with two endpoints that answer
+    When the store lists no instance for a second
+    Then the instance has written its row at most 4 times
+
+  Scenario: A store that never has the changes since a version is not asked without a pause
+    Given a "safe" route with two endpoints that answer
+    When the store answers each question for changes with status 410 for a second
+    Then the instance has asked at most 60 times, and knows the endpoints that were added meanwhile
--- a/features/steps/outside_values_steps.py
+++ b/features/steps/outside_values_steps.py
@@ -225,3 +225,52 @@
 @then('the instances go on, and learn of a new endpoint and a new version')
 def check_learns(context):
     assert context.result == [_LEARNED, _LEARNED], context.result
+
+
+@when('the store lists no instance for a second')
+def list_no_instance(context):
+    async def act(fleet):
+        puts = []
+
+        def put(table, key, content):
+            if table == 'fireflymux-instances':
+                puts.append(key)
+                return
+            put_plainly(table, key, content)
+
+        put_plainly, fleet.store.put = fleet.store.put, put
+        fleet.store._tables.pop('fireflymux-instances', None)
+        await fleet.add_instance(fleet.settings[0].store_address)
+        await trio.sleep(1)
+        return puts
+
+    _run_on_fleet(context, act)
+
+
+@then('the instance has written its row at most {count:d} times')
+def check_written(context, count):
+    assert 1 <= len(context.result) <= count, len(context.result)
+
+
+@when('the store answers each question for changes with status 410 for a second')
+def forget_always(context):
+    async def act(fleet):
+        fleet.store._can_follow_from = lambda version: False
+        fleet.store.forget_history()
+        calls = fleet.store.calls
+        await trio.sleep(0.5)
+        await fleet.add_backend('later', 'pool')
+        await trio.sleep(0.5)
+        return fleet.store.calls - calls, _describe(fleet.instances[0])
+
+    _run_on_fleet(context, act)
+
+
+@then(
+    'the instance has asked at most {count:d} times,'
+    ' and knows the endpoints that were added meanwhile'
+)
+def check_asked(context, count):
+    asked, known = context.result
+    assert asked <= count, asked
+    assert known == (5, {'e0', 'e1', 'later'}, 0), known
--- a/src/fireflymux/entry/store_follower.py
+++ b/src/fireflymux/entry/store_follower.py
@@ -39,6 +39,8 @@
 _FOLLOWER_CHECK_SECONDS = 0.1
 #: Pause after a change of the endpoints, so that the next call returns several changes at once.
 _BATCH_SECONDS = 0.2
+#: Pause before the next call if the one before made no progress.
+_PAUSE_SECONDS = 0.1
 _FIRST_RETRY_DELAY_SECONDS = 0.1
 _MAXIMUM_RETRY_DELAY_SECONDS = 0.8
 _REGISTER_RETRY_SECONDS = 0.5
@@ -129,6 +131,8 @@
                 continue
             is_registered = self._state.settings.name in names
             if not is_registered:
+                # The row was written, but the store does not list it (yet).
+                await trio.sleep(_REGISTER_RETRY_SECONDS)
                 continue
             with trio.move_on_after(_INSTANCES_INTERVAL_SECONDS):
                 await self._store.wait_for_new_era()
@@ -190,10 +194,15 @@
         changes = await self._store.follow_table(table, version, followed.wait_seconds)
         if isinstance(changes, HistoryLost):
             _log.info('history_lost', table=table, version=str(version))
+            # A store that loses its history again and again is not asked without a pause, nor is
+            # one that responds at once without a newer version.
+            await trio.sleep(_PAUSE_SECONDS)
             return None
         if changes.rows:
             followed.apply(changes.rows, False, changes.version)
             await trio.sleep(followed.batch_seconds)
+        if changes.version <= version:
+            await trio.sleep(_PAUSE_SECONDS)
         return changes.version
 
     def _record_outage(self, table: str, error: StoreUnavailable) -> None:
