An odd row in the table of instances names no instance

What operators would see: each row that another writer leaves in the table of instances counted as an instance, whatever it holds. An instance's part of the idle connections and of the requests to an endpoint that warms up shrinks with the number of instances, so that it used less than its part.

Cause: rows were taken over unchecked; only where reports are sent were hosts checked for addresses.

Evidence, without the fix: an instance that starts beside 8 odd rows knows 9 others in place of one. With it it knows one. An address that is no text counts as none, too; the check for it moves to bounded_values.

--- a/features/outside_values.feature
+++ b/features/outside_values.feature
@@ -132,3 +132,8 @@
     Given a "safe" route with two endpoints that answer
     When the store answers each question for changes with status 410 for a second
     Then the instance has asked at most 60 times, and knows the endpoints that were added meanwhile
+
+  Scenario: An odd row in the table of instances names no instance
+    Given a "safe" route with two endpoints that answer
+    When another writer leaves odd rows in the table of instances
+    Then an instance that starts knows only the other instance, and both hear each other
--- a/features/steps/outside_values_steps.py
+++ b/features/steps/outside_values_steps.py
@@ -274,3 +274,24 @@
     asked, known = context.result
     assert asked <= count, asked
     assert known == (5, {'e0', 'e1', 'later'}, 0), known
+
+
+@when('another writer leaves odd rows in the table of instances')
+def leave_odd_instances(context):
+    async def act(fleet):
+        for number, host in enumerate(('', 'host.example', 'a' * 99, '1.2.3', '{}', '\0', '::1')):
+            fleet.store.put('fireflymux-instances', 'odd-{0}'.format(number), host.encode())
+        fleet.store.put('fireflymux-instances', 'odd', b'\xff\xfe')
+        await fleet.add_instance(fleet.settings[0].store_address)
+        await trio.sleep(0.5)
+        return [
+            (sorted(instance._state.instances), instance._peers.count_heard())
+            for instance in fleet.instances
+        ]
+
+    _run_on_fleet(context, act)
+
+
+@then('an instance that starts knows only the other instance, and both hear each other')
+def check_known_instances(context):
+    assert context.result == [(['entry-2'], 1), (['entry-1'], 1)], context.result
--- a/src/fireflymux/bounded_values.py
+++ b/src/fireflymux/bounded_values.py
@@ -9,6 +9,7 @@
 take decoded JSON or MessagePack and raise `OutOfBounds`.
 """
 
+import ipaddress
 import string
 from typing import Any
 
@@ -58,6 +59,14 @@
     return bool(text) and text.isprintable() and text == text.strip()
 
 
+def is_ipv4_address(value: Any) -> bool:
+    """Tells whether a decoded value is an IPv4 address in text; False for host names."""
+    try:
+        return isinstance(value, str) and bool(ipaddress.IPv4Address(value))
+    except ValueError:
+        return False
+
+
 def check_integer(value: Any, *, maximum: int = MAXIMUM_INTEGER, minimum: int = 0) -> int:
     """Checks a decoded integer.
 
--- a/src/fireflymux/entry/peer_link.py
+++ b/src/fireflymux/entry/peer_link.py
@@ -5,7 +5,6 @@
 heard for a short time after each report. A full report is one whose field `is_whole` is true.
 """
 
-import ipaddress
 import socket
 
 import attrs
@@ -13,6 +12,7 @@
 import trio
 
 from .._messages_generated import PeerDatagram, PeerReport
+from ..bounded_values import is_ipv4_address
 from ..decisions.crash_counts import CrashCount
 from ..decisions.followers import FRESH_SECONDS, is_follower
 from ..decisions.loads import EndpointLoad
@@ -329,12 +329,3 @@
     """Returns the IPv4 addresses in the setting `seeds`, a list of hosts with ports."""
     hosts = [entry.strip().rpartition(':')[0] for entry in seeds.split(',') if entry.strip()]
     return [host for host in hosts if is_ipv4_address(host)]
-
-
-def is_ipv4_address(host: str) -> bool:
-    """Tells whether a host is an IPv4 address; False for names and IPv6 addresses."""
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
-        return False
-    return True
--- a/src/fireflymux/entry/peer_snapshot.py
+++ b/src/fireflymux/entry/peer_snapshot.py
@@ -15,6 +15,7 @@
 import trio
 
 from .._messages_generated import EntrySnapshot
+from ..bounded_values import is_ipv4_address
 from ..decisions.evacuations import EvacuationList
 from ..decisions.store_version import StoreVersion
 from ..http.client_connection import ClientConnection, ConnectFailed, ConnectionBroken
@@ -24,7 +25,7 @@
 from ..platform.configuration_row import MalformedRow, decode_configuration
 from .endpoint_wishes import mark_leaving
 from .evacuating import apply_evacuations
-from .peer_link import PeerLink, is_ipv4_address
+from .peer_link import PeerLink
 from .state import EntryState
 from .store_follower import replace_endpoint_rows
 
--- a/src/fireflymux/entry/store_follower.py
+++ b/src/fireflymux/entry/store_follower.py
@@ -10,6 +10,7 @@
 import attrs
 import trio
 
+from ..bounded_values import is_ipv4_address
 from ..decisions.evacuations import EvacuationList
 from ..decisions.store_version import StoreVersion
 from ..observability.logs import get_logger
@@ -146,8 +147,11 @@
     async def _read_instances(self) -> set[str]:
         rows = (await self._store.read_table(INSTANCE_TABLE)).rows
         hosts = {row.key: (row.content or b'').decode('latin-1') for row in rows}
-        others = {name: host for name, host in hosts.items() if name != self._state.settings.name}
-        self._state.instances.update(others)
+        for name, host in hosts.items():
+            if not is_ipv4_address(host):
+                _log.warning('instance_malformed', peer=name, host=host)
+            elif name != self._state.settings.name:
+                self._state.instances[name] = host
         return set(hosts)
 
     async def _follow(self, followed: FollowedTable) -> None:
