A request that states two identifiers is refused before it reaches an endpoint

A caller that sent two X-Attempt-Id fields with different values got 504 at the end of its time for a request that had run: the endpoint repeats one of them, and the last was waited for. An answer that bears two was likewise taken for one to the last of them.

Such a request is now answered 400 (malformed_request), since nothing tells its answer from others; the same value twice counts as one. An answer that bears two different identifiers matches no request (this half was only read, no test writes such an answer).

--- a/src/fireflymux/entry/calls.py
+++ b/src/fireflymux/entry/calls.py
@@ -99,6 +99,8 @@
         return CallFailure(ErrorKind.configuration_unavailable)
     if state.refuses_requests:
         return CallFailure(ErrorKind.shutting_down)
+    if metadata.has_several_attempts:
+        return CallFailure(ErrorKind.malformed_request, 'it states several identifiers')
     host = find_header(request.fields, b'host').partition(b':')[0].decode('latin-1').lower()
     route = configuration.find_route(host, request.path.decode('latin-1'))
     if route is None:
--- a/src/fireflymux/http/messages.py
+++ b/src/fireflymux/http/messages.py
@@ -53,6 +53,17 @@
     return b''
 
 
+def list_header_values(fields: Iterable[tuple[bytes, bytes]], name: bytes) -> list[bytes]:
+    """Lists the different values of a header field that can be repeated, in order.
+
+    Args:
+        fields: Header fields of a message.
+        name: Field name in lower case.
+    """
+    values = [value for found, value in fields if found.lower() == name]
+    return list(dict.fromkeys(values))
+
+
 @attrs.define(kw_only=True)
 class Request:
     """A complete request.
--- a/src/fireflymux/platform/call_headers.py
+++ b/src/fireflymux/platform/call_headers.py
@@ -9,12 +9,14 @@
 import attrs
 
 from ..decisions.prompts import PromptPart
-from ..http.messages import HeaderFields, Request, ResponseHead, find_header
+from ..http.messages import HeaderFields, Request, ResponseHead, find_header, list_header_values
 from ..observability.logs import get_logger
 
 _log = get_logger(__name__)
 
 _ATTEMPT_ID = b'x-attempt-id'
+#: HTTP joins the values of a repeated field in this way.
+_ATTEMPT_SEPARATOR = b', '
 _DEADLINE_MS = b'x-deadline-ms'
 _AUTHORIZATION = b'authorization'
 _MODEL = b'x-model'
@@ -81,6 +83,8 @@
     Attributes:
         attempt: Identifier of the caller's attempt, as sent; empty if not sent. It is forwarded to
             every endpoint that is tried, and the response repeats it.
+        has_several_attempts: Whether it states different identifiers, so that its response could
+            not be told from others.
         deadline_seconds: How long the caller waits for the response; infinite if not stated.
         key: API key of the caller; empty if not sent.
         prompt_tokens: Length of the prompt in tokens.
@@ -91,6 +95,7 @@
     """
 
     attempt: bytes
+    has_several_attempts: bool = False
     deadline_seconds: float
     key: str
     prompt_tokens: int
@@ -105,7 +110,7 @@
 
     Attributes:
         attempt: Identifier of the attempt that the response belongs to, as sent; empty if not
-            sent.
+            sent. Different ones are joined, so that they are equal to none of them.
         has_signature: Whether the response has a signature field that is not empty; its value is
             not checked. An unsigned response is not accepted as the result of a request.
         was_not_executed: Whether the endpoint states that it did not execute the request; a
@@ -136,13 +141,15 @@
         Its metadata. Malformed fields are treated as missing, except that the prompt parts before
         the first malformed one count. X-Token-Usage has the form `prompt,output`, both in tokens;
         a single number counts as both. X-Length-Hint takes precedence for the output. Of a field
-        that is repeated, the last value counts.
+        that is repeated, the last value counts, except for X-Attempt-Id.
     """
     found = {name.lower(): value for name, value in request.fields}
     tokens = found.get(_TOKEN_USAGE, b'').split(b',')
     resume_after = found.get(_LAST_EVENT_ID, b'')
+    attempts = list_header_values(request.fields, _ATTEMPT_ID)
     return RequestMetadata(
-        attempt=found.get(_ATTEMPT_ID, b''),
+        attempt=_ATTEMPT_SEPARATOR.join(attempts),
+        has_several_attempts=len(attempts) > 1,
         deadline_seconds=_decode_deadline(found.get(_DEADLINE_MS, b'')),
         key=_decode_key(found.get(_AUTHORIZATION, b'')),
         prompt_tokens=_to_int(tokens[0], 0),
@@ -215,11 +222,11 @@
     Returns:
         Its metadata. Malformed fields are treated as missing, except that a malformed timeout in
         Keep-Alive is treated as zero. X-Not-Executed counts with any value. Of a field that is
-        repeated, the last value counts.
+        repeated, the last value counts, except for X-Attempt-Id.
     """
     found = {name.lower(): value for name, value in head.fields}
     return ResponseMetadata(
-        attempt=found.get(_ATTEMPT_ID, b''),
+        attempt=_ATTEMPT_SEPARATOR.join(list_header_values(head.fields, _ATTEMPT_ID)),
         has_signature=bool(found.get(_SERVER_SIGNATURE)),
         was_not_executed=_NOT_EXECUTED in found or head.status == _MISDIRECTED_STATUS,
         idle_seconds=_decode_idle_timeout(found.get(_KEEP_ALIVE, b'')),
