A Connection field takes no identifier, host or prompt out of a forwarded request

A caller whose Connection field listed `x-attempt-id, host` got 502: the request arrived without its identifier (and Host), so that its answer could not be matched. The same would hold for X-Model, X-Token-Usage, X-Prompt-Prefix and Last-Event-Id, which an endpoint must get as the caller sent them (that was read, not run).

Cause: whatever Connection lists was dropped as a field of one connection; a second Connection field was not read.

Evidence, features/kept_connections.feature on the code before:

Connection: x-attempt-id, host Reply(status=502, ... {"kind":"endpoint_crashed","title":"The endpoint broke off while it ran the request"})

Fields that belong to the request are now forwarded in any case, and all Connection fields count for the others.

--- a/src/fireflymux/platform/call_headers.py
+++ b/src/fireflymux/platform/call_headers.py
@@ -57,6 +57,19 @@
         b'expect',
     )
 )
+#: Request fields that are forwarded although the Connection field lists them: they belong to the
+#: request and not to one connection.
+_END_TO_END = frozenset(
+    (
+        b'host',
+        _ATTEMPT_ID,
+        _MODEL,
+        _TOKEN_USAGE,
+        _PROMPT_PREFIX,
+        _LENGTH_HINT,
+        _LAST_EVENT_ID,
+    )
+)
 #: Response fields meant for the system; they are not forwarded to the caller.
 _ENDPOINT_FIELDS = frozenset((_SERVER_LOAD, _SERVER_LEAVING, _WARMUP_MS))
 #: Request fields that are not forwarded as the caller sent them. Authorization and X-Deadline-Ms
@@ -204,12 +217,12 @@
 def _filter_request_headers(request: Request, extra_dropped: set[bytes]) -> HeaderFields:
     """Selects the header fields of a caller's request that are forwarded.
 
-    Adds the names of the fields that the Connection field lists to `extra_dropped`.
+    Fields that a Connection field lists are left out, except for those that belong to the request.
     """
     # RFC 9110: fields named by the Connection field are hop-by-hop as well.
-    connection = find_header(request.fields, b'connection')
-    extra_dropped.update(option.strip().lower() for option in connection.split(b','))
-    dropped = _HOP_BY_HOP | _SYSTEM_FIELDS | extra_dropped
+    options = b','.join(list_header_values(request.fields, b'connection')).lower().split(b',')
+    listed = {option.strip() for option in options} - _END_TO_END
+    dropped = _HOP_BY_HOP | _SYSTEM_FIELDS | extra_dropped | listed
     return [field for field in request.fields if field[0].lower() not in dropped]
 
 
