A forwarded HEAD request gets its answer without waiting for a body

A caller that sent HEAD got 504 at the end of its time for a request that had run: the answer states the length of a body, as HTTP wants it, and the body was waited for. Where other bytes followed on the connection, these were read as the body.

Evidence, features/kept_connections.feature on the code before:

HEAD Reply(status=504, ... {"kind":"outcome_unknown", ...}), 1.05 s

The connection tells the parser that the present request is HEAD; its answer then ends with the head. httptools cannot be told so, so that the connection is not used again after it.

Answers 204 and 304 with a length or in chunks were suspected, too: httptools ends them with their head (tried on the parser alone: complete, and the connection is kept).

--- a/features/kept_connections.feature
+++ b/features/kept_connections.feature
@@ -63,6 +63,7 @@
       | POST   | X-Attempt-Id: a1\r\nX-Attempt-Id: a2                   | 400    | 0    |    |
       | POST   | X-Attempt-Id: a1\r\nX-Attempt-Id:                      | 400    | 0    |    |
       | POST   | X-Attempt-Id: a1\r\nConnection: x-attempt-id, host     | 200    | 1    | a1 |
+      | HEAD   | X-Attempt-Id: a1                                       | 200    | 1    | a1 |
 
   Scenario: Requests with identifiers of their own share few connections
     Given a "unsafe" route whose only endpoint has behaviour "answer"
--- a/src/fireflymux/http/client_connection.py
+++ b/src/fireflymux/http/client_connection.py
@@ -157,6 +157,7 @@
         Raises:
             ConnectionBroken: Sending failed; the server may have received the request.
         """
+        self._parser.answers_head = start_line.startswith(b'HEAD ')
         view = memoryview(encode_head(start_line, fields) + content)
         try:
             while view:
@@ -230,8 +231,8 @@
             parts.append(part)
 
     async def _receive(self) -> None:
-        if self._parser.is_malformed:
-            raise ConnectionBroken('the server sent bytes that are no answer')
+        if self._parser.is_malformed or self._parser.is_ended:
+            raise ConnectionBroken('the server sent bytes that are no answer to the request')
         try:
             received = await self._socket.recv(_RECEIVE_BYTES)
         except OSError as error:
--- a/src/fireflymux/http/response_parser.py
+++ b/src/fireflymux/http/response_parser.py
@@ -32,13 +32,16 @@
 class ResponseParser:
     """Incremental parser for the responses of one connection.
 
-    Interim responses (status 1xx) are skipped. The parser does not know the method of a request;
-    it treats the response to a HEAD request as if its body followed. The methods whose names begin
-    with `on_` are callbacks of the httptools parser.
+    Interim responses (status 1xx) are skipped. The methods whose names begin with `on_` are
+    callbacks of the httptools parser.
 
     Attributes:
         responses: Final responses in the order received; the reader removes each one.
+        answers_head: Whether the present request is a HEAD request, whose response states the
+            length of a body that does not follow. httptools cannot be told so; such a response is
+            the last one that the parser can read.
         is_malformed: Whether the server sent bytes that are not valid HTTP.
+        is_ended: Whether no further response can be read.
         is_in_response: Whether bytes of a response were received, interim ones included, whose
             final response is not complete yet.
         keeps_alive: Whether the connection can carry another request (HTTP keep-alive).
@@ -50,7 +53,9 @@
     def __init__(self) -> None:
         """Creates a parser for a new connection."""
         self.responses: deque[IncomingResponse] = deque()
+        self.answers_head = False
         self.is_malformed = False
+        self.is_ended = False
         self.is_in_response = False
         self.keeps_alive = True
         self.progress = 0
@@ -64,7 +69,7 @@
         Args:
             received: The bytes, in the order received.
         """
-        if self.is_malformed:
+        if self.is_malformed or self.is_ended:
             return
         try:
             self._parser.feed_data(received)
@@ -106,6 +111,8 @@
         )
         self.responses.append(self._current_response)
         self.progress += 1
+        if self.answers_head:
+            self._end_without_body(self._current_response)
 
     def on_body(self, part: bytes) -> None:
         """Adds a part of the body."""
@@ -120,3 +127,12 @@
         self.is_in_response = False
         self._current_response.is_complete = True
         self.keeps_alive = self.keeps_alive and self._parser.should_keep_alive()
+
+    def _end_without_body(self, response: IncomingResponse) -> None:
+        response.head.content_length = None
+        response.ends_at_close = False
+        response.is_complete = True
+        self.is_ended = True
+        self.keeps_alive = False
+        # What httptools takes for the body belongs to no response.
+        self._current_response = None
