A connection to the store carries one call, or the long polls of one table

An instance ended by itself as it started, where the store wrote an earlier answer once more: the answer to a write was taken for a page of a table. One about another table would be taken over as the list of endpoints, and followed from its version (that was read, not run).

Cause: an answer of the store repeats nothing of its call, and connections were shared by all calls.

A read of a table and a write now have a connection of their own, and the long polls of a table share one: a copy of an answer to one of these tells only what is known, and the version that it states is followed again.

That an answer of another shape ends the process is a fault of its own, and not mended here.

--- a/features/kept_connections.feature
+++ b/features/kept_connections.feature
@@ -98,3 +98,8 @@
       | streaming | stream  | in two reads          | the same id |
       | streaming | stream  | with the next request | no id       |
       | streaming | stream  | with the next request | another id  |
+
+  Scenario: An answer of the store that is written again is not taken for one about another table
+    Given an instance whose store writes each answer again before the next one on its connection
+    When the endpoint leaves, another one takes its place, and a route is added, 4 times
+    Then each time the new route is served by the new endpoint
--- a/features/steps/kept_connection_steps.py
+++ b/features/steps/kept_connection_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from emulator.entry_fleet import Reply, configuration, encode_call, exchange, free_port, route
-from emulator.raw_response import encode_answer
+from emulator.raw_response import encode_answer, send_raw
 from emulator.repeating_backend import COPY_TIMINGS, RepeatingBackend
 from features.steps.entry_steps import _put_configuration, _run_on_fleet, _start_instances
 from fireflymux.http.client_connection import ClientConnection
@@ -236,3 +236,59 @@
     for request in requests:
         values = {text for name, text in request.fields if name.lower() == b'x-attempt-id'}
         assert values == {identifier.encode()}, values
+
+
+class _RecordingWriter:
+    """Passes an answer on, and keeps it to be written again."""
+
+    def __init__(self, writer):
+        self._writer = writer
+        self.recorded = b''
+
+    async def answer(self, status, fields, content):
+        self.recorded = encode_answer(status, fields, content)
+        await self._writer.answer(status, fields, content)
+
+
+@given('an instance whose store writes each answer again before the next one on its connection')
+def repeating_store(context):
+    earlier = {}
+
+    async def build(fleet):
+        async def respond(request, writer):
+            await send_raw(writer, earlier.pop(writer, b''))
+            recording = _RecordingWriter(writer)
+            await fleet.store.respond(request, recording, '')
+            earlier[writer] = recording.recorded
+
+        address = '127.0.0.1:{0}'.format(free_port())
+        await fleet._listen(address, respond)
+        await fleet.add_backend('e0', 'pool')
+        _put_configuration(fleet, 5, [route('/', 'unsafe', 'pool')])
+        await fleet.add_instance(address)
+        await fleet.wait_ready()
+
+    context.build = build
+
+
+@when('the endpoint leaves, another one takes its place, and a route is added, {times:d} times')
+def change_tables(context, times):
+    async def act(fleet):
+        served = []
+        for number in range(1, times + 1):
+            fleet.store.remove('servers', 'e{0}'.format(number - 1))
+            await fleet.add_backend('e{0}'.format(number), 'pool')
+            prefix = '/{0}/'.format(number)
+            routes = [route('/', 'unsafe', 'gone'), route(prefix, 'unsafe', 'pool')]
+            _put_configuration(fleet, 5 + number, routes)
+            await trio.sleep(0.8)
+            served.append((await fleet.call(prefix)).content)
+        return served
+
+    _run_on_fleet(context, act)
+
+
+@then('each time the new route is served by the new endpoint')
+def check_followed(context):
+    expected = ['answer of e{0}'.format(number + 1) for number in range(len(context.result))]
+    assert [content.decode() for content in context.result] == expected, context.result
--- a/src/fireflymux/platform/store.py
+++ b/src/fireflymux/platform/store.py
@@ -7,6 +7,7 @@
 
 import base64
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 from urllib.parse import urlencode
 
@@ -94,6 +95,10 @@
 class StoreClient:
     """Client of the store for one process.
 
+    A response repeats nothing of its request, so that only the connection tells which call it
+    belongs to. A connection therefore carries either one call, or the long polls of one table: if
+    an earlier response is sent again there, it only tells what is known already.
+
     Attributes:
         era: Newest known era of the store, from its responses or from other instances.
     """
@@ -107,7 +112,10 @@
         host, _, port = address.rpartition(':')
         self.era = 0
         self._address = address
-        self._pool = ConnectionPool(host, int(port), connect_timeout_seconds=_CALL_TIMEOUT_SECONDS)
+        self._open_pool = partial(
+            ConnectionPool, host, int(port), connect_timeout_seconds=_CALL_TIMEOUT_SECONDS
+        )
+        self._follow_pools: dict[str, ConnectionPool] = {}
         self._follow_scopes: set[trio.CancelScope] = set()
         self._era_changed = trio.Event()
 
@@ -196,7 +204,9 @@
         with trio.CancelScope() as scope:
             self._follow_scopes.add(scope)
             try:
-                reply = await self._call('GET', 'rows-feed', query, timeout=timeout)
+                reply = await self._call(
+                    'GET', 'rows-feed', query, timeout=timeout, followed_table=table
+                )
             finally:
                 self._follow_scopes.discard(scope)
         # `reply` is None if `update_era` cancelled the call. Version numbers are reused in each
@@ -251,6 +261,7 @@
         *,
         change: Any = None,
         timeout: float = _CALL_TIMEOUT_SECONDS,
+        followed_table: str = '',
     ) -> _Reply:
         target = '/api/{0}'.format(name)
         if query:
@@ -258,29 +269,34 @@
         content = b'' if change is None else orjson.dumps(change)
         try:
             with trio.fail_after(timeout):
-                reply = await self._exchange('{0} {1} HTTP/1.1'.format(method, target), content)
+                reply = await self._exchange(
+                    '{0} {1} HTTP/1.1'.format(method, target), content, followed_table
+                )
         except (ConnectFailed, ConnectionBroken, trio.TooSlowError, ValueError) as error:
             raise StoreUnavailable(repr(error)) from error
         if reply.era < self.era:
             raise StoreUnavailable('response is of the outdated era {0}'.format(reply.era))
         return reply
 
-    async def _exchange(self, start_line: str, content: bytes) -> _Reply:
-        connection = await self._pool.take_any()
+    async def _exchange(self, start_line: str, content: bytes, followed_table: str) -> _Reply:
+        """Makes a call, on a connection of its own unless it follows a table."""
+        pool = self._get_pool(followed_table)
+        connection = await pool.take_any()
         fields: HeaderFields = [(b'Host', self._address.encode())]
         if content:
             fields.append((b'Content-Type', b'application/json'))
             fields.append((b'Content-Length', b'%d' % len(content)))
-        is_done = False
+        is_kept = False
         try:
             await connection.send(start_line.encode(), fields, content)
             response = await connection.next_response()
             body = await connection.read_full_body(response, _MAXIMUM_RESPONSE_BYTES)
             connection.drop(response)
-            self._pool.release_connection(connection, None)
-            is_done = True
+            if followed_table:
+                pool.release_connection(connection, None)
+                is_kept = True
         finally:
-            if not is_done:
+            if not is_kept:
                 connection.close()
         status = response.head.status
         json_body = orjson.loads(body) if body and status == _OK else None
@@ -288,6 +304,12 @@
         self.update_era(era)
         return _Reply(status, era, json_body)
 
+    def _get_pool(self, followed_table: str) -> ConnectionPool:
+        """Returns the connections for following a table; an empty pool for any other call."""
+        if not followed_table:
+            return self._open_pool()
+        return self._follow_pools.setdefault(followed_table, self._open_pool())
+
     def _read_era(self, head: ResponseHead) -> int:
         """Returns the era stated in a response, or the known one if it states none."""
         stated = find_header(head.fields, _ERA_FIELD)
