--- a/features/steps/kept_connection_steps.py
+++ b/features/steps/kept_connection_steps.py
@@ -1,13 +1,16 @@
 """Steps for answers on kept connections to endpoints."""
 
+import functools
 import re
 
 import trio
 from behave import given, then, when
 
-from emulator.entry_fleet import encode_call, exchange, free_port, route
+from emulator.entry_fleet import Reply, configuration, encode_call, exchange, free_port, route
+from emulator.raw_response import encode_answer, send_raw
 from emulator.repeating_backend import COPY_TIMINGS, RepeatingBackend
 from features.steps.entry_steps import _put_configuration, _run_on_fleet, _start_instances
+from fireflymux.http.client_connection import ClientConnection
 
 _ID_LINE = b'X-Attempt-Id: a1\r\n'
 #: Header lines with the identifier of the second request, by description.
@@ -50,6 +53,80 @@
     _set_up_repeating_endpoints(context, ['e0', 'e1'], kind, first, 'with the next request')
 
 
+async def _refuse_early(stream, bodies):
+    """Refuses requests with a body, reads it later, and answers those without."""
+    unread = b''
+    while True:
+        while b'\r\n\r\n' not in unread:
+            received = await stream.receive_some()
+            if not received:
+                return
+            unread += received
+        head, _, unread = unread.partition(b'\r\n\r\n')
+        size = int(re.search(b'Content-Length: ([0-9]+)', head).group(1))
+        attempt = (b'X-Attempt-Id', re.search(b'X-Attempt-Id: (\\S+)', head).group(1))
+        if not size:
+            signed = [attempt, (b'X-Server-Signature', b'e0')]
+            await stream.send_all(encode_answer(200, signed, b'id: 0\ndata: /2\n\n'))
+            continue
+        await stream.send_all(encode_answer(503, [attempt, (b'X-Not-Executed', b'1')], b''))
+        await trio.sleep(0.2)
+        while len(unread) < size:
+            unread += await stream.receive_some()
+        bodies.append(unread[:size])
+        unread = unread[size:]
+
+
+@given(
+    'a "{kind}" route whose only endpoint refuses requests with {size:d} bytes'
+    ' before it reads these'
+)
+def early_refusal(context, kind, size):
+    context.bodies = []
+
+    async def build(fleet):
+        port = free_port()
+        serve = functools.partial(trio.serve_tcp, host='127.0.0.1')
+        await fleet._nursery.start(
+            serve, functools.partial(_refuse_early, bodies=context.bodies), port
+        )
+        fleet.announce('e0', 'pool', '127.0.0.1:{0}'.format(port))
+        routes = [route('/', kind, 'pool', timeout_ms=1000)]
+        limits = configuration(5, routes)['limits'] | {'max_body_bytes': size}
+        _put_configuration(fleet, 5, routes, limits=limits)
+        await _start_instances(fleet)
+
+    context.build = build
+
+
+async def _send_whole(address, raw):
+    """Sends a request that is too large for one write, and reads its response."""
+    host, _, port = address.rpartition(':')
+    connection = await ClientConnection.open(host, int(port), timeout_seconds=2)
+    head, _, content = raw.partition(b'\r\n\r\n')
+    await connection.send(head, [], content)
+    response = await connection.next_response()
+    body = await connection.read_full_body(response, 65536)
+    connection.close()
+    return Reply(response.head.status, {}, body, True)
+
+
+@when('callers send a request with {size:d} bytes and then one without')
+def send_body_and_none(context, size):
+    async def act(fleet):
+        address = fleet.settings[0].caller_address
+        first = await _send_whole(address, encode_call('/1', content=b'x' * size))
+        return {'/1': first, '/2': await fleet.call('/2')}
+
+    _run_on_fleet(context, act)
+
+
+@then('the endpoint read {size:d} bytes as the body of the first')
+def check_body(context, size):
+    assert [len(body) for body in context.bodies] == [size], [len(b) for b in context.bodies]
+    assert set(context.bodies[0]) == {ord('x')}
+
+
 def _encode(path, id_line):
     return encode_call(path, attempt='a1').replace(_ID_LINE, id_line)
 
@@ -159,3 +236,59 @@
     for request in requests:
         values = {text for name, text in request.fields if name.lower() == b'x-attempt-id'}
         assert values == {identifier.encode()}, values
+
+
+class _RecordingWriter:
+    """Passes an answer on, and keeps it to be written again."""
+
+    def __init__(self, writer):
+        self._writer = writer
+        self.recorded = b''
+
+    async def answer(self, status, fields, content):
+        self.recorded = encode_answer(status, fields, content)
+        await self._writer.answer(status, fields, content)
+
+
+@given('an instance whose store writes each answer again before the next one on its connection')
+def repeating_store(context):
+    earlier = {}
+
+    async def build(fleet):
+        async def respond(request, writer):
+            await send_raw(writer, earlier.pop(writer, b''))
+            recording = _RecordingWriter(writer)
+            await fleet.store.respond(request, recording, '')
+            earlier[writer] = recording.recorded
+
+        address = '127.0.0.1:{0}'.format(free_port())
+        await fleet._listen(address, respond)
+        await fleet.add_backend('e0', 'pool')
+        _put_configuration(fleet, 5, [route('/', 'unsafe', 'pool')])
+        await fleet.add_instance(address)
+        await fleet.wait_ready()
+
+    context.build = build
+
+
+@when('the endpoint leaves, another one takes its place, and a route is added, {times:d} times')
+def change_tables(context, times):
+    async def act(fleet):
+        served = []
+        for number in range(1, times + 1):
+            fleet.store.remove('servers', 'e{0}'.format(number - 1))
+            await fleet.add_backend('e{0}'.format(number), 'pool')
+            prefix = '/{0}/'.format(number)
+            routes = [route('/', 'unsafe', 'gone'), route(prefix, 'unsafe', 'pool')]
+            _put_configuration(fleet, 5 + number, routes)
+            await trio.sleep(0.8)
+            served.append((await fleet.call(prefix)).content)
+        return served
+
+    _run_on_fleet(context, act)
+
+
+@then('each time the new route is served by the new endpoint')
+def check_followed(context):
+    expected = ['answer of e{0}'.format(number + 1) for number in range(len(context.result))]
+    assert [content.decode() for content in context.result] == expected, context.result
