An engine is asked for its answers without an encoding

The sidecar's HTTP client offered gzip and deflate to the engine, passed on the bytes as they came and left Content-Encoding out: from an engine, or a proxy in front of it, that encodes, callers would get compressed bytes as the whole answer, and a stream would never end with its end marker.

Seen before the fix (features/role_responses.feature): a call without "Accept-Encoding: identity". That an engine encodes was not run.

features/role_responses.feature: 16 passed.

--- a/features/role_responses.feature
+++ b/features/role_responses.feature
@@ -66,3 +66,8 @@
       | kind    |
       | engine  |
       | service |
+
+  Scenario: An engine is not asked to encode its answers
+    Given an engine that answers
+    When a sidecar sends it a streaming call
+    Then the call asks for no encoding
--- a/src/fireflymux/web/http_clients.py
+++ b/src/fireflymux/web/http_clients.py
@@ -128,7 +128,7 @@
     return httpx.AsyncClient(
         verify=create_ssl_context(tls),
         timeout=httpx.Timeout(None, connect=_CONNECT_TIMEOUT_SECONDS),
-        headers={'Connection': 'close'},
+        headers={'Connection': 'close', 'Accept-Encoding': 'identity'},
         limits=_WITHOUT_KEEP_ALIVE,
         cookies=_refuse_cookies(),
         trust_env=False,
