An entry or response of the platform that cannot be read neither ends a process nor hides the others

Routers and sidecars ended, again and again, for as long as one odd entry was in the live list or the platform answered something unreadable once: - a host or port that makes no URL ended each router that read it, out of the task that sends heartbeats; - an entry without an address, or one that is no object, hid every other entry: new sidecars were not found for as long as it was listed; - a response that is no JSON, or rows of another shape, ended every router and sidecar; - a conflict that names no row was sent again without end, as fast as the table answered; - recorded answers over 16 KB that are no JSON could not be replayed, though their bytes are not needed as JSON.

Cause: the clients raised what the parser or the look-up of a member raises, and the callers expected PlatformError; the live list was decoded as one message.

Seen before the fix on real processes (features/odd_rows.feature): router-0 ended with UnicodeError out of getaddrinfo, JSONDecodeError and TypeError out of read; service-0 with JSONDecodeError out of commit; the router did not find the restarted sidecar within 12 s. In one process: "depth limit exceeded", no result for the conflict within a second, "invalid literal" for the object. A router whose own address in the list is odd, and one nested 200 levels deep, did no harm within that time.

The clients raise PlatformError for whatever cannot be read, which says of a write that it may have taken effect; a row has to be the one that was asked for. Rows and entries are read one by one, each left out with a line in the log; a list that the parser rejects as a whole is split at its commas. An address is checked where it is read, and once more where the client for it is made.

--- a/emulator/platform.py
+++ b/emulator/platform.py
@@ -29,13 +29,16 @@
 
     Attributes:
         mode: `ok`; `down` for 503 without effect; `slow` for a delay before the request is
-            handled; `lose_answers` for 504 after a write took effect.
+            handled; `lose_answers` for 504 after a write took effect; `garbage` for 200 with
+            `content`, without effect.
         seconds: Delay in the mode `slow`.
+        content: Body of every response in the mode `garbage`.
         remaining: Number of further requests that the fault affects; negative for no limit.
     """
 
     mode: str = 'ok'
     seconds: float = 0.0
+    content: str = ''
     remaining: int = -1
 
 
@@ -125,6 +128,13 @@
             return None
         return Response(b'', status=401)
 
+    @app.before_request
+    async def send_garbage() -> Response | None:
+        fault = state.faults.get(request.path.split('/')[1])
+        if request.method == 'PUT' or fault is None or fault.mode != 'garbage':
+            return None
+        return Response(fault.content.encode())
+
     @app.post('/faults')
     async def faults() -> Response:
         message = await request.get_json()
--- /dev/null
+++ b/features/odd_rows.feature
@@ -0,0 +1,41 @@
+Feature: One odd row, entry or message neither ends a process nor hides the others
+
+  Scenario Outline: An odd entry in the live list
+    Given a small fleet of one router, one engine and one service
+    When another writer adds an entry <oddity> to the live list and the engine's sidecar is restarted
+    Then the router still runs and sends chats to the new sidecar
+
+    Examples:
+      | oddity                                |
+      | without an address                    |
+      | whose port is no number               |
+      | whose host has too long a label       |
+      | of a router whose port is no number   |
+      | nested 200 levels deep                |
+      | that is no object                     |
+
+  Scenario Outline: Answers of the platform that cannot be read
+    Given a small fleet of one router, one engine and one service
+    When the platform's <service> answers <content> for 2 seconds
+    Then a chat and a call with a key are answered and every process still runs
+
+    Examples:
+      | service | content            |
+      | table   | something else     |
+      | table   | rows of other keys |
+      | live    | something else     |
+
+  Scenario: An entry of the live list that is nested too deeply to be parsed
+    Given a live list with an entry that is nested 5000 levels deep between two others
+    When a router reads the list
+    Then it has the two others
+
+  Scenario: A conflict that names no row
+    Given a table that answers every transaction with a conflict that names no row
+    When a sidecar commits a row
+    Then it learns that the write may have taken effect, after 1 transaction
+
+  Scenario: A recorded response that is no JSON
+    Given an object store that holds a text
+    When a sidecar reads the object
+    Then it has the text
--- a/src/fireflymux/router/peers.py
+++ b/src/fireflymux/router/peers.py
@@ -213,7 +213,7 @@
             while True:
                 try:
                     self._apply_live_list(await self._context.live_list.read(), nursery)
-                except (PlatformError, codec.DecodeError) as error:
+                except PlatformError as error:
                     _log.debug('live_list_unavailable', reason=str(error))
                 await trio.sleep(self._context.live_poll_interval_seconds)
 
--- a/src/fireflymux/store/platform_client.py
+++ b/src/fireflymux/store/platform_client.py
@@ -11,14 +11,17 @@
 
 from .._settings_generated import PlatformSettings
 from ..messages import LiveInstance
+from ..observability.logs import get_logger
+from ..web.http_clients import is_process_url
 from ..wire import codec
 
+_log = get_logger(__name__)
 _CONFLICT = 409
 _NOT_FOUND = 404
 
 
 class PlatformError(Exception):
-    """A call to the platform failed: no response, or one with an error status.
+    """A call to the platform failed: no response, one with an error status or an unreadable one.
 
     Attributes:
         may_have_written: Whether a write may have taken effect despite the error.
@@ -89,8 +92,10 @@
         response = await _send(self._client, 'GET', '{0}/rows/{1}'.format(self._url, quote(key)))
         if response.status_code == _NOT_FOUND:
             return Row(key, 0, None)
-        raw = _decode_success(response)
-        return Row(key, raw['version'], raw['value'])
+        row = _parse_row(_decode_success(response))
+        if row is None or row.key != key:
+            raise PlatformError('the response is not the row {0}'.format(key))
+        return row
 
     async def read_after(self, prefix: str, after: str, limit: int) -> list[Row]:
         """Reads rows in key order.
@@ -101,14 +106,23 @@
             limit: Maximum number of rows.
 
         Returns:
-            The rows.
+            The rows, without those that cannot be read.
 
         Raises:
-            PlatformError: The call failed.
+            PlatformError: The call failed, or the response is for another query.
         """
         query = httpx.QueryParams(prefix=prefix, after=after, limit=limit)
         response = await _send(self._client, 'GET', '{0}/rows?{1}'.format(self._url, query))
-        return [Row(raw['key'], raw['version'], raw['value']) for raw in _decode_success(response)]
+        rows = []
+        for raw in _decode_list(response):
+            row = _parse_row(raw)
+            if row is None:
+                _log.warning('row_unreadable', prefix=prefix)
+                continue
+            if not row.key.startswith(prefix) or row.key <= after:
+                raise PlatformError('the response has rows that were not requested')
+            rows.append(row)
+        return rows
 
     async def commit(self, puts: Sequence[Put]) -> CommitOutcome:
         """Commits writes in one transaction, that is all of them or none.
@@ -134,8 +148,8 @@
             {'puts': body},
         )
         if response.status_code == _CONFLICT:
-            return CommitOutcome(CommitResult.conflict, tuple(response.json()['failed']))
-        _decode_success(response)
+            return CommitOutcome(CommitResult.conflict, _parse_failed_keys(response, puts))
+        _decode_success(response, is_write=True)
         return CommitOutcome(CommitResult.committed)
 
 
@@ -158,11 +172,9 @@
 
         Raises:
             PlatformError: The call failed or the object does not exist.
-            ValueError: The content is neither empty nor JSON; it is returned undecoded, but
-                decoded once as a check.
         """
         response = await _send(self._client, 'GET', '{0}/{1}'.format(self._url, quote(name)))
-        _decode_success(response)
+        _check_success(response)
         return response.content
 
     async def write(self, name: str, content: bytes) -> None:
@@ -181,7 +193,7 @@
             response = await self._client.put(url, content=content)
         except httpx.HTTPError as error:
             raise PlatformError(repr(error), may_have_written=True) from error
-        _decode_success(response)
+        _check_success(response)
 
 
 class LiveListClient:
@@ -196,14 +208,25 @@
         """Reads the list.
 
         Returns:
-            The instances that the platform considers live.
+            The instances that the platform considers live, without entries that cannot be read or
+            whose address is no URL of a process.
 
         Raises:
-            PlatformError: The call failed.
-            DecodeError: The response is not a list of instances.
+            PlatformError: The call failed, or the response is no list.
         """
         response = await _send(self._client, 'GET', self._url)
-        return codec.structure(_decode_success(response), list[LiveInstance])
+        instances = []
+        for raw in _decode_list(response):
+            try:
+                instance = codec.structure(raw, LiveInstance)
+            except codec.DecodeError as error:
+                _log.warning('live_entry_unreadable', reason=str(error))
+                continue
+            if not is_process_url(instance.address):
+                _log.warning('live_entry_without_address', name=instance.name)
+                continue
+            instances.append(instance)
+        return instances
 
 
 @dataclass(frozen=True, slots=True)
@@ -252,14 +275,68 @@
         raise PlatformError(repr(error), may_have_written=True) from error
 
 
-def _decode_success(response: httpx.Response) -> Any:
-    """Returns the decoded JSON body of a successful response, or None if the body is empty.
-
-    Raises PlatformError for an error status, and ValueError if the body is not JSON.
-    """
+def _check_success(response: httpx.Response) -> None:
+    """Raises PlatformError for an error status."""
     if response.is_success:
-        return orjson.loads(response.content) if response.content else None
+        return
     raise PlatformError(
         'status {0}'.format(response.status_code),
         may_have_written=response.is_server_error,
     )
+
+
+def _decode_success(response: httpx.Response, *, is_write: bool = False) -> Any:
+    """Returns the decoded JSON body of a successful response, or None if the body is empty.
+
+    Raises PlatformError for an error status, or if the body is not JSON.
+    """
+    _check_success(response)
+    if not response.content:
+        return None
+    try:
+        return orjson.loads(response.content)
+    except orjson.JSONDecodeError as error:
+        raise PlatformError(
+            'the response is not JSON: {0}'.format(error), may_have_written=is_write
+        ) from error
+
+
+def _decode_list(response: httpx.Response) -> list[Any]:
+    """Returns the list in a successful response, without items that are nested too deeply.
+
+    Raises PlatformError for an error status, or if the body is no list.
+    """
+    _check_success(response)
+    try:
+        items, unreadable_count = codec.decode_items(response.content)
+    except codec.DecodeError as error:
+        raise PlatformError('the response is no list: {0}'.format(error)) from error
+    if unreadable_count:
+        _log.warning('items_unreadable', url=str(response.url), count=unreadable_count)
+    return items
+
+
+def _parse_row(raw: Any) -> Row | None:
+    """Returns a row as the table service states it, or None if it cannot be read."""
+    try:
+        row = Row(raw['key'], raw['version'], raw['value'])
+    except (TypeError, KeyError):
+        return None
+    is_valid = isinstance(row.key, str) and isinstance(row.version, int) and row.version > 0
+    return row if is_valid else None
+
+
+def _parse_failed_keys(response: httpx.Response, puts: Sequence[Put]) -> tuple[str, ...]:
+    """Returns which of the writes conflicted.
+
+    Raises PlatformError if the response names none of them. It may not be the response to this
+    transaction then, which may have been committed.
+    """
+    try:
+        stated = orjson.loads(response.content)['failed']
+        failed = tuple(put.key for put in puts if put.key in stated)
+    except (orjson.JSONDecodeError, TypeError, KeyError):
+        failed = ()
+    if not failed:
+        raise PlatformError('a conflict without the keys of the writes', may_have_written=True)
+    return failed
--- a/src/fireflymux/web/http_clients.py
+++ b/src/fireflymux/web/http_clients.py
@@ -11,10 +11,29 @@
 _CONNECT_TIMEOUT_SECONDS = 1.0
 #: Timeout of a short request to another process of the fleet, such as a heartbeat.
 FLEET_REQUEST_TIMEOUT_SECONDS = 1.0
+_MAXIMUM_PORT = 65535
 _UNLIMITED = httpx.Limits(max_connections=None, max_keepalive_connections=None)
 _WITHOUT_KEEP_ALIVE = httpx.Limits(max_connections=None, max_keepalive_connections=0)
 
 
+def is_process_url(address: str) -> bool:
+    """Tells whether requests can be sent to an address, which another process may have written.
+
+    Args:
+        address: The address.
+
+    Returns:
+        Whether it is an HTTP URL with a host name and a port in the valid range.
+    """
+    try:
+        url = httpx.URL(address)
+        url.host.encode('idna')
+    except (httpx.InvalidURL, UnicodeError):
+        return False
+    is_port_valid = url.port is None or 0 < url.port <= _MAXIMUM_PORT
+    return url.scheme in {'http', 'https'} and bool(url.host) and is_port_valid
+
+
 def create_ssl_context(tls: TlsSettings) -> ssl.SSLContext:
     """Creates the context for verifying server certificates.
 
@@ -80,9 +99,15 @@
 
         Returns:
             A client without a read timeout; callers set one for each request that needs it.
+
+        Raises:
+            UnsupportedProtocol: Requests cannot be sent to the address. It is an `HTTPError`, like
+                the failure to send one.
         """
         client = self._clients.get(address)
         if client is None:
+            if not is_process_url(address):
+                raise httpx.UnsupportedProtocol('no URL of a process: {0!r}'.format(address))
             client = self._create_client()
             self._clients[address] = client
         return client
