A change of the configuration that cannot be read does not stop the later ones

One odd row among the changes stopped every router and sidecar from following the configuration: the rows were decoded as one, and since sidecars take no requests unless the configuration is confirmed, all of them refused everything some seconds later. A contract with weight zero was applied, and ended the sidecar that metered the first request of its account. The operators' commands ended in a traceback, so that the row could not be followed by a good one.

Seen before the fix on real processes (features/odd_rows.feature): "operator contract create" ends in DecodeError; no chat is answered. The weight of zero was not hit by the first form of the scenario, which sent no request of that account; that a sidecar ends from it was read (division by the weight).

A change that cannot be read, whose version is not that of its row, or whose terms are out of range, counts as a version that changes nothing, with a line in the log. The terms are checked by the same function before a change is committed.

--- a/features/odd_rows.feature
+++ b/features/odd_rows.feature
@@ -39,3 +39,17 @@
     Given an object store that holds a text
     When a sidecar reads the object
     Then it has the text
+
+  Scenario Outline: An odd change among those of the configuration
+    Given a small fleet of one router, one engine and one service
+    When another writer commits a change <oddity>
+    And the operator adds a contract
+    Then the new contract is served and every process still runs
+
+    Examples:
+      | oddity                          |
+      | that is no object               |
+      | whose contract has no weight    |
+      | whose contract has weight zero  |
+      | whose contract has weight -1e308 |
+      | nested 200 levels deep          |
--- a/src/fireflymux/operator_cli.py
+++ b/src/fireflymux/operator_cli.py
@@ -19,7 +19,7 @@
 from .store.operator import CURRENT_VERSION, InvalidChange, OperatorSession
 from .store.platform_client import PlatformError
 from .web.credentials import compute_key_digest
-from .wire.codec import to_builtins
+from .wire.codec import DecodeError, to_builtins
 
 EXIT_PLATFORM_UNAVAILABLE = 1
 EXIT_CONFLICT = 3
@@ -78,6 +78,10 @@
             exit_with_error(
                 'request to the platform failed: {0}'.format(error), EXIT_PLATFORM_UNAVAILABLE
             )
+        except DecodeError as error:
+            exit_with_error(
+                'the configuration cannot be read: {0}'.format(error), EXIT_PLATFORM_UNAVAILABLE
+            )
 
     def _report_outcome(self, outcome: Accepted | Conflict | CommitUnknown) -> None:
         if isinstance(outcome, Conflict):
--- a/src/fireflymux/store/config_commit.py
+++ b/src/fireflymux/store/config_commit.py
@@ -9,21 +9,26 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import attrs
 import trio
 
 from ..messages import ConfigChange, ConfigHead, ConfigSnapshot
+from ..observability.logs import get_logger
 from ..wire import codec
-from .config_rows import CHANGE_PREFIX, HEAD_KEY, change_key, snapshot_name
+from .config_rows import CHANGE_PREFIX, HEAD_KEY, change_key, change_version, snapshot_name
 from .configuration import Configuration
+from .contract_terms import find_problems
 from .platform_client import (
     CommitResult,
     ObjectClient,
     PlatformClients,
     PlatformError,
     Put,
+    Row,
     TableClient,
 )
 
+_log = get_logger(__name__)
 #: A snapshot is stored of every version divisible by this number, just before the version that
 #: follows it is committed.
 _VERSIONS_PER_SNAPSHOT = 64
@@ -76,6 +81,7 @@
 ) -> None:
     """Updates a replica to the newest committed version, or as far towards it as rows are found.
 
+    A change that cannot be read counts as one that changes nothing, so that the later ones apply.
     If the row of the next change is missing, the replica stays at an older version without an
     error. The caller can compare its version with that of the head row.
 
@@ -86,7 +92,7 @@
 
     Raises:
         PlatformError: A call to the platform failed.
-        DecodeError: A row or snapshot is malformed.
+        DecodeError: The head row is malformed.
     """
     row = await table.read(HEAD_KEY)
     if row.version == 0:
@@ -98,15 +104,38 @@
         rows = await table.read_after(
             CHANGE_PREFIX, change_key(target.version), _MAXIMUM_ROWS_PER_READ
         )
-        changes = [codec.structure(item.value, ConfigChange) for item in rows]
-        if not target.apply(changes):
+        if not target.apply(_read_change(item) for item in rows):
             # The row of the next change is missing.
             return
 
 
 async def _load_snapshot(objects: ObjectClient, version: int, target: Configuration) -> None:
+    """Loads a snapshot, unless it is malformed: the changes that it sums up apply as well."""
     content = await objects.read(snapshot_name(version))
-    target.replace(codec.decode(content, ConfigSnapshot))
+    try:
+        snapshot = codec.decode(content, ConfigSnapshot)
+    except codec.DecodeError as error:
+        _log.warning('config_snapshot_unreadable', version=version, reason=str(error))
+        return
+    valid = [contract for contract in snapshot.contracts if not find_problems(contract)]
+    target.replace(attrs.evolve(snapshot, contracts=valid))
+
+
+def _read_change(row: Row) -> ConfigChange:
+    """Returns the change in a row, or one without content if it cannot be read."""
+    version = change_version(row.key)
+    try:
+        change = codec.structure(row.value, ConfigChange)
+    except codec.DecodeError as error:
+        problems = [str(error)]
+    else:
+        problems = [] if change.contract is None else find_problems(change.contract)
+        if change.version != version:
+            problems.append('the version is not that of the row')
+    if not problems:
+        return change
+    _log.warning('config_change_unreadable', version=version, reason='; '.join(problems))
+    return ConfigChange(version=version, change_id='', operator='')
 
 
 async def commit_change(
@@ -177,8 +206,9 @@
     # An earlier attempt can only have committed one of the most recent versions.
     start = change_key(max(0, current.version - _VERSIONS_PER_SNAPSHOT))
     for row in await table.read_after(CHANGE_PREFIX, start, _MAXIMUM_ROWS_PER_READ):
-        if row.value['change_id'] == change_id:
-            return Accepted(row.value['version'])
+        change = _read_change(row)
+        if change.change_id == change_id:
+            return Accepted(change.version)
     return None
 
 
--- a/src/fireflymux/store/config_reader.py
+++ b/src/fireflymux/store/config_reader.py
@@ -136,7 +136,8 @@
             await load_configuration(
                 self._platform.table, self._platform.objects, self._configuration
             )
-        except (PlatformError, codec.DecodeError):
+        except (PlatformError, codec.DecodeError) as error:
+            _log.warning('config_not_read', reason=str(error))
             return False
         self._matched_platform_at = requested_at
         self._confirmed_at = requested_at
--- a/src/fireflymux/store/config_rows.py
+++ b/src/fireflymux/store/config_rows.py
@@ -30,3 +30,17 @@
         The object name.
     """
     return 'config/snapshot-{0:012d}'.format(version)
+
+
+def change_version(key: str) -> int:
+    """Returns the version of the change in a row.
+
+    Args:
+        key: Row key returned by `change_key`.
+
+    Returns:
+        The version; zero, which no change has, for any other key.
+    """
+    digits = key.removeprefix(CHANGE_PREFIX)
+    version = int(digits) if digits.isdecimal() else 0
+    return version if key == change_key(version) else 0
--- a/src/fireflymux/store/operator.py
+++ b/src/fireflymux/store/operator.py
@@ -18,6 +18,7 @@
     load_configuration,
 )
 from .configuration import ENDPOINT_STATES, Configuration
+from .contract_terms import find_problems
 from .platform_client import PlatformClients
 
 #: Marker and default of `if_version`, no version itself: expect the version that is current when
@@ -38,18 +39,7 @@
     Raises:
         InvalidChange: A term is missing or out of range.
     """
-    checks = (
-        (
-            bool(contract.account) and '.' not in contract.account,
-            'account must be non-empty and must not contain a dot',
-        ),
-        (contract.weight > 0, 'weight must be greater than zero'),
-        (contract.rate_per_second > 0, 'rate_per_second must be greater than zero'),
-        (contract.concurrency > 0, 'concurrency must be greater than zero'),
-        (contract.queue_length > 0, 'queue_length must be greater than zero'),
-        (bool(contract.pools), 'pools must contain at least one pool'),
-    )
-    problems = [message for is_valid, message in checks if not is_valid]
+    problems = find_problems(contract)
     if problems:
         raise InvalidChange('; '.join(problems))
 
@@ -159,7 +149,7 @@
 
         Raises:
             PlatformError: A call to the platform failed.
-            DecodeError: A row or snapshot is malformed.
+            DecodeError: The head row is malformed.
         """
         return trio.run(self._read)
 
@@ -183,7 +173,7 @@
         Raises:
             InvalidChange: A term of the new contract is missing or out of range.
             PlatformError: The configuration could not be read before the first attempt.
-            DecodeError: A row or snapshot is malformed.
+            DecodeError: The head row is malformed.
         """
 
         def make_builder(current: Configuration) -> ChangeBuilder:
@@ -215,7 +205,7 @@
         Raises:
             InvalidChange: The state does not exist.
             PlatformError: The configuration could not be read before the first attempt.
-            DecodeError: A row or snapshot is malformed.
+            DecodeError: The head row is malformed.
         """
 
         def make_builder(current: Configuration) -> ChangeBuilder:
