Each soak has faulty answers and odd rows, and half of them many retries

Faulty answers of one service last 2 to 4 s in each plan, and half of the plans allow 100 retries beside the share, since with 10 most streams that broke off were not resumed.

--- a/emulator/faulty_answers.py
+++ b/emulator/faulty_answers.py
@@ -19,6 +19,7 @@
 REFUSALS = ('refused', 'limited', 'refused twice')
 #: Answers to requests of any kind.
 _FAILURES = (
+    'failed',
     'failed',
     'not found',
     'unsigned',
@@ -34,9 +35,10 @@
 _NO_EVENTS_KIND = 'no events'
 #: Faults beside an answer that is sound.
 EXTRAS = ('another before', 'twice at once', 'twice a little later', 'twice at the next request')
-_SOUND_PROBABILITY = 0.3
-_REFUSAL_PROBABILITY = 0.2
-_EXTRA_PROBABILITY = 0.2
+_SOUND_PROBABILITY = 0.5
+_SOUND_PROBABILITY_OF_RESUMED = 0.2
+_REFUSAL_PROBABILITY = 0.15
+_EXTRA_PROBABILITY = 0.15
 #: Probability that a stream that breaks off ends with the head of another answer.
 _SECOND_HEAD_PROBABILITY = 0.3
 #: Probability that an answer is repeated when the next one on the connection is due.
@@ -71,12 +73,13 @@
         Args:
             is_resumed: Whether the request resumes a stream.
         """
-        chance = self._rng.random()
-        if chance < _SOUND_PROBABILITY:
+        sound = _SOUND_PROBABILITY_OF_RESUMED if is_resumed else _SOUND_PROBABILITY
+        chance = self._rng.random() - sound
+        if chance < 0:
             return ''
-        if chance < _SOUND_PROBABILITY + _REFUSAL_PROBABILITY:
+        if chance < _REFUSAL_PROBABILITY:
             return self._rng.choice(REFUSALS)
-        if chance < _SOUND_PROBABILITY + _REFUSAL_PROBABILITY + _EXTRA_PROBABILITY:
+        if chance < _REFUSAL_PROBABILITY + _EXTRA_PROBABILITY:
             return self._rng.choice(EXTRAS)
         kinds = (*_FAILURES, _NO_EVENTS_KIND, _NO_EVENTS_KIND) if is_resumed else _FAILURES
         return self._rng.choice(kinds)
--- a/emulator/instance_process.py
+++ b/emulator/instance_process.py
@@ -22,7 +22,7 @@
 seeds = {seeds}
 store_address = {store_address}
 shutdown_timeout_seconds = 8
-retry_constant = 10
+retry_constant = {retry_constant}
 """
 
 
@@ -42,6 +42,7 @@
         seeds: Addresses of the instances that it contacts first, separated by commas.
         store_address: Address at which it reaches the store; each instance has its own, so that
             an outage can be limited to one.
+        retry_constant: Retries allowed beside a share of the requests.
         folder: Folder for its settings file and its log.
         mutant: Variant of the program with one mechanism disabled, from `emulator.variants`; empty
             for the unchanged program.
@@ -60,6 +61,7 @@
     peer_port: int
     seeds: str
     store_address: str
+    retry_constant: int
     folder: Path
     mutant: str = ''
     incarnation: int = 0
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -36,7 +36,16 @@
 #: Time that a caller waits for a connection to end after an answer that states it.
 _CLOSE_SECONDS = 0.1
 #: Kinds of requests; a kind that is listed twice is sent twice as often.
-_REQUEST_KINDS = ('unsafe', 'unsafe', 'safe', 'once', 'resumable', 'resumable_thrice')
+_REQUEST_KINDS = (
+    'unsafe',
+    'unsafe',
+    'safe',
+    'once',
+    'resumable',
+    'resumable',
+    'resumable_thrice',
+    'resumable_thrice',
+)
 _STREAM_KINDS = frozenset(('once', 'resumable', 'resumable_thrice'))
 
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -37,10 +37,9 @@
 _MINIMUM_SERVED_PART = 0.9
 #: Time from the start of a process until it handles signals.
 _START_SECONDS = 1.0
-#: Retry budget in the settings of the instances: a part of the requests in a window of time,
-#: and a constant number.
+#: Retry budget in the settings of the instances, beside its constant part: a part of the requests
+#: in a window of time.
 RETRY_RATIO = 0.2
-RETRY_CONSTANT = 10
 RETRY_WINDOW_SECONDS = 10.0
 
 #: Kinds of requests that must run at most once.
@@ -287,7 +286,7 @@
             start = end - RETRY_WINDOW_SECONDS
             repeat_count = sum(start < at <= end for at in repeat_times)
             request_count = sum(start < at <= end for at in request_times)
-            if repeat_count > RETRY_RATIO * request_count + RETRY_CONSTANT:
+            if repeat_count > RETRY_RATIO * request_count + history.retry_constant:
                 yield '{0} repeats among {1} requests to service {2}'.format(
                     repeat_count, request_count, service
                 )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -26,7 +26,7 @@
 _ADDRESS_REUSE_SECONDS = 0.5
 #: Number of odd rows that one event writes, their key, and the probability that one is removed
 #: before the next one takes its place.
-_ODD_ROW_COUNT = 6
+_ODD_ROW_COUNT = 14
 _ODD_ROW_KEY = 'odd'
 _ODD_ROW_REMOVAL_PROBABILITY = 0.5
 
@@ -78,7 +78,7 @@
     No disturbance is recorded, since rows that name no endpoint must not affect callers.
     """
     gap_seconds = event.duration_seconds / _ODD_ROW_COUNT
-    for name in testbed.rng.choices(sorted(ODD_ROWS), k=_ODD_ROW_COUNT):
+    for name in testbed.rng.sample(sorted(ODD_ROWS), k=_ODD_ROW_COUNT):
         testbed.store.put('servers', _ODD_ROW_KEY, ODD_ROWS[name])
         await trio.sleep(gap_seconds)
         if testbed.rng.random() < _ODD_ROW_REMOVAL_PROBABILITY:
--- a/soak/history.py
+++ b/soak/history.py
@@ -131,6 +131,7 @@
         config_accepted_at: Time at which the store accepted each version of the configuration.
         leaving_since: Time at which the store accepted that an endpoint leaves, by the name of
             the endpoint.
+        retry_constant: Retries that the settings allow beside a share of the requests.
         faults_ended_at: Time at which the fault phase ended.
         ended_at: Time at which the callers stopped.
         log_lines: Pairs of the name of an instance and a line that it logged.
@@ -143,6 +144,7 @@
     own_ends: list[OwnEnd] = attrs.field(factory=list)
     config_accepted_at: dict[int, float] = attrs.field(factory=dict)
     leaving_since: dict[str, float] = attrs.field(factory=dict)
+    retry_constant: int = 10
     faults_ended_at: float = float('inf')
     ended_at: float = float('inf')
     log_lines: list[tuple[str, str]] = attrs.field(factory=list)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -69,8 +69,12 @@
 _SERIES_PROBABILITY = 0.25
 _SERIES_COUNT_RANGE = (1, 3)
 _SERIES_GAP_SECONDS = (0.05, 0.8)
-#: Range of the length of the faults of one service that each plan has.
-_FAULTY_SECONDS = (1.5, 3.0)
+#: Events that each plan has, with their targets, and the range of their length: faulty answers of
+#: the first service, whose streams may be resumed, and odd rows.
+_ALWAYS_DRAWN = (('faulty', 0), ('odd_rows', -1))
+_ALWAYS_DRAWN_SECONDS = (2.0, 4.0)
+#: With few retries their bound is reached, and with many most streams that broke are resumed.
+_RETRY_CONSTANTS = (10, 100)
 
 
 @attrs.define(frozen=True, kw_only=True)
@@ -103,6 +107,7 @@
         instances: Number of entry instances.
         endpoints_per_service: Number of endpoints of each service.
         callers_per_instance: Number of callers for each instance.
+        retry_constant: Retries that the settings allow beside a share of the requests.
         events: Faults and changes, ordered by start time.
     """
 
@@ -110,6 +115,7 @@
     instances: int
     endpoints_per_service: int
     callers_per_instance: int
+    retry_constant: int
     events: tuple[Event, ...]
 
     @classmethod
@@ -139,9 +145,9 @@
             )
             for _ in range(rng.randint(2, 5))
         )
-        events.append(_draw_faulty(rng))
+        events.extend(_draw_long_event(rng, kind, target) for kind, target in _ALWAYS_DRAWN)
         events.extend([again for event in events for again in _draw_series(rng, event)])
-        # Drawn last, so that the other events of a seed do not depend on the restore.
+        # Drawn late, so that the other events of a seed do not depend on the restore.
         if rng.random() < _RESTORE_PROBABILITY:
             events.append(_draw_restore(rng))
         return cls(
@@ -149,6 +155,7 @@
             instances=instances,
             endpoints_per_service=endpoints_per_service,
             callers_per_instance=4 if scale == 1 else 1,
+            retry_constant=rng.choice(_RETRY_CONSTANTS),
             events=tuple(sorted(events, key=lambda event: event.start_seconds)),
         )
 
@@ -184,13 +191,12 @@
     )
 
 
-def _draw_faulty(rng: random.Random) -> Event:
-    """Draws the faults of the first service, whose streams may be resumed."""
-    duration_seconds = rng.uniform(*_FAULTY_SECONDS)
+def _draw_long_event(rng: random.Random, kind: str, target: int) -> Event:
+    duration_seconds = rng.uniform(*_ALWAYS_DRAWN_SECONDS)
     return Event(
         start_seconds=rng.uniform(0, FAULT_PHASE_SECONDS - duration_seconds),
-        kind='faulty',
-        target=0,
+        kind=kind,
+        target=target,
         duration_seconds=duration_seconds,
     )
 
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -146,7 +146,7 @@
                 program.
         """
         self.plan = plan
-        self.history = History()
+        self.history = History(retry_constant=plan.retry_constant)
         self.rng = random.Random(plan.seed + 1)
         self.store = RowStore()
         self.instances: list[InstanceProcess] = []
@@ -303,6 +303,7 @@
                     peer_port=PEER_PORT,
                     seeds=seeds,
                     store_address=store_address,
+                    retry_constant=self.plan.retry_constant,
                     folder=self._folder,
                     mutant=self._mutant,
                 )
