--- /dev/null
+++ b/features/steps/role_responses_steps.py
@@ -0,0 +1,122 @@
+"""Steps for answers of endpoints, sidecars and the platform that routers and sidecars get."""
+
+import trio
+from behave import given, then, when
+
+from emulator.scripted_server import ScriptedAnswer, ScriptedServer, answer, broken_off
+from fireflymux._settings_generated import TlsSettings
+from fireflymux.messages import RunOrder
+from fireflymux.sidecar.endpoint_call import EndpointCall, EndpointClient
+from fireflymux.sidecar.response_buffer import ResponseBuffer
+from fireflymux.web.http_clients import create_endpoint_client
+
+
+def _order(**members):
+    return RunOrder(
+        **{
+            'request': 'request',
+            'attempt': 1,
+            'router': 'router',
+            'account': 'families',
+            'pool': 'pool',
+            'method': 'POST',
+            'path': '/v1/chat/completions',
+            'fingerprint': 'fingerprint',
+            **members,
+        }
+    )
+
+
+def _send_calls(kind, answers, orders, body=b'{}'):
+    """Returns the buffers of calls that a sidecar sends to a scripted endpoint one by one."""
+    buffers = []
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            server = await ScriptedServer.start(nursery, answers)
+            async with create_endpoint_client(TlsSettings()) as client:
+                endpoint = EndpointClient(
+                    client,
+                    server.url,
+                    check=lambda: None,
+                    prompt_token_weight=1.0,
+                    cost_per_second=1.0,
+                )
+                send = endpoint.call_engine if kind == 'engine' else endpoint.call_service
+                for order in orders:
+                    buffer = ResponseBuffer()
+                    buffers.append(buffer)
+                    await send(EndpointCall(order, body, buffer, lambda _: None, lambda _: None))
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+    return buffers
+
+
+@given('a {kind} that writes an earlier refusal once more behind its next answer')
+def prepare_repeated_refusal(context, kind):
+    context.kind = kind
+    first = answer(200, b'{"first": 1}').content
+    refusal = answer(503, b'full').content
+    context.answers = [ScriptedAnswer(first + refusal), answer(200, b'{"own": 1}')]
+
+
+@when('a sidecar sends it two calls one after the other')
+def send_two_calls(context):
+    orders = [_order(request='first'), _order(request='second')]
+    context.buffers = _send_calls(context.kind, context.answers, orders)
+
+
+@then('the second call gets its own answer')
+def check_own_answer(context):
+    buffer = context.buffers[1]
+    assert buffer.is_complete, buffer.failure
+    assert buffer.content == b'{"own": 1}', buffer.content
+
+
+_EVENTS = b'data: {"id": 0}\n\ndata: {"id": 1}\n\n'
+_END = b'data: [DONE]\n\n'
+_STREAM = b'text/event-stream'
+_OTHER_ID = [(b'X-Request-Id', b'another.1')]
+_BROKEN_STREAM = broken_off(200, _EVENTS, _STREAM)
+_RESUMED = {
+    'a success without events': answer(200, b'{"error": "gone"}'),
+    'an error': answer(500, b'{"error": "gone"}'),
+    "another request's stream": answer(200, _EVENTS + _END, _STREAM, _OTHER_ID),
+    'nothing': ScriptedAnswer(b'', closes=True),
+}
+_PARTS = {'before the head': b'', 'within the body': b'{"id"'}
+
+
+@given('an engine that breaks off a stream and answers the request for the rest with {name}')
+def prepare_broken_stream(context, name):
+    context.answers = [_BROKEN_STREAM, _RESUMED[name]]
+
+
+@given('an engine that breaks off {part} and answers the request for the rest with a stream')
+def prepare_broken_response(context, part):
+    content = _PARTS[part]
+    first = broken_off(200, content, b'application/json') if content else _RESUMED['nothing']
+    context.answers = [first, answer(200, _EVENTS + _END, _STREAM)]
+
+
+@when('a sidecar sends it a streaming call')
+def send_streaming_call(context):
+    context.buffers = _send_calls('engine', context.answers, [_order()], b'{"stream": true}')
+
+
+@when('a sidecar sends it a call without streaming')
+def send_plain_call(context):
+    context.buffers = _send_calls('engine', context.answers, [_order(is_stream=False)])
+
+
+@then('the response has the events before the break and is not complete')
+def check_events_only(context):
+    assert context.buffers[0].content == _EVENTS, context.buffers[0].content
+    assert not context.buffers[0].is_complete
+
+
+@then('the response is {part} and is not complete')
+def check_part_only(context, part):
+    assert context.buffers[0].content == _PARTS[part], context.buffers[0].content
+    assert not context.buffers[0].is_complete
