--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -172,6 +172,9 @@
             _build_exchanges(13, kind='safe', is_complete=False, content=b''),
             [_build_arrival(attempt='m{0}'.format(number // 2)) for number in range(26)],
         ),
+        'check_errors': _build_history(
+            [], log_lines=[('entry-1', record.replace('"level":null', '"level":"error"'))]
+        ),
         'check_logs': _build_history(
             [], log_lines=[('entry-1', record), ('entry-1', 'Traceback of a library')]
         ),
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -56,6 +56,9 @@
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _OK = 200
 _UNAUTHENTICATED = 401
+_ERROR_LEVELS = ('"level":"error"', '"level":"critical"')
+#: Characters at the end of a line that are shown; an exception ends with its message.
+_SHOWN_LOG_CHARACTERS = 400
 _REQUIRED_LOG_KEYS = frozenset(('time', 'level', 'module', 'event', 'instance'))
 
 
@@ -306,6 +309,13 @@
             )
 
 
+def check_errors(history: History) -> Iterator[str]:
+    """No instance logs an exception that nobody expected, also if it was caught in the end."""
+    for instance, line in history.log_lines:
+        if any(level in line for level in _ERROR_LEVELS):
+            yield 'logged by {0}: {1}'.format(instance, line[-_SHOWN_LOG_CHARACTERS:])
+
+
 def _probes(history: History) -> Iterable[Exchange]:
     return [exchange for exchange in history.exchanges if exchange.key_version]
 
@@ -355,6 +365,7 @@
     check_recovery,
     check_repeats,
     check_logs,
+    check_errors,
 )
 
 
