--- a/soak/checks.py
+++ b/soak/checks.py
@@ -37,10 +37,9 @@
 _MINIMUM_SERVED_PART = 0.9
 #: Time from the start of a process until it handles signals.
 _START_SECONDS = 1.0
-#: Retry budget in the settings of the instances: a part of the requests in a window of time,
-#: and a constant number.
+#: Retry budget in the settings of the instances, beside its constant part: a part of the requests
+#: in a window of time.
 RETRY_RATIO = 0.2
-RETRY_CONSTANT = 10
 RETRY_WINDOW_SECONDS = 10.0
 
 #: Kinds of requests that must run at most once.
@@ -57,6 +56,9 @@
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _OK = 200
 _UNAUTHENTICATED = 401
+_ERROR_LEVELS = ('"level":"error"', '"level":"critical"')
+#: Characters at the end of a line that are shown; an exception ends with its message.
+_SHOWN_LOG_CHARACTERS = 400
 _REQUIRED_LOG_KEYS = frozenset(('time', 'level', 'module', 'event', 'instance'))
 
 
@@ -287,7 +289,7 @@
             start = end - RETRY_WINDOW_SECONDS
             repeat_count = sum(start < at <= end for at in repeat_times)
             request_count = sum(start < at <= end for at in request_times)
-            if repeat_count > RETRY_RATIO * request_count + RETRY_CONSTANT:
+            if repeat_count > RETRY_RATIO * request_count + history.retry_constant:
                 yield '{0} repeats among {1} requests to service {2}'.format(
                     repeat_count, request_count, service
                 )
@@ -307,6 +309,13 @@
             )
 
 
+def check_errors(history: History) -> Iterator[str]:
+    """No instance logs an exception that nobody expected, also if it was caught in the end."""
+    for instance, line in history.log_lines:
+        if any(level in line for level in _ERROR_LEVELS):
+            yield 'logged by {0}: {1}'.format(instance, line[-_SHOWN_LOG_CHARACTERS:])
+
+
 def _probes(history: History) -> Iterable[Exchange]:
     return [exchange for exchange in history.exchanges if exchange.key_version]
 
@@ -356,6 +365,7 @@
     check_recovery,
     check_repeats,
     check_logs,
+    check_errors,
 )
 
 
