Take a write after the caller left for a failed connection

Nothing was sent, but an error was logged for a caller that only left. A write on a response that was cut now raises ConnectionAbortedError, which counts as a failed connection.

--- a/emulator/instance_process.py
+++ b/emulator/instance_process.py
@@ -65,7 +65,7 @@
     peer_port: int
     seeds: str
     store_address: str
-    retry_constant: int
+    retry_constant: int = 10
     folder: Path
     mutant: str = ''
     metrics_address: str = ''
--- a/features/steps/response_state_steps.py
+++ b/features/steps/response_state_steps.py
@@ -55,7 +55,7 @@
 async def _is_refused(write, *arguments):
     try:
         await write(*arguments)
-    except ResponseStateError:
+    except (ResponseStateError, ConnectionAbortedError):
         return True
     return False
 
--- a/src/fireflymux/http/response_writer.py
+++ b/src/fireflymux/http/response_writer.py
@@ -2,7 +2,8 @@
 
 The writer knows how much of the current response was sent. A write that does not fit raises
 `ResponseStateError` and sends nothing, so that no mistake of a handler puts bytes on the connection
-that the caller would take for a part of another response.
+that the caller would take for a part of another response. A write after the response was cut raises
+`ConnectionAbortedError`, as if the connection had failed.
 """
 
 import enum
@@ -126,7 +127,8 @@
             content: Response body; not sent if the method or status allows none.
 
         Raises:
-            ResponseStateError: A response was sent already, in full or in part.
+            ResponseStateError: A response was sent already, or has begun.
+            OSError: The connection failed, or the response was cut.
         """
         self._require(ResponsePhase.pending)
         framing = (b'Content-Length', b'%d' % len(content))
@@ -147,7 +149,8 @@
             first_chunk: First part of the body; may be empty.
 
         Raises:
-            ResponseStateError: A response was sent already, in full or in part.
+            ResponseStateError: A response was sent already, or has begun.
+            OSError: The connection failed, or the response was cut.
         """
         self._require(ResponsePhase.pending)
         head = self._encode_head(status, fields, (b'Transfer-Encoding', b'chunked'))
@@ -162,6 +165,7 @@
 
         Raises:
             ResponseStateError: No chunked response was started, or it has ended.
+            OSError: The connection failed, or the response was cut.
         """
         self._require(ResponsePhase.body)
         await self._send(self._select_body(_encode_chunk(content)), ResponsePhase.body)
@@ -171,6 +175,7 @@
 
         Raises:
             ResponseStateError: No chunked response was started, or it has ended.
+            OSError: The connection failed, or the response was cut.
         """
         self._require(ResponsePhase.body)
         await self._send(self._select_body(_LAST_CHUNK), ResponsePhase.complete)
@@ -184,6 +189,9 @@
         self._phase = ResponsePhase.broken
 
     def _require(self, phase: ResponsePhase) -> None:
+        if self.is_broken:
+            # The caller may have left a moment ago; that is no mistake of the one who writes.
+            raise ConnectionAbortedError('the response was cut')
         if self._phase is not phase:
             raise ResponseStateError(
                 'the response is {0}, not {1}'.format(self._phase.value, phase.value)
