--- a/features/kept_connections.feature
+++ b/features/kept_connections.feature
@@ -59,6 +59,22 @@
       | method | header                                                 | status | runs | id |
       | POST   | X-Attempt-Id: a1 \t                                    | 200    | 1    | a1 |
       | POST   | Host: models.example \t                                | 200    | 1    | a1 |
+      | POST   | X-Attempt-Id: a1\r\nX-Attempt-Id: a1                   | 200    | 1    | a1 |
+      | POST   | X-Attempt-Id: a1\r\nX-Attempt-Id: a2                   | 400    | 0    |    |
+      | POST   | X-Attempt-Id: a1\r\nX-Attempt-Id:                      | 400    | 0    |    |
+      | POST   | X-Attempt-Id: a1\r\nConnection: x-attempt-id, host     | 200    | 1    | a1 |
+      | HEAD   | X-Attempt-Id: a1                                       | 200    | 1    | a1 |
+
+  Scenario Outline: An endpoint that refuses a request before it has read its body gets no other bytes for the rest
+    Given a "unsafe" route whose only endpoint refuses requests with <size> bytes before it reads these
+    When callers send a request with <size> bytes and then one without
+    Then the first is told that it was not run, and the second gets its own response
+    And the endpoint read <size> bytes as the body of the first
+
+    Examples:
+      | size    |
+      | 19000   |
+      | 6000000 |
 
   Scenario: Requests with identifiers of their own share few connections
     Given a "unsafe" route whose only endpoint has behaviour "answer"
@@ -82,3 +98,8 @@
       | streaming | stream  | in two reads          | the same id |
       | streaming | stream  | with the next request | no id       |
       | streaming | stream  | with the next request | another id  |
+
+  Scenario: An answer of the store that is written again is not taken for one about another table
+    Given an instance whose store writes each answer again before the next one on its connection
+    When the endpoint leaves, another one takes its place, and a route is added, 4 times
+    Then each time the new route is served by the new endpoint
--- a/features/outside_values.feature
+++ b/features/outside_values.feature
@@ -74,3 +74,66 @@
       | ""                       |
       | "x\x00"                  |
       | "y x 300"                |
+
+  Scenario: Replies of the store of another shape end no instance, and following goes on
+    Given a "safe" route with two endpoints that answer
+    When the store answers oddly for a while, in turn with
+      | operation | reply                                      |
+      | rows-feed | {}                                         |
+      | rows-feed | [1]                                        |
+      | rows-feed |                                            |
+      | rows-feed | {"rows": 5, "ver": 9}                      |
+      | rows-feed | {"rows": [], "ver": "9"}                   |
+      | rows-feed | {"rows": [], "ver": null}                  |
+      | rows-feed | {"rows": [], "ver": -1}                    |
+      | rows-feed | {"rows": [], "ver": 1e30}                  |
+      | rows-feed | [ x 900] x 900                             |
+      | rows-get  | {}                                         |
+      | rows-get  | {"rows": [], "ver": 9, "more_pages": true} |
+      | rows-get  | {"rows": [], "ver": 18446744073709551615}  |
+      | rows-get  | {"rows": {"a": 1}, "ver": 9}               |
+      | rows-tx   | [ x 9000                                   |
+    Then the instances go on, and learn of a new endpoint and a new version
+
+  Scenario: Odd rows in a reply of the store hide no other row
+    Given a "safe" route with two endpoints that answer
+    When each reply of the store has these rows before the others
+      | row                                             |
+      | 5                                               |
+      | null                                            |
+      | {}                                              |
+      | {"key": 7, "value": "", "ver": 5}               |
+      | {"key": "odd", "value": "no base64!", "ver": 5} |
+      | {"key": "odd", "value": 5, "ver": 5}            |
+      | {"key": "odd", "value": "e30=", "ver": "x"}     |
+      | {"key": "odd", "value": "e30=", "ver": 1e30}    |
+      | {"key": "odd", "value": "e30=", "ver": -4}      |
+      | {"key": "odd", "removed": true, "ver": "x"}     |
+      | {"key": "odd", "removed": true}                 |
+      | [ x 900] x 900                                  |
+    Then the instances go on, and learn of a new endpoint and a new version
+
+  Scenario: An era of the store without bounds ends no instance and is passed on to none
+    Given a "safe" route with two endpoints that answer
+    When the store states for a while the eras
+      | era     |
+      | 9 x 30  |
+      | 9 x 400 |
+      | -9      |
+      | x       |
+    Then the instances go on, and learn of a new endpoint and a new version
+
+  Scenario: An instance that doesn't find itself in the table of instances pauses before it registers again
+    Given a "safe" route with two endpoints that answer
+    When the store lists no instance for a second
+    Then the instance has written its row at most 4 times
+
+  Scenario: A store that never has the changes since a version is not asked without a pause
+    Given a "safe" route with two endpoints that answer
+    When the store answers each question for changes with status 410 for a second
+    Then the instance has asked at most 60 times, and knows the endpoints that were added meanwhile
+
+  Scenario: An odd row in the table of instances names no instance
+    Given a "safe" route with two endpoints that answer
+    When another writer leaves odd rows in the table of instances
+    Then an instance that starts knows only the other instance, and both hear each other
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -155,7 +155,7 @@
             source_root: Folder of the build that the instances run at first.
         """
         self.plan = plan
-        self.history = History()
+        self.history = History(retry_constant=plan.retry_constant)
         self.rng = random.Random(plan.seed + 1)
         self.store = RowStore()
         self.instances: list[InstanceProcess] = []
@@ -313,6 +313,7 @@
                     peer_port=PEER_PORT,
                     seeds=seeds,
                     store_address=store_address,
+                    retry_constant=self.plan.retry_constant,
                     folder=self._folder,
                     mutant=self._mutant,
                     source_root=self._source_root,
--- a/src/fireflymux/entry/store_follower.py
+++ b/src/fireflymux/entry/store_follower.py
@@ -10,6 +10,7 @@
 import attrs
 import trio
 
+from ..bounded_values import is_ipv4_address
 from ..decisions.evacuations import EvacuationList
 from ..decisions.store_version import StoreVersion
 from ..observability.logs import get_logger
@@ -39,6 +40,8 @@
 _FOLLOWER_CHECK_SECONDS = 0.1
 #: Pause after a change of the endpoints, so that the next call returns several changes at once.
 _BATCH_SECONDS = 0.2
+#: Pause before the next call if the one before made no progress.
+_PAUSE_SECONDS = 0.1
 _FIRST_RETRY_DELAY_SECONDS = 0.1
 _MAXIMUM_RETRY_DELAY_SECONDS = 0.8
 _REGISTER_RETRY_SECONDS = 0.5
@@ -129,6 +132,8 @@
                 continue
             is_registered = self._state.settings.name in names
             if not is_registered:
+                # The row was written, but the store does not list it (yet).
+                await trio.sleep(_REGISTER_RETRY_SECONDS)
                 continue
             with trio.move_on_after(_INSTANCES_INTERVAL_SECONDS):
                 await self._store.wait_for_new_era()
@@ -142,8 +147,11 @@
     async def _read_instances(self) -> set[str]:
         rows = (await self._store.read_table(INSTANCE_TABLE)).rows
         hosts = {row.key: (row.content or b'').decode('latin-1') for row in rows}
-        others = {name: host for name, host in hosts.items() if name != self._state.settings.name}
-        self._state.instances.update(others)
+        for name, host in hosts.items():
+            if not is_ipv4_address(host):
+                _log.warning('instance_malformed', peer=name, host=host)
+            elif name != self._state.settings.name:
+                self._state.instances[name] = host
         return set(hosts)
 
     async def _follow(self, followed: FollowedTable) -> None:
@@ -190,10 +198,15 @@
         changes = await self._store.follow_table(table, version, followed.wait_seconds)
         if isinstance(changes, HistoryLost):
             _log.info('history_lost', table=table, version=str(version))
+            # A store that loses its history again and again is not asked without a pause, nor is
+            # one that responds at once without a newer version.
+            await trio.sleep(_PAUSE_SECONDS)
             return None
         if changes.rows:
             followed.apply(changes.rows, False, changes.version)
             await trio.sleep(followed.batch_seconds)
+        if changes.version <= version:
+            await trio.sleep(_PAUSE_SECONDS)
         return changes.version
 
     def _record_outage(self, table: str, error: StoreUnavailable) -> None:
