Run routers, sidecars and operators of both builds in one fleet

A router, a sidecar beside an engine and one beside a service of each build, before one platform: contracts created by an operator of one build and changed by those of the other, chats (streamed and whole) and keyed charges through each router to the sidecars of each build, and each charge repeated through the other router. Fleet takes the folder of the build that the next process runs.

Contracts, chats and charges without faults; nothing is killed or frozen in it.

--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -36,6 +36,8 @@
         processes: Started processes, by name.
         client: HTTP client for the platform and the processes.
         listen_port: TCP port in the settings of the next process; zero lets the kernel choose.
+        source_root: Folder of the build that the next router, sidecar or operator's command runs,
+            which has its `src`; None for the installed one.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         self._settings = settings or {}
         self._platform_url = ''
         self.listen_port: int | str = 0
+        self.source_root: Path | None = None
 
     def __enter__(self) -> 'Fleet':
         """Returns the fleet."""
@@ -148,7 +151,14 @@
         """Runs a command of the operators' command line and returns the completed process."""
         settings = self._write_settings('operator', {'platform': self._platform_section()})
         command = [sys.executable, '-m', 'fireflymux', *arguments, '--settings', str(settings)]
-        return subprocess.run(command, capture_output=True, text=True, check=False, timeout=60)
+        return subprocess.run(
+            command,
+            capture_output=True,
+            text=True,
+            check=False,
+            timeout=60,
+            env=self._build_environment(),
+        )
 
     def add_contract(self, account: str, *pools: str, **terms: Any) -> None:
         """Creates a contract with the operators' command; its secret is `secret`.
@@ -346,7 +356,7 @@
                 [sys.executable, *arguments],
                 stdout=stream,
                 stderr=subprocess.STDOUT,
-                env={**os.environ, 'PYTHONUNBUFFERED': '1'},
+                env=self._build_environment(),
             )
         process = Process(name, popen, log)
         self.processes[name] = process
@@ -356,3 +366,11 @@
             what='{0} did not start'.format(name),
         )
         return process
+
+    def _build_environment(self) -> dict[str, str]:
+        """Returns the environment in which Python runs the chosen build."""
+        environment = {**os.environ, 'PYTHONUNBUFFERED': '1'}
+        if self.source_root is not None:
+            paths = [str(self.source_root / 'src'), os.environ.get('PYTHONPATH', '')]
+            environment['PYTHONPATH'] = os.pathsep.join(filter(None, paths))
+        return environment
--- a/features/upgrade.feature
+++ b/features/upgrade.feature
@@ -60,3 +60,10 @@
     Given two instances, one of which sees the store outage "silent"
     When all that instances send each other has a further field, failure domain "b" is evacuated, and a third one starts
     Then all three are ready, hear each other and know of the evacuation
+
+  Scenario: Routers, sidecars and operators of both builds work together
+    Given a router, a sidecar beside an engine and one beside a service of each build
+    When operators of both builds write and change the contract of an account
+    And each router gets chats and keyed charges for the sidecars of each build
+    Then each chat is whole
+    And each charge ran once, and its repetition through the other router got the same answer
