Datagrams of any shape and number end no instance, and are relayed before they are applied

What operators would see: one datagram at the port for reports ended the instance that read it: with a sender that is no address (it was then sent to: "host name must not contain null character"), or with a part 5 of 6 and a part 0 of 2 under the same number (KeyError). One whose report can't be applied was not relayed, so that the other instances of the failure domain missed it. A warm-up of 584 million years in a notice was taken over.

Cause: the numbers and texts of messages had types but no ranges; parts were collected by the number of the report alone; relaying came after applying, within the same block.

Evidence: each of the four scenarios (features/outside_values.feature) fails without the fix, the first two with the errors above, the third as the second instance gets nothing, the fourth as e0 and e1 are both warming up. That usage which is not a number, or infinite, would end an instance as it is rounded for the log was read, not run by itself; such usage is among the datagrams of the first scenario.

Fix: messages are decoded with types that have ranges (message_types), the sender must be an IPv4 address, parts that disagree on their number are kept apart, and a datagram is relayed first. A notice's warm-ups are checked one by one. A dropped message is logged as a warning.

--- a/features/outside_values.feature
+++ b/features/outside_values.feature
@@ -137,3 +137,57 @@
     Given a "safe" route with two endpoints that answer
     When another writer leaves odd rows in the table of instances
     Then an instance that starts knows only the other instance, and both hear each other
+
+  Scenario: Datagrams of any shape and number end no instance and change nothing
+    Given two instances with two endpoints
+    When datagrams arrive whose members are replaced by
+      | message  | member                 | value                               |
+      | datagram | host                   | "nowhere"                           |
+      | datagram | host                   | "host.example"                      |
+      | datagram | host                   | "a\u0000b"                          |
+      | datagram | host                   | "a x 70"                            |
+      | datagram | host                   | ""                                  |
+      | datagram | sequence               | -1                                  |
+      | datagram | sequence               | 18446744073709551615                |
+      | datagram | parts                  | 0                                   |
+      | datagram | part                   | -1                                  |
+      | report   | instance               | ""                                  |
+      | report   | config_version         | 18446744073709551615                |
+      | report   | members_era            | 18446744073709551615                |
+      | report   | members_version        | -1                                  |
+      | report   | loads                  | [1]                                 |
+      | report   | loads                  | [1, -5, -5]                         |
+      | report   | loads                  | [1, 18446744073709551615, 1]        |
+      | report   | placements             | [[]]                                |
+      | report   | placements             | [[1, 2]]                            |
+      | report   | placements             | [[1, 2, -3]]                        |
+      | report   | placements             | [[1, 2, 18446744073709551615]]      |
+      | report   | refusals               | [-1]                                |
+      | report   | usage                  | {"mothers": "nan"}                  |
+      | report   | usage                  | {"mothers": "inf"}                  |
+      | report   | demand                 | {"mothers": "nan"}                  |
+      | report   | demand                 | {"mothers": 1e300}                  |
+      | report   | crashes                | [[1]]                               |
+      | report   | crashes                | [[1, 18446744073709551615, 5, 5, 5]] |
+      | report   | leaving                | [-1]                                |
+      | notice   | instance               | ""                                  |
+      | notice   | op_version             | 18446744073709551615                |
+      | notice   | op_era                 | -1                                  |
+      | notice   | warming                | [1]                                 |
+      | notice   | warming                | [-1, 5]                             |
+    Then both instances still hear each other alone, and answer
+
+  Scenario: Two datagrams of one report that disagree on its parts end no instance
+    Given two instances with two endpoints
+    When part 5 of 6 and part 0 of 2 arrive with the same number
+    Then both instances still hear each other alone, and answer
+
+  Scenario: A report that can't be applied is passed on like any other
+    Given two instances with two endpoints
+    When a report that neither can apply arrives from another failure domain at the first
+    Then the second has got it, too
+
+  Scenario: An endless warm-up in a notice hides none of the other warm-ups
+    Given two instances with two endpoints
+    When a notice states that "e0" warms up for 584 million years and "e1" for 3 seconds
+    Then the instance takes "e1" alone to be warming up
--- a/src/fireflymux/entry/peer_link.py
+++ b/src/fireflymux/entry/peer_link.py
@@ -236,21 +236,20 @@
                 self._handle_received(sock, received, address[0])
 
     def _handle_received(self, sock: socket.socket, received: bytes, host: str) -> None:
-        """Applies a datagram and relays it.
+        """Relays a datagram and applies it.
 
-        One that cannot be decoded is dropped. So is one that completes a report which cannot be
-        decoded or applied; what was applied before the error stays.
+        One that cannot be decoded is dropped. One that completes a report which cannot be decoded
+        is relayed all the same, since the others may be able to.
         """
         try:
             if apply_if_notice(self._state, received):
                 return
             datagram = decode_datagram(received)
+            self._relay_to_neighbours(sock, datagram)
             self._handle_datagram(datagram)
         except (msgspec.MsgspecError, ValueError, TypeError) as error:
             self._metrics.unreadable_reports.inc({})
-            _log.debug('report_malformed', host=host, reason=repr(error))
-            return
-        self._relay_to_neighbours(sock, datagram)
+            _log.warning('report_malformed', host=host, reason=repr(error))
 
     def _handle_datagram(self, datagram: PeerDatagram) -> None:
         if datagram.host == self._state.host:
--- a/src/fireflymux/entry/peer_notices.py
+++ b/src/fireflymux/entry/peer_notices.py
@@ -5,18 +5,20 @@
 once. Instances that do not know notices drop them as malformed.
 """
 
-import typing
-
 import attrs
 import msgspec
 import trio
 
 from .._messages_generated import PeerNotice
+from ..bounded_values import MAXIMUM_SECONDS
 from ..decisions.evacuations import EvacuationList
 from ..decisions.store_version import StoreVersion
+from ..observability.logs import get_logger
 from .evacuating import apply_evacuations
+from .message_types import Count, Identifier, Name, build_decoder
 from .state import EntryState
 
+_log = get_logger(__name__)
 #: Value of the field `kind`, which tells a notice from other datagrams.
 _KIND = 'notice'
 #: Time between two notices while there is something to tell.
@@ -33,8 +35,14 @@
 _WARMING_FIELDS = 2
 _MILLISECONDS_PER_SECOND = 1000.0
 _NOTICE_FIELDS = tuple(field.name for field in attrs.fields(PeerNotice))
-_NOTICE_DECODER: msgspec.msgpack.Decoder[typing.Any] = msgspec.msgpack.Decoder(
-    tuple[tuple(typing.get_type_hints(PeerNotice).values())]  # type: ignore[misc]
+_NOTICE_DECODER = build_decoder(
+    PeerNotice,
+    instance=Name,
+    op_era=Count,
+    op_version=Count,
+    evacuated=list[Name],
+    # Milliseconds are checked for each endpoint by itself.
+    warming=list[Identifier],
 )
 
 
@@ -51,13 +59,20 @@
 
     Returns:
         The notice; None if the datagram is something else.
+
+    Raises:
+        ValueError: It is a notice, but an entry of an endpoint is not complete.
     """
     try:
         values = _NOTICE_DECODER.decode(received)
     except msgspec.MsgspecError:
         return None
     notice = PeerNotice(**dict(zip(_NOTICE_FIELDS, values, strict=True)))
-    return notice if notice.kind == _KIND else None
+    if notice.kind != _KIND:
+        return None
+    if len(notice.warming) % _WARMING_FIELDS:
+        raise ValueError('the endpoints that warm up are not complete')
+    return notice
 
 
 class NoticeBuilder:
@@ -149,6 +164,13 @@
     )
     for number, left in zip(numbers, milliseconds, strict=True):
         live = state.find_endpoint(number)
-        if live is not None:
-            state.candidates.warmups.record(live, left / _MILLISECONDS_PER_SECOND)
+        if live is None:
+            continue
+        seconds = left / _MILLISECONDS_PER_SECOND
+        if seconds > MAXIMUM_SECONDS:
+            _log.warning(
+                'warmup_malformed', number=number, seconds=seconds, source=notice.instance
+            )
+            continue
+        state.candidates.warmups.record(live, seconds)
     return True
--- a/src/fireflymux/entry/report_datagrams.py
+++ b/src/fireflymux/entry/report_datagrams.py
@@ -14,6 +14,8 @@
 import msgspec
 
 from .._messages_generated import PeerDatagram, PeerReport
+from ..bounded_values import MAXIMUM_TOKENS, is_ipv4_address
+from .message_types import Count, Fingerprint, Identifier, Name, Tokens, build_decoder
 
 #: Bytes of a report in one datagram, which with all headers fits into one Ethernet frame.
 _PART_BYTES = 1300
@@ -25,15 +27,29 @@
 _MAXIMUM_PAST_INCARNATIONS = 8
 
 
-def _build_tuple_type(message: type) -> typing.Any:
-    """Returns the type that decodes a message: a tuple of its field types, without their names."""
-    return tuple[tuple(typing.get_type_hints(message).values())]  # type: ignore[misc]
-
-
+#: Numbers for each endpoint in the loads of a report: its number, pending tokens, running requests.
+_LOAD_FIELDS = 3
 _REPORT_FIELDS = tuple(field.name for field in attrs.fields(PeerReport))
 _DATAGRAM_FIELDS = tuple(field.name for field in attrs.fields(PeerDatagram))
-_REPORT_DECODER = msgspec.msgpack.Decoder(_build_tuple_type(PeerReport))
-_DATAGRAM_DECODER = msgspec.msgpack.Decoder(_build_tuple_type(PeerDatagram))
+_REPORT_DECODER = build_decoder(
+    PeerReport,
+    instance=Name,
+    config_version=Count,
+    members_era=Count,
+    members_version=Count,
+    loads=list[Count],
+    # Number of the endpoint, then identifier and tokens of each part.
+    placements=list[typing.Annotated[list[Identifier], msgspec.Meta(min_length=1)]],
+    refusals=list[Count],
+    usage=dict[str, Tokens] | None,
+    demand=dict[str, Tokens] | None,
+    # Fingerprint and generation, then the numbers of endpoints.
+    crashes=list[typing.Annotated[list[Fingerprint], msgspec.Meta(min_length=2)]] | None,
+    leaving=list[Count] | None,
+)
+_DATAGRAM_DECODER = build_decoder(
+    PeerDatagram, failure_domain=Name, incarnation=Count, sequence=Count, part=Count, parts=Count
+)
 
 
 def encode_report(report: PeerReport) -> bytes:
@@ -51,10 +67,16 @@
         The report.
 
     Raises:
-        msgspec.MsgspecError: The bytes are not a valid report.
+        msgspec.MsgspecError: The bytes are not a valid report, or a number is out of range.
     """
     values = _REPORT_DECODER.decode(content)
-    return PeerReport(**dict(zip(_REPORT_FIELDS, values, strict=True)))
+    report = PeerReport(**dict(zip(_REPORT_FIELDS, values, strict=True)))
+    if len(report.loads) % _LOAD_FIELDS:
+        raise msgspec.ValidationError('the loads are not complete')
+    for _, *parts in report.placements:
+        if len(parts) % 2 or max(parts[1::2], default=0) > MAXIMUM_TOKENS:
+            raise msgspec.ValidationError('a placed prompt has an invalid part')
+    return report
 
 
 def encode_datagram(datagram: PeerDatagram) -> bytes:
@@ -63,7 +85,7 @@
 
 
 def decode_datagram(received: bytes) -> PeerDatagram:
-    """Decodes a datagram and checks its part number.
+    """Decodes a datagram and checks its part number and the address of its sender.
 
     Args:
         received: Bytes of a datagram.
@@ -78,6 +100,8 @@
     datagram = PeerDatagram(**dict(zip(_DATAGRAM_FIELDS, values, strict=True)))
     if datagram.parts > _MAXIMUM_PARTS or datagram.part not in range(datagram.parts):
         raise msgspec.ValidationError('invalid part {0.part} of {0.parts}'.format(datagram))
+    if not is_ipv4_address(datagram.host):
+        raise msgspec.ValidationError('the sender is no IPv4 address')
     return datagram
 
 
@@ -151,7 +175,8 @@
         newest_sequence: Highest number (`sequence`) of a complete report of this incarnation; zero
             before the first.
         past_incarnations: Numbers of its earlier incarnations.
-        incomplete: Parts received of each incomplete report, by its `sequence` and their `part`.
+        incomplete: Parts received of each incomplete report, by its `sequence` and the number of
+            its parts, and then by their `part`.
     """
 
     incarnation: int
@@ -159,7 +184,7 @@
     past_incarnations: deque[int] = attrs.field(
         factory=lambda: deque(maxlen=_MAXIMUM_PAST_INCARNATIONS)
     )
-    incomplete: OrderedDict[int, dict[int, bytes]] = attrs.field(factory=OrderedDict)
+    incomplete: OrderedDict[tuple[int, int], dict[int, bytes]] = attrs.field(factory=OrderedDict)
 
     def start_incarnation(self, incarnation: int) -> None:
         """Starts anew for another incarnation, and remembers the old one to ignore it."""
@@ -207,10 +232,12 @@
     """Adds a part to its report; returns the report's content once it is complete."""
     if datagram.parts == 1:
         return datagram.content
-    parts = sender.incomplete.setdefault(datagram.sequence, {})
+    # Datagrams that disagree on the number of parts do not belong together.
+    key = datagram.sequence, datagram.parts
+    parts = sender.incomplete.setdefault(key, {})
     parts[datagram.part] = datagram.content
     if len(parts) == datagram.parts:
-        sender.incomplete.pop(datagram.sequence)
+        sender.incomplete.pop(key)
         return b''.join(parts[part] for part in range(datagram.parts))
     if len(sender.incomplete) > _MAXIMUM_INCOMPLETE_REPORTS:
         sender.incomplete.popitem(last=False)
