--- a/features/outside_values.feature
+++ b/features/outside_values.feature
@@ -191,3 +191,43 @@
     Given two instances with two endpoints
     When a notice states that "e0" warms up for 584 million years and "e1" for 3 seconds
     Then the instance takes "e1" alone to be warming up
+
+  Scenario: Snapshots of any shape and number end no instance and hide no later one
+    Given two instances with two endpoints
+    When an instance fetches snapshots whose members are replaced by
+      | member          | value                                             |
+      | config_version  | "6"                                               |
+      | config_version  | null                                              |
+      | config_version  | 18446744073709551616                              |
+      | config_row      | 5                                                 |
+      | config_row      | "[ x 9000"                                        |
+      | members_era     | "1"                                               |
+      | members_era     | 1e30                                              |
+      | members_version | -1                                                |
+      | members_version | 18446744073709551616                              |
+      | members         | {"e0": 5}                                         |
+      | members         | [1]                                               |
+      | leaving         | 5                                                 |
+      | leaving         | ["x"]                                             |
+      | leaving         | [{}]                                              |
+      | instances       | {"a": 5}                                          |
+      | instances       | {"a": ["b"]}                                      |
+      | instances       | {"a": "nowhere", "b": "a\u0000b", "": "10.0.0.1"} |
+      | evacuated       | 5                                                 |
+      | evacuated       | [{}]                                              |
+      | op_era          | "1"                                               |
+      | op_version      | 18446744073709551616                              |
+      | added           | [ x 100000                                        |
+      | added           | [ x 100000] x 100000                              |
+    Then both instances still hear each other alone, and answer
+
+  Scenario Outline: A question for a snapshot with an odd version is answered
+    Given two instances with two endpoints
+    When a snapshot newer than the version "<version>" is asked for
+    Then it is answered 200, and both instances go on
+
+    Examples:
+      | version  |
+      | %C2%B2   |
+      | 9 x 5000 |
+      | -1       |
--- a/features/steps/outside_values_steps.py
+++ b/features/steps/outside_values_steps.py
@@ -458,3 +458,46 @@
 @then('the instance takes "e1" alone to be warming up')
 def check_warming(context):
     assert context.result == ['e1'], context.result
+
+
+@when('an instance fetches snapshots whose members are replaced by')
+def fetch_odd_snapshots(context):
+    async def act(fleet):
+        first, second = fleet.instances
+        left = [
+            b'"%b":%b' % (row['member'].encode(), _expand(row['value']).encode())
+            for row in context.table
+        ]
+
+        async def request_snapshot(host):
+            content = orjson.dumps(attrs.asdict(second._snapshots._build_snapshot({})))
+            # The last of equal members counts.
+            return content[:-1] + b',' + left.pop(0) + b'}' if left else content
+
+        first._snapshots._request_snapshot = request_snapshot
+        # An instance that misses a table fetches all the time.
+        first._snapshots._has_tables = lambda: not left
+        with trio.fail_after(12):
+            while left:
+                await trio.sleep(0.05)
+        return await _describe_after(fleet)
+
+    _run_on_fleet(context, act)
+
+
+@when('a snapshot newer than the version "{version}" is asked for')
+def ask_for_snapshot(context, version):
+    async def act(fleet):
+        settings = fleet.settings[0]
+        line = 'GET /v1/snapshot?config_version={0} HTTP/1.1'.format(_expand(version))
+        address = '{0}:{1}'.format(settings.peer_host, settings.peer_port)
+        reply = await exchange(address, (line + '\r\nHost: x\r\n\r\n').encode())
+        await trio.sleep(0.2)
+        return [reply, *[await fleet.call('/', number) for number in (0, 1)]], [1, 1]
+
+    _run_on_fleet(context, act)
+
+
+@then('it is answered 200, and both instances go on')
+def check_snapshot(context):
+    check_answered(context)
--- a/src/fireflymux/entry/peer_snapshot.py
+++ b/src/fireflymux/entry/peer_snapshot.py
@@ -11,11 +11,12 @@
 from urllib.parse import parse_qs, urlencode
 
 import attrs
+import msgspec
 import orjson
 import trio
 
 from .._messages_generated import EntrySnapshot
-from ..bounded_values import is_ipv4_address
+from ..bounded_values import MAXIMUM_INTEGER, check_integer, is_ipv4_address, parse_integer
 from ..decisions.evacuations import EvacuationList
 from ..decisions.store_version import StoreVersion
 from ..http.client_connection import ClientConnection, ConnectFailed, ConnectionBroken
@@ -51,6 +52,7 @@
 _UNSTATED_VERSION = -1
 #: Fields of a snapshot that state the evacuations.
 _EVACUATION_FIELDS = ('evacuated', 'op_era', 'op_version')
+_DECODER = msgspec.json.Decoder(EntrySnapshot)
 _OK = 200
 _NOT_FOUND = 404
 
@@ -194,10 +196,10 @@
         try:
             with trio.fail_after(_FETCH_TIMEOUT_SECONDS):
                 content = await self._request_snapshot(host)
-            return EntrySnapshot(**orjson.loads(content))
+            return _decode_snapshot(content)
         except (ConnectFailed, ConnectionBroken, trio.TooSlowError) as error:
             _log.debug('snapshot_not_fetched', host=host, reason=repr(error))
-        except (ValueError, TypeError) as error:
+        except ValueError as error:
             _log.warning('snapshot_malformed', host=host, reason=repr(error))
         return None
 
@@ -237,7 +239,7 @@
             _log.info('endpoints_from_peer', host=host, version=str(version))
             replace_endpoint_rows(state, rows, version)
         for name, address in snapshot.instances.items():
-            if name != state.settings.name:
+            if name and name != state.settings.name and is_ipv4_address(address):
                 state.instances.setdefault(name, address)
 
     def _apply_configuration(self, row: bytes, host: str) -> None:
@@ -249,6 +251,33 @@
         self._state.apply_configuration(configuration, row, host)
 
 
+def _decode_snapshot(content: bytes) -> EntrySnapshot:
+    """Decodes a snapshot; members that it does not know are left out.
+
+    Args:
+        content: JSON content of a response.
+
+    Returns:
+        The snapshot.
+
+    Raises:
+        ValueError: A member has another type, or a version is out of range.
+    """
+    try:
+        snapshot = _DECODER.decode(content)
+    except RecursionError as error:
+        raise ValueError('the snapshot is nested too deeply') from error
+    for version in (
+        snapshot.config_version,
+        snapshot.members_era,
+        snapshot.members_version,
+        snapshot.op_era,
+        snapshot.op_version,
+    ):
+        check_integer(version)
+    return snapshot
+
+
 def _list_named_hosts(snapshots: Iterable[EntrySnapshot]) -> set[str]:
     """Returns the IPv4 addresses of the instances that snapshots name."""
     named: set[str] = set()
@@ -259,5 +288,5 @@
 
 def _parse_version(query: Mapping[str, list[str]], key: str) -> int:
     """Returns a number from the parsed query of a request."""
-    stated = query.get(key, ('',))[0]
-    return int(stated) if stated.isdigit() else _UNSTATED_VERSION
+    stated = parse_integer(query.get(key, ('',))[0].encode(), maximum=MAXIMUM_INTEGER)
+    return _UNSTATED_VERSION if stated is None else stated
