An error in a background task no longer ends an entry instance

What operators saw: processes that end by themselves as one value raises an error that nobody foresaw.

An address for reports that can't be bound still ends the process.

Not covered: an error in the task of a request, which ends the process as before.

--- a/features/outside_values.feature
+++ b/features/outside_values.feature
@@ -231,3 +231,21 @@
       | %C2%B2   |
       | 9 x 5000 |
       | -1       |
+
+  Scenario Outline: An unexpected error in a background task is logged, and the task goes on
+    Given a "safe" route with two endpoints that answer
+    When "<step>" raises an error three times
+    Then the error is logged with its cause, and the instances learn of a new endpoint and a new version
+
+    Examples:
+      | step                        |
+      | _state.members.expire       |
+      | _state.apply_configuration  |
+      | _state.update_endpoints     |
+      | _state.notify               |
+      | _peers.take                 |
+      | _peers.list_hosts           |
+      | _peers.forget_silent        |
+      | _snapshots._list_fetch_hosts |
+      | _store._read_instances      |
+      | _handler.dispatch           |
--- a/features/steps/outside_values_steps.py
+++ b/features/steps/outside_values_steps.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 
 import attrs
+import logbook
 import msgspec
 import orjson
 import trio
@@ -501,3 +502,47 @@
 @then('it is answered 200, and both instances go on')
 def check_snapshot(context):
     check_answered(context)
+
+
+@when('"{step}" raises an error three times')
+def raise_in_task(context, step):
+    async def act(fleet):
+        await fleet.add_instance(fleet.settings[0].store_address)
+        await fleet.wait_ready(1)
+        path, _, name = step.rpartition('.')
+        owner = fleet.instances[0]
+        for part in path.split('.'):
+            owner = getattr(owner, part)
+        work, errors = getattr(owner, name), [RuntimeError('odd') for _ in range(3)]
+
+        def fail(*args, **options):
+            if errors:
+                raise errors.pop()
+            return work(*args, **options)
+
+        setattr(owner, name, fail)
+        with logbook.TestHandler().applicationbound() as handler:
+            await fleet.add_backend('later', 'pool')
+            _put_configuration(fleet, 6, [route('/', 'safe', 'pool')])
+            # A restored copy makes the instance read the table of instances again.
+            fleet.store.restore_backup(fleet.store.take_backup())
+            learned = []
+            with trio.move_on_after(5):
+                while errors or learned != [_LEARNED, _LEARNED]:
+                    await trio.sleep(0.1)
+                    learned = [_describe(instance) for instance in fleet.instances]
+            failed = [line.kwargs for line in handler.records if line.message == 'task_failed']
+        return learned, failed, errors
+
+    _run_on_fleet(context, act)
+
+
+@then(
+    'the error is logged with its cause,'
+    ' and the instances learn of a new endpoint and a new version'
+)
+def check_goes_on(context):
+    learned, failed, errors = context.result
+    assert learned == [_LEARNED, _LEARNED] and not errors, (learned, errors)
+    assert failed and all("RuntimeError('odd')" in line['reason'] for line in failed), failed
+    assert all('raise errors.pop()' in line['error'] for line in failed), failed
--- a/src/fireflymux/entry/instance.py
+++ b/src/fireflymux/entry/instance.py
@@ -7,6 +7,7 @@
 
 import random
 import signal
+from functools import partial
 
 import orjson
 import trio
@@ -28,6 +29,7 @@
 from .settings_reload import SettingsReloader
 from .state import EntryState
 from .store_follower import StoreFollower
+from .supervision import supervise
 
 _log = get_logger(__name__)
 #: If more time than this passes between two ticks, the process was paused.
@@ -104,11 +106,12 @@
             )
             self._listeners.append(metrics_listener)
         self._background_tasks = (
+            # These two supervise their own tasks: without its socket, the process must not run.
             self._peers.run,
             self._store.run,
-            self._snapshots.run,
-            self._tick,
-            self._close_stale_connections,
+            partial(supervise, self._snapshots.run, 'fetch snapshots'),
+            partial(supervise, self._tick, 'tick'),
+            partial(supervise, self._close_stale_connections, 'close stale connections'),
         )
 
     async def run(self) -> None:
@@ -116,7 +119,7 @@
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async with trio.open_nursery() as nursery:
                 await nursery.start(self.serve)
-                nursery.start_soon(self._reloader.watch)
+                nursery.start_soon(supervise, self._reloader.watch, 'watch settings')
                 while await anext(signals) == signal.SIGHUP:
                     self._reloader.reload()
                 await self._stop()
--- a/src/fireflymux/entry/peer_link.py
+++ b/src/fireflymux/entry/peer_link.py
@@ -6,6 +6,7 @@
 """
 
 import socket
+from functools import partial
 
 import attrs
 import msgspec
@@ -38,6 +39,7 @@
     encode_report,
 )
 from .state import EntryState
+from .supervision import supervise
 
 _log = get_logger(__name__)
 _MAXIMUM_DATAGRAM_BYTES = 65536
@@ -111,8 +113,8 @@
             sock.setblocking(False)
             sock.bind((settings.peer_host, settings.peer_port))
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._receive, sock)
-                nursery.start_soon(self._send, sock)
+                nursery.start_soon(supervise, partial(self._receive, sock), 'receive reports')
+                nursery.start_soon(supervise, partial(self._send, sock), 'send reports')
 
     def list_hosts(self) -> list[str]:
         """Lists the IP addresses of the other instances: registered, heard, or set as seeds."""
--- a/src/fireflymux/entry/store_follower.py
+++ b/src/fireflymux/entry/store_follower.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable, Mapping, Sequence
+from functools import partial
 
 import attrs
 import trio
@@ -25,6 +26,7 @@
 from ..platform.store import HistoryLost, Row, StoreClient, StoreUnavailable
 from .evacuating import apply_evacuations, update_evacuations
 from .state import EntryState
+from .supervision import supervise
 
 _log = get_logger(__name__)
 #: Table in which entry instances register their IP addresses.
@@ -104,8 +106,9 @@
                     batch_seconds=_BATCH_SECONDS,
                 ),
             ):
-                nursery.start_soon(self._follow, followed)
-            nursery.start_soon(self._register_and_read_instances)
+                follow = partial(self._follow, followed)
+                nursery.start_soon(supervise, follow, 'follow {0}'.format(followed.table))
+            nursery.start_soon(supervise, self._register_and_read_instances, 'read instances')
 
     async def unregister(self) -> None:
         """Removes this instance from the table of instances."""
