--- a/src/fireflymux/entry/peer_link.py
+++ b/src/fireflymux/entry/peer_link.py
@@ -6,6 +6,7 @@
 """
 
 import socket
+from functools import partial
 
 import attrs
 import msgspec
@@ -38,6 +39,7 @@
     encode_report,
 )
 from .state import EntryState
+from .supervision import supervise
 
 _log = get_logger(__name__)
 _MAXIMUM_DATAGRAM_BYTES = 65536
@@ -111,8 +113,8 @@
             sock.setblocking(False)
             sock.bind((settings.peer_host, settings.peer_port))
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._receive, sock)
-                nursery.start_soon(self._send, sock)
+                nursery.start_soon(supervise, partial(self._receive, sock), 'receive reports')
+                nursery.start_soon(supervise, partial(self._send, sock), 'send reports')
 
     def list_hosts(self) -> list[str]:
         """Lists the IP addresses of the other instances: registered, heard, or set as seeds."""
@@ -236,21 +238,20 @@
                 self._handle_received(sock, received, address[0])
 
     def _handle_received(self, sock: socket.socket, received: bytes, host: str) -> None:
-        """Applies a datagram and relays it.
+        """Relays a datagram and applies it.
 
-        One that cannot be decoded is dropped. So is one that completes a report which cannot be
-        decoded or applied; what was applied before the error stays.
+        One that cannot be decoded is dropped. One that completes a report which cannot be decoded
+        is relayed all the same, since the others may be able to.
         """
         try:
             if apply_if_notice(self._state, received):
                 return
             datagram = decode_datagram(received)
+            self._relay_to_neighbours(sock, datagram)
             self._handle_datagram(datagram)
         except (msgspec.MsgspecError, ValueError, TypeError) as error:
             self._metrics.unreadable_reports.inc({})
-            _log.debug('report_malformed', host=host, reason=repr(error))
-            return
-        self._relay_to_neighbours(sock, datagram)
+            _log.warning('report_malformed', host=host, reason=repr(error))
 
     def _handle_datagram(self, datagram: PeerDatagram) -> None:
         if datagram.host == self._state.host:
--- a/src/fireflymux/entry/peer_messages.py
+++ b/src/fireflymux/entry/peer_messages.py
@@ -26,18 +26,21 @@
     return msgspec.msgpack.encode(attrs.astuple(message, recurse=False))
 
 
-def build_decoder(message_type: type[_MessageT]) -> Callable[[bytes], _MessageT]:
+def build_decoder(
+    message_type: type[_MessageT], **bounded: typing.Any
+) -> Callable[[bytes], _MessageT]:
     """Builds a function that decodes the messages of one class.
 
     Args:
         message_type: The message class.
+        bounded: Types with ranges, which take the place of those that the class states.
 
     Returns:
         A function that returns the message in the given bytes, and raises `msgspec.MsgspecError`
-        if a field is missing or of another type.
+        if a field is missing, of another type or out of its range.
     """
     names = tuple(field.name for field in attrs.fields(message_type))  # type: ignore[arg-type]
-    decoder = msgspec.msgpack.Decoder(_build_array_type(message_type))
+    decoder = msgspec.msgpack.Decoder(_build_array_type(message_type, bounded))
 
     def decode(received: bytes) -> _MessageT:
         values = msgspec.structs.astuple(decoder.decode(received))
@@ -46,9 +49,9 @@
     return decode
 
 
-def _build_array_type(message_type: type) -> type[msgspec.Struct]:
+def _build_array_type(message_type: type, bounded: dict[str, typing.Any]) -> type[msgspec.Struct]:
     """Builds the class that msgspec decodes an array to, whose end it lets be longer or shorter."""
-    hints = typing.get_type_hints(message_type)
+    hints = typing.get_type_hints(message_type) | bounded
     fields = [
         (field.name, hints[field.name], *_build_default(field.default))
         for field in attrs.fields(message_type)
