--- a/emulator/backend.py
+++ b/emulator/backend.py
@@ -12,12 +12,14 @@
 from fireflymux.http.messages import HeaderFields, Request, find_header
 from fireflymux.http.response_writer import ResponseWriter
 
-from .raw_response import send_extra_answer, send_raw
+from .raw_response import end_at_close, send_extra_answer, send_raw
 
 _EVENT_INTERVAL_SECONDS = 0.02
 #: Pause before each event of a stream that is slow but not stalled: longer than the target latency
 #: of the routes, shorter than the deadline of the callers.
 _LONG_PAUSE_SECONDS = 1.2
+#: Id of an event that has more digits than Python converts to a number.
+LONG_EVENT_ID = b'9' * 5000
 _MISDIRECTED_BEHAVIOURS = ('misdirected', 'misdirected and leaving')
 
 
@@ -32,6 +34,7 @@
         left: Identifiers of the attempts whose connection ended before the answer was complete.
         retry_after: Value of `Retry-After` in its answers while it is full; empty for none.
         turned_away: Number of requests that it rejected without running them.
+        extra_fields: Header fields that it adds to the answers to the requests that it runs.
     """
 
     def __init__(self, name: str, behaviour: str = 'answer') -> None:
@@ -39,6 +42,7 @@
         self.behaviour = behaviour
         self.retry_after = ''
         self.turned_away = 0
+        self.extra_fields: HeaderFields = []
         self.requests: list[Request] = []
         self.left: list[bytes] = []
 
@@ -65,6 +69,7 @@
             return
         self.requests.append(request)
         fields = [(b'X-Attempt-Id', attempt), (b'X-Server-Signature', self.name.encode())]
+        fields.extend(self.extra_fields)
         try:
             await _BEHAVIOURS[self.behaviour](request, writer, fields)
         except BaseException:
@@ -97,6 +102,20 @@
     await writer.answer(500, fields, b'failed')
 
 
+async def _fail_as_not_found(
+    request: Request, writer: ResponseWriter, fields: HeaderFields
+) -> None:
+    await writer.answer(404, fields, b'not found')
+
+
+async def _stream_without_ids(
+    request: Request, writer: ResponseWriter, fields: HeaderFields
+) -> None:
+    """Streams an explanation in place of the events that were asked for."""
+    await writer.start(200, fields, b'data: no such stream\n\n')
+    await writer.end()
+
+
 async def _abort(request: Request, writer: ResponseWriter, fields: HeaderFields) -> None:
     writer.abort()
 
@@ -129,7 +148,7 @@
 ) -> None:
     """Ends the body by closing the connection."""
     await send_raw(writer, _encode_head(fields, b'\r\n') + _response_body(fields))
-    writer.must_close = True
+    end_at_close(writer)
 
 
 async def _answer_after_unrelated_response(
@@ -161,6 +180,16 @@
     await writer.end()
 
 
+async def _stream_with_long_id(
+    request: Request, writer: ResponseWriter, fields: HeaderFields
+) -> None:
+    await writer.start(200, fields, b'')
+    await writer.send_chunk(b'id: %b\ndata: odd\n\n' % LONG_EVENT_ID)
+    for event in _remaining_events(request, 6):
+        await writer.send_chunk(event)
+    await writer.end()
+
+
 async def _stream_then_abort(
     request: Request, writer: ResponseWriter, fields: HeaderFields
 ) -> None:
@@ -293,6 +322,7 @@
             'answer and leave': _answer_and_leave,
             'answer and warm up': _answer_and_warm_up,
             'fail': _fail,
+            'not found': _fail_as_not_found,
             'break off': _abort,
             'hang': _hang,
             'answer slowly': _answer_slowly,
@@ -302,6 +332,8 @@
             'answer after a stray one': _answer_after_unrelated_response,
             'answer twice': _answer_twice,
             'stream': _stream,
+            'stream with a long id': _stream_with_long_id,
+            'events without ids': _stream_without_ids,
             'stream and cut': _stream_then_abort,
             'stream slowly': _stream_slowly,
             'stream and trickle': _stream_unfinished_event,
--- a/emulator/repeating_backend.py
+++ b/emulator/repeating_backend.py
@@ -16,7 +16,7 @@
 from fireflymux.http.response_writer import ResponseWriter
 
 from .backend import Backend
-from .raw_response import encode_answer, send_raw
+from .raw_response import encode_answer, send_encoded, send_raw
 
 #: Pause between the parts of a copy, so that they arrive in reads of their own.
 _PAUSE_SECONDS = 0.03
@@ -93,7 +93,7 @@
         if not self._is_first:
             self.requests.append(request)
             await self._send_due(writer)
-            await send_raw(writer, self._encode_success(request, fields))
+            await send_encoded(writer, self._encode_success(request, fields))
             return
         self._is_first = False
         if self.first not in _REFUSED_STATUSES:
@@ -102,7 +102,7 @@
         copy = self.timing.prefix + self._encode_first(request, copy_fields)
         at_once = len(copy) if self.timing.bytes_at_once is None else self.timing.bytes_at_once
         self._due[writer] = copy[at_once:] if self.timing.is_ended else b''
-        await send_raw(writer, self._encode_first(request, fields) + copy[:at_once])
+        await send_encoded(writer, self._encode_first(request, fields) + copy[:at_once])
 
     async def _send_due(self, writer: ResponseWriter) -> None:
         due = self._due.pop(writer, b'')
--- a/src/fireflymux/entry/event_relay.py
+++ b/src/fireflymux/entry/event_relay.py
@@ -2,15 +2,18 @@
 
 If an attempt of a resumable stream breaks off, another endpoint resumes it after the last complete
 event. The caller sees one response. An event is forwarded once it is complete, and numbered events
-are not repeated. Only the remainder at the end of a stream is forwarded without a check.
+are not repeated. A response that cannot be told to continue the events before it is not joined to
+them.
 """
 
-from ..http.messages import HeaderFields
+from ..http.messages import HeaderFields, find_header
 from ..http.response_writer import ResponseWriter
 
 _EVENT_END = b'\n\n'
 _ID_FIELD = b'id:'
 _COMMENT_PREFIX = b':'
+#: Longest number that counts as the id of an event.
+_MAXIMUM_ID_DIGITS = 18
 #: Largest event; an endpoint that sends more without ending one might never end it.
 _MAXIMUM_EVENT_BYTES = 1048576
 
@@ -19,13 +22,16 @@
     """An event exceeds the largest size."""
 
 
+class StreamNotResumed(Exception):
+    """An endpoint was asked to resume a stream, and its response does not continue it."""
+
+
 class EventRelay:
     """The response to one request as its caller gets it; several endpoints may send its events.
 
     Attributes:
         last_event_id: Id of the last event that was forwarded, or that the caller already had; -1
             for none.
-        is_begun: Whether the head of the response was sent to the caller.
         event_writes: Number of writes to the caller so far, before the end, that held an event;
             writes of nothing but comments are not counted.
     """
@@ -40,20 +46,38 @@
                 are recognized and dropped; an event without one is always kept.
         """
         self.last_event_id = resume_after
-        self.is_begun = False
         self.event_writes = 0
         self._writer = writer
         self._has_event_ids = has_event_ids
         self._partial = b''
+        self._is_resumed = False
+        self._content_type = b''
+
+    @property
+    def is_begun(self) -> bool:
+        """Whether any of the response was sent to the caller."""
+        return self._writer.has_begun
 
     @property
     def is_between_events(self) -> bool:
         """Whether all received bytes belong to complete events."""
         return not self._partial
 
-    def restart(self) -> None:
-        """Discards the incomplete event of an attempt that broke off."""
+    def begin_attempt(self, fields: HeaderFields) -> None:
+        """Discards the incomplete event of an attempt that broke off, and starts the next one.
+
+        Args:
+            fields: Header fields of the endpoint's response.
+
+        Raises:
+            StreamNotResumed: The response to the caller has begun with another content type.
+        """
         self._partial = b''
+        content_type = find_header(fields, b'content-type')
+        self._is_resumed = self.is_begun
+        if self._is_resumed and content_type != self._content_type:
+            raise StreamNotResumed('its content type is {0!r}'.format(content_type))
+        self._content_type = content_type
 
     async def forward(self, received: bytes, status: int, fields: HeaderFields) -> None:
         """Adds bytes of the endpoint's response, and forwards the events that are complete.
@@ -65,6 +89,7 @@
 
         Raises:
             EventTooLarge: The incomplete event exceeds the largest size.
+            StreamNotResumed: The stream was resumed, and an event has no place in its order.
         """
         content = self._partial + received
         end = content.rfind(_EVENT_END)
@@ -75,9 +100,12 @@
             return
         complete = content[: end + len(_EVENT_END)]
         self._partial = content[len(complete) :]
+        last_event_id = self.last_event_id
         if self._has_event_ids:
-            complete = self._drop_repeated(complete)
+            complete, last_event_id = self._drop_repeated(complete)
         await self._send(complete, status, fields)
+        # An event counts as forwarded once it was sent: a write that is cancelled before sends none.
+        self.last_event_id = last_event_id
 
     async def end(self, status: int, fields: HeaderFields) -> None:
         """Forwards the bytes that are left, and ends the response.
@@ -85,11 +113,21 @@
         They are what follows the last blank line: nothing, an event or comment without its closing
         blank line, or a stream whose lines do not end with LF alone. They are neither completed
         nor checked for a repeated id.
+
+        Args:
+            status: Status for the caller, if the response has not begun.
+            fields: Header fields for the caller, if the response has not begun.
+
+        Raises:
+            StreamNotResumed: The stream was resumed, and there are bytes left that are no event.
         """
         remainder = self._partial
+        if self._is_resumed and remainder:
+            raise StreamNotResumed(
+                'it ends with {0} bytes that are no event'.format(len(remainder))
+            )
         self._partial = b''
         if not self.is_begun:
-            self.is_begun = True
             await self._writer.start(status, fields, remainder)
         elif remainder:
             await self._writer.send_chunk(remainder)
@@ -102,20 +140,29 @@
         if self.is_begun:
             await self._writer.send_chunk(content)
             return
-        self.is_begun = True
         await self._writer.start(status, fields, content)
 
-    def _drop_repeated(self, events: bytes) -> bytes:
-        """Drops events whose id is not above that of the last forwarded one."""
+    def _drop_repeated(self, events: bytes) -> tuple[bytes, int]:
+        """Drops events whose id is not above that of the last forwarded one.
+
+        Returns:
+            The events that are left, and the id of the last one.
+
+        Raises:
+            StreamNotResumed: The stream was resumed, and an event has no id, so that its place
+                among the events before it is not known.
+        """
         kept = []
+        last_event_id = self.last_event_id
         for event in events.split(_EVENT_END)[:-1]:
             number = _parse_event_id(event)
-            if number is not None:
-                if number <= self.last_event_id:
-                    continue
-                self.last_event_id = number
+            if number is None and self._is_resumed and _contains_event(event):
+                raise StreamNotResumed('it has an event without an id')
+            if number is not None and number <= last_event_id:
+                continue
+            last_event_id = last_event_id if number is None else number
             kept.append(event + _EVENT_END)
-        return b''.join(kept)
+        return b''.join(kept), last_event_id
 
 
 def _contains_event(content: bytes) -> bool:
@@ -126,10 +173,10 @@
 
 
 def _parse_event_id(event: bytes) -> int | None:
-    """Returns the id of an event, or None if it has none or one that is not a number."""
+    """Returns the id of an event, or None if it has none, or none of a number's form and length."""
     for line in event.split(b'\n'):
         if not line.startswith(_ID_FIELD):
             continue
         text = line[len(_ID_FIELD) :].strip()
-        return int(text) if text.isdigit() else None
+        return int(text) if text.isdigit() and len(text) <= _MAXIMUM_ID_DIGITS else None
     return None
--- a/src/fireflymux/http/response_parser.py
+++ b/src/fireflymux/http/response_parser.py
@@ -5,10 +5,15 @@
 import attrs
 import httptools
 
-from .messages import FIELD_WHITESPACE, HeaderFields, ResponseHead, find_header
+from .messages import (
+    BODYLESS_STATUSES,
+    FIELD_WHITESPACE,
+    HeaderFields,
+    ResponseHead,
+    find_header,
+)
 
 _FIRST_FINAL_STATUS = 200
-_BODYLESS_STATUSES = frozenset((204, 304))
 
 
 @attrs.define(eq=False)
@@ -107,7 +112,7 @@
                 is_chunked=is_chunked,
                 content_length=int(length) if length.isdigit() else None,
             ),
-            ends_at_close=not (is_chunked or length or status in _BODYLESS_STATUSES),
+            ends_at_close=not (is_chunked or length or status in BODYLESS_STATUSES),
         )
         self.responses.append(self._current_response)
         self.progress += 1
