Fields behind a chunked body are no header fields

Callers were told 503 (not run, try again) for an unsafe request that the endpoint had run, and callers that wrote a field behind their chunks got 400, 401 or 502 for a proper request, or it was passed on under another header than the one that was checked.

Cause: httptools reports trailers as it reports header fields. Both parsers added them to the head: in an answer that arrives in one read they were decoded with it, in one that arrives in parts they were not; in a request they came after its Host and length had been checked.

Evidence, features/kept_connections.feature on the code before:

answer in chunks, behind them X-Not-Executed: 1 Reply(status=503, ... {"kind":"queue_timeout","title":"The request waited too long"}) request in chunks, behind them X-Attempt-Id: a2 400 malformed_request (504 before that) Host: other.example 502 endpoint_crashed Authorization: ... 401 unauthenticated

Fields behind a body are now dropped, as HTTP has it for those whose meaning is not known (RFC 9110, 6.5.1); a request's still count for the size limit. "504 before that" was read, not run.

--- a/emulator/repeating_backend.py
+++ b/emulator/repeating_backend.py
@@ -27,6 +27,12 @@
 )
 
 
+#: Lines behind the body of a success in chunks, by kind.
+_TRAILERS: Mapping[str, bytes] = MappingProxyType(
+    {'stream': b'', 'stream with a trailer': b'X-Not-Executed: 1\r\n'}
+)
+
+
 @attrs.define(frozen=True)
 class CopyTiming:
     """How the copy of an answer is written.
@@ -70,8 +76,8 @@
     The body of each success names the target of its request.
 
     Attributes:
-        first: Kind of the first answer: a key of `_REFUSED_STATUSES`, `success`, or `stream` for a
-            success in chunks.
+        first: Kind of the first answer: a key of `_REFUSED_STATUSES`, `success`, or a key of
+            `_TRAILERS` for a success in chunks.
         timing: How the copy is written.
         connections: Connections on which requests arrived.
     """
@@ -123,7 +129,8 @@
         signed = [*fields, (b'X-Server-Signature', b'e0')]
         if request.method == b'HEAD':
             return encode_answer(200, signed, content).removesuffix(content)
-        if self.first != 'stream':
+        if self.first not in _TRAILERS:
             return encode_answer(200, signed, content)
         head = encode_head(status_line(200), [*signed, (b'Transfer-Encoding', b'chunked')])
-        return b'%b%x\r\n%b\r\n0\r\n\r\n' % (head, len(content), content)
+        trailer = _TRAILERS[self.first]
+        return b'%b%x\r\n%b\r\n0\r\n%b\r\n' % (head, len(content), content, trailer)
--- a/features/kept_connections.feature
+++ b/features/kept_connections.feature
@@ -76,6 +76,19 @@
       | 19000   |
       | 6000000 |
 
+  Scenario Outline: Fields behind the chunks of a body change no header field
+    Given a "unsafe" route whose only endpoint writes its first answer, a "stream with a trailer", again "with the next request"
+    When a caller sends a request in chunks with "<field>" behind them
+    Then it is answered 200, within half of its time
+    And the endpoint ran 1 requests, with the id "a1"
+
+    Examples:
+      | field                   |
+      | X-Other: b              |
+      | X-Attempt-Id: a2        |
+      | Host: other.example     |
+      | Authorization: Token no |
+
   Scenario: Requests with identifiers of their own share few connections
     Given a "unsafe" route whose only endpoint has behaviour "answer"
     When callers send 300 requests one after the other, each with an id of its own
--- a/features/steps/kept_connection_steps.py
+++ b/features/steps/kept_connection_steps.py
@@ -292,3 +292,18 @@
 def check_followed(context):
     expected = ['answer of e{0}'.format(number + 1) for number in range(len(context.result))]
     assert [content.decode() for content in context.result] == expected, context.result
+
+
+@when('a caller sends a request in chunks with "{field}" behind them')
+def send_trailer(context, field):
+    raw = encode_call('/1', attempt='a1').replace(
+        b'Content-Length: 0\r\n', b'Transfer-Encoding: chunked\r\n'
+    )
+    raw += b'1\r\nx\r\n0\r\n%b\r\n\r\n' % field.encode()
+
+    async def act(fleet):
+        started = trio.current_time()
+        reply = await exchange(fleet.settings[0].caller_address, raw)
+        return reply, trio.current_time() - started
+
+    _run_on_fleet(context, act)
--- a/src/fireflymux/http/request_parser.py
+++ b/src/fireflymux/http/request_parser.py
@@ -95,9 +95,10 @@
         self._add_head_bytes(len(part))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds a header field."""
-        self._fields.append((name, value.rstrip(FIELD_WHITESPACE)))
+        """Adds a header field; one behind a chunked body only counts for the size limit."""
         self._add_head_bytes(len(name) + len(value) + len(b': \r\n'))
+        if self.is_in_head:
+            self._fields.append((name, value.rstrip(FIELD_WHITESPACE)))
 
     def on_headers_complete(self) -> None:
         """Validates the head and the body length that it states."""
--- a/src/fireflymux/http/response_parser.py
+++ b/src/fireflymux/http/response_parser.py
@@ -95,7 +95,9 @@
         self._current_response = None
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds a header field."""
+        """Adds a header field; one behind a chunked body is no part of the head."""
+        if self._current_response is not None:
+            return
         self._fields.append((name, value.rstrip(FIELD_WHITESPACE)))
 
     def on_headers_complete(self) -> None:
