An endpoint at another address is reached there, not on connections to the address before

Where an entry of the store names another address under the same identifier and start (`born`, which may be missing), all further requests went to the address before, on kept connections and on new ones: to whatever runs there, or nowhere.

Cause: an endpoint that is known kept its pool, which holds the address, when its entry changed.

Evidence, features/kept_connections.feature on the code before: the requests were answered at the address before, and none of the 3 arrived at the new one, ([200, 200, 200], 0).

An endpoint whose address changed is dropped with its idle connections, and added anew.

--- a/features/kept_connections.feature
+++ b/features/kept_connections.feature
@@ -116,3 +116,8 @@
     Given an instance whose store writes each answer again before the next one on its connection
     When the endpoint leaves, another one takes its place, and a route is added, 4 times
     Then each time the new route is served by the new endpoint
+
+  Scenario: An endpoint that comes back at another address gets its requests there
+    Given a "unsafe" route whose only endpoint has behaviour "answer"
+    When its entry names another address, where it listens, and a caller sends 3 requests
+    Then they are answered from there
--- a/features/steps/kept_connection_steps.py
+++ b/features/steps/kept_connection_steps.py
@@ -6,6 +6,7 @@
 import trio
 from behave import given, then, when
 
+from emulator.backend import Backend
 from emulator.entry_fleet import Reply, configuration, encode_call, exchange, free_port, route
 from emulator.raw_response import encode_answer, send_raw
 from emulator.repeating_backend import COPY_TIMINGS, RepeatingBackend
@@ -307,3 +308,24 @@
         return reply, trio.current_time() - started
 
     _run_on_fleet(context, act)
+
+
+@when('its entry names another address, where it listens, and a caller sends {count:d} requests')
+def move_endpoint(context, count):
+    async def act(fleet):
+        await fleet.call('/a')
+        moved = Backend('e0')
+        address = '127.0.0.1:{0}'.format(free_port())
+        await fleet._listen(address, moved.respond)
+        fleet.change_endpoint('e0', address=address)
+        await trio.sleep(0.4)
+        replies = [await fleet.call('/a') for _ in range(count)]
+        return [reply.status for reply in replies], len(moved.requests)
+
+    _run_on_fleet(context, act)
+
+
+@then('they are answered from there')
+def check_moved(context):
+    statuses, runs = context.result
+    assert set(statuses) == {200} and runs == len(statuses), context.result
--- a/src/fireflymux/decisions/membership.py
+++ b/src/fireflymux/decisions/membership.py
@@ -48,6 +48,11 @@
         """Unique key of this incarnation; `identifier` alone does not tell incarnations apart."""
         return self.identifier, self.incarnation
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """IP address and port."""
+        return self.host, self.port
+
     @property
     def number(self) -> int:
         """Checksum of `key`, which stands for this incarnation between instances."""
--- a/src/fireflymux/entry/state.py
+++ b/src/fireflymux/entry/state.py
@@ -172,21 +172,14 @@
         current = {
             endpoint.number: endpoint for endpoint in self.members.list_endpoints().values()
         }
-        for number in set(self._endpoints) - set(current):
-            gone = self._endpoints.pop(number)
-            gone.pool.close()
-            _log.info('endpoint_gone', endpoint=gone.endpoint.identifier)
+        for number, known in list(self._endpoints.items()):
+            # One at another address is another one: the connections lead to the address before.
+            if number not in current or current[number].address != known.endpoint.address:
+                self._endpoints.pop(number)
+                known.pool.close()
+                _log.info('endpoint_gone', endpoint=known.endpoint.identifier)
         for number, endpoint in current.items():
-            known = self._endpoints.get(number)
-            if known is None:
-                self._endpoints[number] = self._create_endpoint(number, endpoint)
-                continue
-            # An entry that was read again says nothing new.
-            if endpoint.warmup_seconds != known.endpoint.warmup_seconds:
-                self.candidates.warmups.record(known, endpoint.warmup_seconds)
-            if endpoint.is_leaving and not known.endpoint.is_leaving:
-                _log.info('endpoint_leaving', endpoint=endpoint.identifier)
-            known.endpoint = endpoint
+            self._update_endpoint(number, endpoint)
         self._by_service = {}
         for live in self._endpoints.values():
             self._by_service.setdefault(live.endpoint.service, []).append(live)
@@ -239,6 +232,19 @@
                 until=round(record.ejected_until, 1),
             )
 
+    def _update_endpoint(self, number: int, endpoint: Endpoint) -> None:
+        """Adds an endpoint, or applies its new entry."""
+        known = self._endpoints.get(number)
+        if known is None:
+            self._endpoints[number] = self._create_endpoint(number, endpoint)
+            return
+        # An entry that was read again says nothing new.
+        if endpoint.warmup_seconds != known.endpoint.warmup_seconds:
+            self.candidates.warmups.record(known, endpoint.warmup_seconds)
+        if endpoint.is_leaving and not known.endpoint.is_leaving:
+            _log.info('endpoint_leaving', endpoint=endpoint.identifier)
+        known.endpoint = endpoint
+
     def _create_endpoint(self, number: int, endpoint: Endpoint) -> LiveEndpoint:
         """Creates the state of a newly listed endpoint."""
         live = create_live_endpoint(number, endpoint, self._open_pool(endpoint))
