A claim that cannot be read fails its call, not every sidecar that reads it

A call whose claim another writer had changed ended the sidecar that read it, with every other call that ran there, and then the next sidecar, to which the router sent the call again.

Seen before the fix on real processes (features/odd_rows.feature): service-0 ended with "DecodeError: ClaimRow" out of _evaluate_existing.

Such a claim says that the call may have run, so the call is answered so (claims_unavailable, with 504); no sidecar runs it. A replay of a body that is no base64, has no status that a response can have, or is not the object that was recorded (its name is its digest) fails in the same way.

--- a/features/odd_rows.feature
+++ b/features/odd_rows.feature
@@ -53,3 +53,8 @@
       | whose contract has weight zero  |
       | whose contract has weight -1e308 |
       | nested 200 levels deep          |
+
+  Scenario: An odd claim of a call
+    Given a small fleet of one router, one engine and one service
+    When another writer replaces the claim of a call and the caller repeats the call
+    Then the repeated call fails alone, and another one is answered
--- a/src/fireflymux/sidecar/claims.py
+++ b/src/fireflymux/sidecar/claims.py
@@ -37,6 +37,8 @@
 _MAXIMUM_CLAIM_ATTEMPTS = 4
 #: Larger response bodies are written to the object store, and the row only names the object.
 _MAXIMUM_INLINE_BODY_BYTES = 16384
+#: Status codes of final responses.
+_STATUSES = range(200, 1000)
 #: First delay before a failed write is retried; it doubles with each failure up to the maximum.
 _RETRY_DELAY_SECONDS = 0.5
 _MAXIMUM_RETRY_DELAY_SECONDS = 15.0
@@ -136,7 +138,7 @@
             body: Complete body of the response.
         """
         is_inline = len(body) <= _MAXIMUM_INLINE_BODY_BYTES
-        object_name = '' if is_inline else 'answers/{0}'.format(hashlib.sha256(body).hexdigest())
+        object_name = '' if is_inline else _object_name(body)
         row = attrs.evolve(
             claimed.row,
             state=STATE_DONE,
@@ -215,7 +217,10 @@
         """
         if row.version == 0:
             return None
-        existing = codec.structure(row.value, ClaimRow)
+        existing = _parse_claim(row)
+        if existing is None:
+            detail = 'the claim of the call is unreadable'
+            return CallFailure(ErrorKind.claims_unavailable, detail, ExecutionStatus.unknown)
         if existing.fingerprint != own_row.fingerprint:
             return CallFailure(ErrorKind.idempotency_key_reused)
         if existing.state == STATE_RELEASED:
@@ -235,12 +240,16 @@
 
     async def _load_replay(self, existing: ClaimRow) -> Replay | CallFailure:
         head = ResponseHead(existing.status, existing.content_type, existing.headers)
-        if not existing.object_name:
-            return Replay(head, base64.b64decode(existing.body))
         try:
-            return Replay(head, await self._objects.read(existing.object_name))
-        except PlatformError as error:
+            if not existing.object_name:
+                return Replay(head, base64.b64decode(existing.body))
+            body = await self._objects.read(existing.object_name)
+        except (PlatformError, ValueError) as error:
             return CallFailure(ErrorKind.claims_unavailable, str(error), ExecutionStatus.yes)
+        if existing.object_name != _object_name(body):
+            detail = 'the object is not the recorded body'
+            return CallFailure(ErrorKind.claims_unavailable, detail, ExecutionStatus.yes)
+        return Replay(head, body)
 
     async def _store_body(self, object_name: str, body: bytes) -> None:
         delay = _RETRY_DELAY_SECONDS
@@ -272,7 +281,7 @@
         except PlatformError:
             return
         self._unconfirmed.pop(key, None)
-        if row.version and codec.structure(row.value, ClaimRow) == own_row:
+        if row.version and _parse_claim(row) == own_row:
             await self.release(Claimed(key, row.version, own_row))
 
     def _new_row(self, order: RunOrder) -> ClaimRow:
@@ -285,6 +294,21 @@
         )
 
 
+def _object_name(body: bytes) -> str:
+    return 'answers/{0}'.format(hashlib.sha256(body).hexdigest())
+
+
+def _parse_claim(row: Row) -> ClaimRow | None:
+    """Returns the claim in a row, or None if it cannot be read, which fails its call alone."""
+    try:
+        claim = codec.structure(row.value, ClaimRow)
+    except codec.DecodeError as error:
+        _log.warning('claim_unreadable', key=row.key, reason=str(error))
+        return None
+    is_status_valid = claim.state != STATE_DONE or claim.status in _STATUSES
+    return claim if is_status_valid else None
+
+
 def _result_label(claim_result: Claimed | Replay | CallFailure) -> str:
     if isinstance(claim_result, CallFailure):
         return claim_result.kind.value
