Only calls that reached an endpoint count for its backoff and for the verdict on a suspect

A sidecar whose endpoint took no calls went on trying it at the shortest interval, and took requests of its pool that it then failed, as long as replays of recorded answers or refused claims came in between: each of them counted as a success of the endpoint and reset the backoff, and so did a call that was refused just before it was sent. A replay of a suspect's answer also cleared the suspect, though nothing had run.

Seen before the fix (features/role_responses.feature): the second backoff is as long as the first.

A run notes whether it calls the endpoint. Of those that do, one that failed as certainly not run counts only as a failure, if the endpoint did not take it.

--- a/features/role_responses.feature
+++ b/features/role_responses.feature
@@ -71,3 +71,13 @@
     Given an engine that answers
     When a sidecar sends it a streaming call
     Then the call asks for no encoding
+
+  Scenario Outline: A call that did not reach the endpoint does not shorten its backoff
+    Given the runs of a sidecar whose endpoint took no call, and claims that return <claim>
+    When a call with a key runs and the endpoint takes no call again
+    Then the backoff of the endpoint is twice as long
+
+    Examples:
+      | claim    |
+      | a replay |
+      | a refusal |
--- a/src/fireflymux/sidecar/sidecar_runs.py
+++ b/src/fireflymux/sidecar/sidecar_runs.py
@@ -35,6 +35,7 @@
         slot: Slot that the run occupies.
         call: The call to the endpoint.
         scope: Cancel scope of the call.
+        has_called_endpoint: Whether the endpoint is called, unlike for a replay or a refused claim.
         readers: Number of readers of the response at present.
         last_read_at: Time at which the last reader finished or the run ended, whichever was later,
             in seconds.
@@ -45,6 +46,7 @@
     slot: Slot
     call: EndpointCall
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    has_called_endpoint: bool = False
     readers: int = 0
     last_read_at: float = 0.0
 
@@ -191,6 +193,7 @@
         Args:
             run: A run returned by `create` with a start offset.
         """
+        run.has_called_endpoint = True
         with run.scope:
             run.buffer.finish(await self._context.endpoint.resume_stream(run.call))
         await self._finish(run)
@@ -226,6 +229,7 @@
         await self._call_endpoint(run)
 
     async def _call_endpoint(self, run: Run) -> None:
+        run.has_called_endpoint = True
         if self._context.is_engine:
             await self._context.endpoint.call_engine(run.call)
             return
@@ -279,13 +283,17 @@
     def _record_endpoint_health(self, run: Run) -> None:
         """Updates the health of the endpoint and the crash verdict on the request.
 
-        Every run that does not fail with `endpoint_unreachable` counts as a success of the
-        endpoint, also one that did not ask it, such as a replay or a refused claim.
+        A call that certainly did not reach the endpoint tells nothing of its health, other than one
+        that the endpoint did not take.
         """
         failure = run.buffer.failure
+        if not run.has_called_endpoint:
+            return
         if failure is not None and failure.kind is ErrorKind.endpoint_unreachable:
             self._context.health.record_failure()
             return
+        if failure is not None and failure.outcome is ExecutionStatus.no:
+            return
         self._context.health.record_success()
         if failure is None:
             if run.order.isolated:
