An unexpected error within one run fails that run, not the sidecar

All calls of a sidecar ended with one of them whose step raised anything that is no transport error, as one did for an odd claim and as header values outside ASCII would: the runs share a nursery. The slot and the claim of that call were left as they were.

Seen before the fix (features/role_responses.feature): RuntimeError out of execute.

Each step of a run is guarded: the error is logged, the run ends as "unknown", the claim is recorded so and the slot is freed.

features/role_responses.feature: 19 passed.

--- a/features/role_responses.feature
+++ b/features/role_responses.feature
@@ -81,3 +81,8 @@
       | claim    |
       | a replay |
       | a refusal |
+
+  Scenario: An error within one run neither ends the sidecar nor keeps its slot
+    Given the runs of a sidecar whose client raises an error that nobody expects
+    When a call with a key runs
+    Then its outcome is unknown, and is recorded so, and its slot is free
--- a/src/fireflymux/sidecar/sidecar_runs.py
+++ b/src/fireflymux/sidecar/sidecar_runs.py
@@ -5,7 +5,7 @@
 idempotent call receives the same response.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
 import trio
@@ -17,6 +17,7 @@
 from ..decisions.endpoint_backoff import EndpointBackoff
 from ..errors import CallFailure, ErrorKind, ExecutionStatus
 from ..messages import RunOrder
+from ..observability.logs import get_logger
 from ..observability.metrics import Metrics
 from ..observability.tracing import start_span
 from .claims import Claimed, ClaimStore, Replay
@@ -24,6 +25,8 @@
 from .grants import GrantScheduler, Slot
 from .response_buffer import UNLIMITED_BYTES, ResponseBuffer
 
+_log = get_logger(__name__)
+
 
 @attrs.define(eq=False)
 class Run:
@@ -181,7 +184,7 @@
         )
         try:
             with run.scope:
-                await self._obtain_response(run)
+                await self._guard(run, self._obtain_response)
             await self._finish(run)
         finally:
             span.set_attribute('whole', run.buffer.is_complete)
@@ -195,7 +198,7 @@
         """
         run.has_called_endpoint = True
         with run.scope:
-            run.buffer.finish(await self._context.endpoint.resume_stream(run.call))
+            await self._guard(run, self._resume_stream)
         await self._finish(run)
 
     async def expire_runs(self) -> None:
@@ -222,6 +225,20 @@
         if self._runs_by_key.get(key) is run:
             self._runs_by_key.pop(key)
 
+    async def _guard(self, run: Run, step: Callable[[Run], Awaitable[None]]) -> None:
+        """Takes a step of a run, which fails alone if the step raises an unexpected error.
+
+        All runs share a nursery: the error would cancel the others and end the process.
+        """
+        try:
+            await step(run)
+        except Exception as error:
+            _log.error('run_failed', request=run.order.request, reason=repr(error))
+            run.buffer.finish(CallFailure(ErrorKind.outcome_unknown, repr(error)))
+
+    async def _resume_stream(self, run: Run) -> None:
+        run.buffer.finish(await self._context.endpoint.resume_stream(run.call))
+
     async def _obtain_response(self, run: Run) -> None:
         if run.order.idempotency_key:
             await self._claim_and_call(run)
@@ -246,7 +263,7 @@
             run.buffer.append(claim_result.body)
             run.buffer.finish()
             return
-        await self._call_endpoint(run)
+        await self._guard(run, self._call_endpoint)
         self._recording_count += 1
         try:
             await self._record_outcome(run, claim_result)
