Header values outside ASCII are passed on instead of failing the request

A caller with one header value, content type or key outside ASCII got a bare 500: the router's HTTP client took the values as ASCII and raised. The sidecar would have ended from the same value, had it got there.

Seen before the fix (features/role_responses.feature): UnicodeEncodeError out of send_order.

The run order is JSON in ASCII, with escapes; headers that were read as Latin-1 are written as Latin-1, so that the endpoint gets the caller's bytes. Values of that kind in responses reach the caller as UTF-8, as before.

--- a/features/role_responses.feature
+++ b/features/role_responses.feature
@@ -86,3 +86,8 @@
     Given the runs of a sidecar whose client raises an error that nobody expects
     When a call with a key runs
     Then its outcome is unknown, and is recorded so, and its slot is free
+
+  Scenario: Header values outside ASCII reach the endpoint as the caller sent them
+    Given a sidecar and a plain service that answer
+    When a router passes on a call with the header value "café" and the key "clé"
+    Then the service gets both in the caller's encoding
--- a/features/steps/router_responses_steps.py
+++ b/features/steps/router_responses_steps.py
@@ -7,15 +7,16 @@
 from emulator.scripted_server import ScriptedServer, answer, broken_off
 from fireflymux._settings_generated import FleetSettings, TlsSettings
 from fireflymux.errors import CallFailure, ErrorKind, ExecutionStatus
+from fireflymux.messages import RunOrder
 from fireflymux.observability.metrics import Metrics
 from fireflymux.router import run_client
 from fireflymux.router.backlog import Placement
 from fireflymux.router.run_client import BufferedResponse, RunClient, StreamedResponse, is_whole
 from fireflymux.web.http_clients import FleetClients
 from fireflymux.web.responses import build_problem_response
-from fireflymux.wire import headers
+from fireflymux.wire import codec, headers
 
-from features.steps.role_responses_steps import build_order
+from features.steps.role_responses_steps import _send_calls, build_order
 
 _EVENT = b'data: {"id": 0}\n\n'
 _ECHO = (headers.REQUEST_ECHO.encode(), b'request')
@@ -121,3 +122,27 @@
     found = dict(zip(context.failures, context.statuses))
     broken = [failure for failure, status in found.items() if status in {408, 421, 429, 503}]
     assert not broken, broken
+
+
+@given('a sidecar and a plain service that answer')
+def prepare_answers(context):
+    context.kind = 'service'
+    context.answers = [answer(200, b'{}', fields=[_ECHO])]
+
+
+@when('a router passes on a call with the header value "{text}" and the key "{key}"')
+def pass_on(context, text, key):
+    order = build_order(headers={'x-note': text}, idempotency_key=key, content_type=text)
+    _receive(context, context.answers, [order])
+    head = context.server.requests[0].partition(b'\r\n\r\n')[0].decode('latin-1')
+    fields = dict(line.split(': ', 1) for line in head.splitlines()[1:])
+    stated = {name.lower(): value for name, value in fields.items()}[headers.RUN_ORDER.lower()]
+    _send_calls(context, context.kind, [codec.decode(stated, RunOrder)])
+
+
+@then("the service gets both in the caller's encoding")
+def check_encoding(context):
+    request = context.server.requests[0].lower()
+    assert 'x-note: café'.encode('latin-1') in request, request
+    assert 'idempotency-key: clé'.encode('latin-1') in request, request
+    assert 'content-type: café'.encode('latin-1') in request, request
--- a/src/fireflymux/router/run_client.py
+++ b/src/fireflymux/router/run_client.py
@@ -100,14 +100,14 @@
             why there is none.
         """
         request_headers = {
-            headers.RUN_ORDER: codec.encode(order).decode(),
+            headers.RUN_ORDER: codec.encode_header(order),
             'Content-Type': order.content_type,
         }
         request = self._fleet_clients.to(placement.address).build_request(
             'POST',
             '{0}/v1/run'.format(placement.address),
             content=body,
-            headers=request_headers,
+            headers=headers.encode_headers(request_headers),
         )
         result = await self._send_request(placement, order, request)
         if isinstance(result, CallFailure) and result.kind is ErrorKind.outcome_unknown:
@@ -210,7 +210,7 @@
             order.attempt,
             offset,
         )
-        request_headers = {headers.RUN_ORDER: codec.encode(order).decode()}
+        request_headers = {headers.RUN_ORDER: codec.encode_header(order)}
         deadline = trio.current_time() + _RESUME_TIMEOUT_SECONDS
         while trio.current_time() < deadline:
             request = self._fleet_clients.to(placement.address).build_request(
--- a/src/fireflymux/sidecar/endpoint_call.py
+++ b/src/fireflymux/sidecar/endpoint_call.py
@@ -14,7 +14,7 @@
 
 from ..errors import CallFailure, ErrorKind, ExecutionStatus
 from ..messages import RunOrder
-from ..wire.headers import STREAM_END, filter_forwarded_headers
+from ..wire.headers import STREAM_END, encode_headers, filter_forwarded_headers
 from .response_buffer import ResponseBuffer, ResponseHead
 
 REQUEST_ID_HEADER = 'X-Request-Id'
@@ -277,7 +277,7 @@
         if refused is not None:
             raise _SendRefused(refused)
 
-    def _headers(self, call: EndpointCall) -> dict[str, str]:
+    def _headers(self, call: EndpointCall) -> list[tuple[bytes, bytes]]:
         headers = {
             **call.order.headers,
             'Content-Type': call.order.content_type,
@@ -287,7 +287,7 @@
             headers['Idempotency-Key'] = call.order.idempotency_key
         if call.order.traceparent:
             headers['traceparent'] = call.order.traceparent
-        return headers
+        return encode_headers(headers)
 
 
 def _to_failure(error: httpx.HTTPError, kind: ErrorKind) -> CallFailure:
--- a/src/fireflymux/sidecar/sidecar.py
+++ b/src/fireflymux/sidecar/sidecar.py
@@ -505,7 +505,7 @@
         return build_problem_response(head)
     response_headers = {
         headers.REQUEST_ECHO: request_id,
-        headers.ENDPOINT_HEADERS_HEADER: codec.encode(head.headers).decode(),
+        headers.ENDPOINT_HEADERS_HEADER: codec.encode_header(head.headers),
         'Content-Type': head.content_type,
     }
     if head.is_stream and sidecar.sidecar_settings.kind == 'engine':
--- a/src/fireflymux/wire/codec.py
+++ b/src/fireflymux/wire/codec.py
@@ -1,5 +1,6 @@
 """JSON codec for the message classes that are generated from the schema, and for plain values."""
 
+import json
 import re
 from types import MappingProxyType
 from typing import Any, TypeVar
@@ -40,6 +41,19 @@
     return orjson.dumps(_converter.unstructure(message))
 
 
+def encode_header(message: Any) -> str:
+    """Encodes a message as JSON in ASCII, for the value of a header.
+
+    Args:
+        message: Instance of a message class, or a dictionary or list of plain values.
+
+    Returns:
+        The JSON; other characters are escaped in it.
+    """
+    data = encode(message)
+    return data.decode() if data.isascii() else json.dumps(orjson.loads(data))
+
+
 def decode(data: bytes | str, message_type: type[_MessageT]) -> _MessageT:
     """Decodes a message from JSON and validates it.
 
--- a/src/fireflymux/wire/headers.py
+++ b/src/fireflymux/wire/headers.py
@@ -29,6 +29,18 @@
 )
 
 
+def encode_headers(headers: Mapping[str, str]) -> list[tuple[bytes, bytes]]:
+    """Encodes headers of a received request, back to the bytes that they had there.
+
+    Args:
+        headers: Headers by name; the servers of all roles decode the values as Latin-1.
+
+    Returns:
+        Names and values.
+    """
+    return [(name.encode(), value.encode('latin-1')) for name, value in headers.items()]
+
+
 def filter_forwarded_headers(
     headers: Mapping[str, str], excluded: Container[str]
 ) -> dict[str, str]:
