--- a/emulator/instance_process.py
+++ b/emulator/instance_process.py
@@ -42,10 +42,10 @@
         seeds: Addresses of the instances that it contacts first, separated by commas.
         store_address: Address at which it reaches the store; each instance has its own, so that
             an outage can be limited to one.
-        retry_constant: Retries allowed beside a share of the requests.
         folder: Folder for its settings file and its log.
         mutant: Variant of the program with one mechanism disabled, from `emulator.variants`; empty
             for the unchanged program.
+        retry_constant: Retries allowed beside a share of the requests.
         incarnation: Number of starts so far.
         is_end_expected: Whether its process was sent a signal to end.
         is_paused: Whether a fault pauses its process.
@@ -61,9 +61,9 @@
     peer_port: int
     seeds: str
     store_address: str
-    retry_constant: int
     folder: Path
     mutant: str = ''
+    retry_constant: int = 10
     incarnation: int = 0
     is_end_expected: bool = False
     is_paused: Overlap[bool] = attrs.field(factory=lambda: Overlap(initial=False))
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -115,7 +115,7 @@
     instances: int
     endpoints_per_service: int
     callers_per_instance: int
-    retry_constant: int
+    retry_constant: int = 10
     events: tuple[Event, ...]
 
     @classmethod
