--- a/emulator/instance_process.py
+++ b/emulator/instance_process.py
@@ -10,7 +10,8 @@
 
 from .overlaps import Overlap
 
-_ROOT = Path(__file__).resolve().parent.parent
+#: Folder of the build in the work tree.
+ROOT = Path(__file__).resolve().parent.parent
 _SETTINGS = """[entry]
 name = {name}
 failure_domain = {failure_domain}
@@ -23,6 +24,7 @@
 store_address = {store_address}
 shutdown_timeout_seconds = 8
 retry_constant = {retry_constant}
+metrics_address = {metrics_address}
 """
 
 
@@ -46,6 +48,8 @@
         mutant: Variant of the program with one mechanism disabled, from `emulator.variants`; empty
             for the unchanged program.
         retry_constant: Retries allowed beside a share of the requests.
+        metrics_address: Address of its metrics; empty for none.
+        source_root: Folder of the build that it runs from its next start on, which has its `src`.
         incarnation: Number of starts so far.
         is_end_expected: Whether its process was sent a signal to end.
         is_paused: Whether a fault pauses its process.
@@ -64,6 +68,8 @@
     folder: Path
     mutant: str = ''
     retry_constant: int = 10
+    metrics_address: str = ''
+    source_root: Path = ROOT
     incarnation: int = 0
     is_end_expected: bool = False
     is_paused: Overlap[bool] = attrs.field(factory=lambda: Overlap(initial=False))
@@ -89,8 +95,8 @@
         with self.log_path.open('ab') as stream:
             self.process = subprocess.Popen(
                 [sys.executable, '-m', *program, 'entry', str(path)],
-                cwd=_ROOT,
-                env=os.environ | {'PYTHONPATH': '{0}/src:{0}'.format(_ROOT)},
+                cwd=self.source_root,
+                env=os.environ | {'PYTHONPATH': '{0}/src:{0}'.format(self.source_root)},
                 stdout=stream,
                 stderr=subprocess.STDOUT,
             )
--- a/features/role_responses.feature
+++ b/features/role_responses.feature
@@ -31,3 +31,43 @@
       | part            |
       | before the head |
       | within the body |
+
+  Scenario: A stream whose transfers all break leaves no answer open that nobody reads
+    Given a sidecar that breaks off every transfer of a stream
+    When a router reads the stream to its end
+    Then the sidecar was asked for 5 transfers and the stream is not whole
+
+  Scenario: Events that a plain service sends are passed on unchanged
+    Given a sidecar of a plain service that answered with events and no end marker
+    When a router sends it a call
+    Then the router has the whole response with the headers of the service
+
+  Scenario: An answer of a sidecar with unreadable headers fails only its request
+    Given a sidecar whose answers state unreadable headers of the endpoint
+    When a router sends it a call
+    Then the router reports that the outcome is unknown
+
+  Scenario: A suspect whose router leaves while it waits does not keep its endpoint to itself
+    Given the slots of a sidecar whose endpoint runs a request
+    When a router sends a suspect and leaves before the endpoint is idle
+    Then the sidecar offers its other slots again
+
+  Scenario: A request that may have run is not answered with a status that promises it has not
+    Given failures of every kind of requests that ran or may have run
+    When a role answers with them
+    Then no status is 408, 421, 429 or 503
+
+  Scenario Outline: What an endpoint sets in one call is not sent with the next one
+    Given a <kind> that sets a cookie in its answers
+    When a sidecar sends it two calls one after the other
+    Then no call has a cookie
+
+    Examples:
+      | kind    |
+      | engine  |
+      | service |
+
+  Scenario: An engine is not asked to encode its answers
+    Given an engine that answers
+    When a sidecar sends it a streaming call
+    Then the call asks for no encoding
--- a/src/fireflymux/platform/call_headers.py
+++ b/src/fireflymux/platform/call_headers.py
@@ -16,12 +16,14 @@
     parse_integer,
 )
 from ..decisions.prompts import PromptPart
-from ..http.messages import HeaderFields, Request, ResponseHead, find_header
+from ..http.messages import HeaderFields, Request, ResponseHead, find_header, list_header_values
 from ..observability.logs import get_logger
 
 _log = get_logger(__name__)
 
 _ATTEMPT_ID = b'x-attempt-id'
+#: HTTP joins the values of a repeated field in this way.
+_ATTEMPT_SEPARATOR = b', '
 _DEADLINE_MS = b'x-deadline-ms'
 _AUTHORIZATION = b'authorization'
 _MODEL = b'x-model'
@@ -64,6 +66,19 @@
         b'expect',
     )
 )
+#: Request fields that are forwarded although the Connection field lists them: they belong to the
+#: request and not to one connection.
+_END_TO_END = frozenset(
+    (
+        b'host',
+        _ATTEMPT_ID,
+        _MODEL,
+        _TOKEN_USAGE,
+        _PROMPT_PREFIX,
+        _LENGTH_HINT,
+        _LAST_EVENT_ID,
+    )
+)
 #: Response fields meant for the system; they are not forwarded to the caller.
 _ENDPOINT_FIELDS = frozenset((_SERVER_LOAD, _SERVER_LEAVING, _WARMUP_MS))
 #: Request fields that are not forwarded as the caller sent them. Authorization and X-Deadline-Ms
@@ -90,6 +105,8 @@
     Attributes:
         attempt: Identifier of the caller's attempt, as sent; empty if not sent. It is forwarded to
             every endpoint that is tried, and the response repeats it.
+        has_several_attempts: Whether it states different identifiers, so that its response could
+            not be told from others.
         deadline_seconds: How long the caller waits for the response; infinite if not stated.
         key: API key of the caller; empty if not sent.
         prompt_tokens: Length of the prompt in tokens.
@@ -100,6 +117,7 @@
     """
 
     attempt: bytes
+    has_several_attempts: bool = False
     deadline_seconds: float
     key: str
     prompt_tokens: int
@@ -114,7 +132,7 @@
 
     Attributes:
         attempt: Identifier of the attempt that the response belongs to, as sent; empty if not
-            sent.
+            sent. Different ones are joined, so that they are equal to none of them.
         has_signature: Whether the response has a signature field that is not empty; its value is
             not checked. An unsigned response is not accepted as the result of a request.
         was_not_executed: Whether the endpoint states that it did not execute the request; a
@@ -143,16 +161,19 @@
 
     Returns:
         Its metadata. Malformed fields are treated as missing, and so are numbers that are negative
-        or out of range, except that the prompt parts before the first malformed one count. X-Token-Usage has the form `prompt,output`, both in tokens;
-        a single number counts as both. X-Length-Hint takes precedence for the output. Of a field
-        that is repeated, the last value counts.
+        or out of range, except that the prompt parts before the first malformed one count.
+        X-Token-Usage has the form `prompt,output`, both in tokens; a single number counts as both.
+        X-Length-Hint takes precedence for the output. Of a field that is repeated, the last value
+        counts, except for X-Attempt-Id.
     """
     found = {name.lower(): value for name, value in request.fields}
     tokens = found.get(_TOKEN_USAGE, b'').split(b',')
     output_tokens = _parse_tokens(found.get(_LENGTH_HINT, b''))
     resume_after = parse_integer(found.get(_LAST_EVENT_ID, b''), maximum=MAXIMUM_INTEGER)
+    attempts = list_header_values(request.fields, _ATTEMPT_ID)
     return RequestMetadata(
-        attempt=found.get(_ATTEMPT_ID, b''),
+        attempt=_ATTEMPT_SEPARATOR.join(attempts),
+        has_several_attempts=len(attempts) > 1,
         deadline_seconds=_decode_deadline(found.get(_DEADLINE_MS, b'')),
         key=_decode_key(found.get(_AUTHORIZATION, b'')),
         prompt_tokens=_parse_tokens(tokens[0]) or 0,
@@ -207,12 +228,12 @@
 def _filter_request_headers(request: Request, extra_dropped: set[bytes]) -> HeaderFields:
     """Selects the header fields of a caller's request that are forwarded.
 
-    Adds the names of the fields that the Connection field lists to `extra_dropped`.
+    Fields that a Connection field lists are left out, except for those that belong to the request.
     """
     # RFC 9110: fields named by the Connection field are hop-by-hop as well.
-    connection = find_header(request.fields, b'connection')
-    extra_dropped.update(option.strip().lower() for option in connection.split(b','))
-    dropped = _HOP_BY_HOP | _SYSTEM_FIELDS | extra_dropped
+    options = b','.join(list_header_values(request.fields, b'connection')).lower().split(b',')
+    listed = {option.strip() for option in options} - _END_TO_END
+    dropped = _HOP_BY_HOP | _SYSTEM_FIELDS | extra_dropped | listed
     return [field for field in request.fields if field[0].lower() not in dropped]
 
 
@@ -224,13 +245,14 @@
 
     Returns:
         Its metadata. Malformed fields are treated as missing, and so are numbers that are negative
-        or out of range, except that such a timeout in Keep-Alive is treated as zero. X-Not-Executed counts with any value. Of a field that is
-        repeated, the last value counts.
+        or out of range, except that such a timeout in Keep-Alive is treated as zero. X-Not-Executed
+        counts with any value. Of a field that is repeated, the last value counts, except for
+        X-Attempt-Id.
     """
     found = {name.lower(): value for name, value in head.fields}
     warmup = parse_integer(found.get(_WARMUP_MS, b''), maximum=_MAXIMUM_WARMUP_MILLISECONDS)
     return ResponseMetadata(
-        attempt=found.get(_ATTEMPT_ID, b''),
+        attempt=_ATTEMPT_SEPARATOR.join(list_header_values(head.fields, _ATTEMPT_ID)),
         has_signature=bool(found.get(_SERVER_SIGNATURE)),
         was_not_executed=_NOT_EXECUTED in found or head.status == _MISDIRECTED_STATUS,
         idle_seconds=_decode_idle_timeout(found.get(_KEEP_ALIVE, b'')),
--- a/src/fireflymux/platform/store.py
+++ b/src/fireflymux/platform/store.py
@@ -7,12 +7,14 @@
 
 import base64
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 from urllib.parse import urlencode
 
 import orjson
 import trio
 
+from ..bounded_values import MAXIMUM_INTEGER, OutOfBounds, check_integer, parse_integer
 from ..decisions.store_version import StoreVersion
 from ..http.client_connection import ConnectFailed, ConnectionBroken
 from ..http.connection_pool import ConnectionPool
@@ -28,6 +30,8 @@
 _FOLLOW_SLACK_SECONDS = 0.6
 _MAXIMUM_RESPONSE_BYTES = 8388608
 _ROWS_PER_PAGE = 500
+#: Bytes of a malformed header field that are logged.
+_LOGGED_BYTES = 100
 _MILLISECONDS_PER_SECOND = 1000
 #: Response field with the store's era, which increases when it is restored from an older copy.
 _ERA_FIELD = b'store-era'
@@ -36,8 +40,8 @@
 class StoreUnavailable(Exception):
     """A call to the store gave no usable response; a write may still have taken effect.
 
-    It failed, was rejected, or its response was not valid JSON or was of an outdated era; or
-    the era changed while a table was read.
+    It failed, was rejected, or its response was not valid JSON, had another shape or was of an
+    outdated era; or the era changed while a table was read.
     """
 
 
@@ -49,9 +53,9 @@
 
     Attributes:
         key: Key of the row.
-        content: Content of the row; None if the row was removed.
+        content: Content of the row; None if the row was removed, empty if it cannot be decoded.
         number: Number of its last change, as in `StoreVersion.number`, within one era of the
-            store; zero if the store does not state it for a removal.
+            store; zero if the store does not state a valid one.
     """
 
     key: str
@@ -91,9 +95,28 @@
     json_body: Any
 
 
+@dataclass(frozen=True, slots=True)
+class _Page:
+    """Rows in a response of the store, without those that have no valid key.
+
+    Attributes:
+        rows: The rows.
+        version: Version of the store at which they were read.
+        has_more: Whether there are rows after them.
+    """
+
+    rows: tuple[Row, ...]
+    version: StoreVersion
+    has_more: bool
+
+
 class StoreClient:
     """Client of the store for one process.
 
+    A response repeats nothing of its request, so that only the connection tells which call it
+    belongs to. A connection therefore carries either one call, or the long polls of one table: if
+    an earlier response is sent again there, it only tells what is known already.
+
     Attributes:
         era: Newest known era of the store, from its responses or from other instances.
     """
@@ -107,7 +130,10 @@
         host, _, port = address.rpartition(':')
         self.era = 0
         self._address = address
-        self._pool = ConnectionPool(host, int(port), connect_timeout_seconds=_CALL_TIMEOUT_SECONDS)
+        self._open_pool = partial(
+            ConnectionPool, host, int(port), connect_timeout_seconds=_CALL_TIMEOUT_SECONDS
+        )
+        self._follow_pools: dict[str, ConnectionPool] = {}
         self._follow_scopes: set[trio.CancelScope] = set()
         self._era_changed = trio.Event()
 
@@ -153,18 +179,18 @@
         while True:
             # Tables are always used with the empty `part`.
             query = {'table': table, 'part': '', 'from': start, 'limit': _ROWS_PER_PAGE}
-            reply = await self._call('GET', 'rows-get', query)
-            if reply.status != _OK:
-                raise StoreUnavailable('store responded with status {0}'.format(reply.status))
-            rows.extend(_decode_row(raw) for raw in reply.json_body['rows'])
+            page = _decode_page(await self._call('GET', 'rows-get', query))
+            rows.extend(page.rows)
             # The version of the first page: changes made since then are followed from there.
-            version = version or StoreVersion(reply.era, reply.json_body['ver'])
-            if version.era != reply.era:
+            version = version or page.version
+            if version.era != page.version.era:
                 raise StoreUnavailable('the store restarted from an older copy between two pages')
-            if not reply.json_body.get('more_pages'):
+            if not page.has_more:
                 return TableRows(tuple(rows), version)
+            if not page.rows or page.rows[-1].key < start:
+                raise StoreUnavailable('a page of the table does not go on after the one before')
             # The first key in order after the last one read.
-            start = '{0}\0'.format(rows[-1].key)
+            start = '{0}\0'.format(page.rows[-1].key)
 
     async def follow_table(
         self,
@@ -196,17 +222,17 @@
         with trio.CancelScope() as scope:
             self._follow_scopes.add(scope)
             try:
-                reply = await self._call('GET', 'rows-feed', query, timeout=timeout)
+                reply = await self._call(
+                    'GET', 'rows-feed', query, timeout=timeout, followed_table=table
+                )
             finally:
                 self._follow_scopes.discard(scope)
         # `reply` is None if `update_era` cancelled the call. Version numbers are reused in each
         # era, so changes since a version of an older era cannot be requested.
         if reply is None or after.era != self.era or reply.status == _GONE:
             return HistoryLost()
-        if reply.status != _OK:
-            raise StoreUnavailable('store responded with status {0}'.format(reply.status))
-        rows = tuple(_decode_row(raw) for raw in reply.json_body['rows'])
-        return TableRows(rows, StoreVersion(reply.era, reply.json_body['ver']))
+        page = _decode_page(reply)
+        return TableRows(page.rows, page.version)
 
     async def put_row(self, table: str, key: str, content: bytes) -> None:
         """Writes a row unconditionally.
@@ -251,6 +277,7 @@
         *,
         change: Any = None,
         timeout: float = _CALL_TIMEOUT_SECONDS,
+        followed_table: str = '',
     ) -> _Reply:
         target = '/api/{0}'.format(name)
         if query:
@@ -258,29 +285,34 @@
         content = b'' if change is None else orjson.dumps(change)
         try:
             with trio.fail_after(timeout):
-                reply = await self._exchange('{0} {1} HTTP/1.1'.format(method, target), content)
+                reply = await self._exchange(
+                    '{0} {1} HTTP/1.1'.format(method, target), content, followed_table
+                )
         except (ConnectFailed, ConnectionBroken, trio.TooSlowError, ValueError) as error:
             raise StoreUnavailable(repr(error)) from error
         if reply.era < self.era:
             raise StoreUnavailable('response is of the outdated era {0}'.format(reply.era))
         return reply
 
-    async def _exchange(self, start_line: str, content: bytes) -> _Reply:
-        connection = await self._pool.take()
+    async def _exchange(self, start_line: str, content: bytes, followed_table: str) -> _Reply:
+        """Makes a call, on a connection of its own unless it follows a table."""
+        pool = self._get_pool(followed_table)
+        connection = await pool.take_any()
         fields: HeaderFields = [(b'Host', self._address.encode())]
         if content:
             fields.append((b'Content-Type', b'application/json'))
             fields.append((b'Content-Length', b'%d' % len(content)))
-        is_done = False
+        is_kept = False
         try:
             await connection.send(start_line.encode(), fields, content)
             response = await connection.next_response()
             body = await connection.read_full_body(response, _MAXIMUM_RESPONSE_BYTES)
             connection.drop(response)
-            self._pool.release_connection(connection, None)
-            is_done = True
+            if followed_table:
+                pool.release_connection(connection, None)
+                is_kept = True
         finally:
-            if not is_done:
+            if not is_kept:
                 connection.close()
         status = response.head.status
         json_body = orjson.loads(body) if body and status == _OK else None
@@ -288,13 +320,69 @@
         self.update_era(era)
         return _Reply(status, era, json_body)
 
+    def _get_pool(self, followed_table: str) -> ConnectionPool:
+        """Returns the connections for following a table; an empty pool for any other call."""
+        if not followed_table:
+            return self._open_pool()
+        return self._follow_pools.setdefault(followed_table, self._open_pool())
+
     def _read_era(self, head: ResponseHead) -> int:
-        """Returns the era stated in a response, or the known one if it states none."""
+        """Returns the era stated in a response, or the known one if it states no valid one."""
         stated = find_header(head.fields, _ERA_FIELD)
-        return int(stated) if stated.isdigit() else self.era
+        era = parse_integer(stated, maximum=MAXIMUM_INTEGER)
+        if era is None and stated:
+            _log.warning('era_malformed', stated=stated[:_LOGGED_BYTES].decode('latin-1'))
+        return self.era if era is None else era
+
+
+def _decode_page(reply: _Reply) -> _Page:
+    """Decodes the response to a read.
+
+    Args:
+        reply: The response.
 
+    Returns:
+        The rows in it.
 
-def _decode_row(raw: dict[str, Any]) -> Row:
+    Raises:
+        StoreUnavailable: The store rejected the call, or the response has another shape.
+    """
+    if reply.status != _OK:
+        raise StoreUnavailable('store responded with status {0}'.format(reply.status))
+    body = reply.json_body
+    if not isinstance(body, dict) or not isinstance(body.get('rows'), list):
+        raise StoreUnavailable('the response holds no rows')
+    try:
+        version = StoreVersion(reply.era, check_integer(body.get('ver')))
+    except OutOfBounds as error:
+        raise StoreUnavailable('the response states no version: {0}'.format(error)) from error
+    decoded = [_decode_row(raw) for raw in body['rows']]
+    rows = tuple(row for row in decoded if row is not None)
+    return _Page(rows, version, bool(body.get('more_pages')))
+
+
+def _decode_row(raw: Any) -> Row | None:
+    """Decodes a row; one without a valid key is left out, so that it does not hide the others."""
+    if not isinstance(raw, dict) or not isinstance(raw.get('key'), str):
+        _log.warning('row_malformed', key='', reason='no key')
+        return None
+    key = raw['key']
     if raw.get('removed'):
-        return Row(raw['key'], None, raw.get('ver', 0))
-    return Row(raw['key'], base64.b64decode(raw['value']), raw['ver'])
+        return Row(key, None, _decode_number(key, raw.get('ver', 0)))
+    return Row(key, _decode_content(key, raw.get('value')), _decode_number(key, raw.get('ver')))
+
+
+def _decode_content(key: str, encoded: Any) -> bytes:
+    try:
+        return base64.b64decode(encoded, validate=True)
+    except (TypeError, ValueError) as error:
+        _log.warning('row_malformed', key=key, reason=repr(error))
+        return b''
+
+
+def _decode_number(key: str, stated: Any) -> int:
+    try:
+        return check_integer(stated)
+    except OutOfBounds as error:
+        _log.warning('row_malformed', key=key, reason=repr(error))
+        return 0
--- a/src/fireflymux/router/run_client.py
+++ b/src/fireflymux/router/run_client.py
@@ -96,7 +96,8 @@
             body: Body of the request.
 
         Returns:
-            The complete response, or a stream if it is an event stream, or why there is none.
+            The complete response, or a stream if it is an event stream without a stated length, or
+            why there is none.
         """
         request_headers = {
             headers.RUN_ORDER: codec.encode(order).decode(),
@@ -124,10 +125,12 @@
             The chunks of the body without gaps or overlaps. Afterwards `is_whole` tells whether
             the stream is complete.
         """
-        for _ in range(_MAXIMUM_TRANSFERS):
+        transfer_count = 0
+        while True:
             async for chunk in self._read_transfer(stream):
                 yield chunk
-            if is_whole(stream):
+            transfer_count += 1
+            if is_whole(stream) or transfer_count == _MAXIMUM_TRANSFERS:
                 return
             result = await self._reopen(
                 stream.placement,
@@ -256,12 +259,17 @@
         if response.headers[headers.REQUEST_ECHO] != order.request:
             await response.aclose()
             return CallFailure(ErrorKind.outcome_unknown, 'the answer of another request arrived')
-        if content_type.startswith(headers.EVENT_STREAM):
+        # Of events with a stated length, as plain services send them, the sidecar has the end: they
+        # need no end marker.
+        is_open_ended = 'Content-Length' not in response.headers
+        if is_open_ended and content_type.startswith(headers.EVENT_STREAM):
             return StreamedResponse(response.status_code, content_type, order, placement, response)
         body = await response.aread()
-        return BufferedResponse(
-            response.status_code, content_type, body, _decode_endpoint_headers(response)
-        )
+        try:
+            endpoint_headers = _decode_endpoint_headers(response)
+        except codec.DecodeError as error:
+            return CallFailure(ErrorKind.outcome_unknown, str(error))
+        return BufferedResponse(response.status_code, content_type, body, endpoint_headers)
 
 
 def is_whole(stream: StreamedResponse) -> bool:
