--- a/emulator/instance_process.py
+++ b/emulator/instance_process.py
@@ -44,10 +44,10 @@
         seeds: Addresses of the instances that it contacts first, separated by commas.
         store_address: Address at which it reaches the store; each instance has its own, so that
             an outage can be limited to one.
-        retry_constant: Retries allowed beside a share of the requests.
         folder: Folder for its settings file and its log.
         mutant: Variant of the program with one mechanism disabled, from `emulator.variants`; empty
             for the unchanged program.
+        retry_constant: Retries allowed beside a share of the requests.
         metrics_address: Address of its metrics; empty for none.
         source_root: Folder of the build that it runs from its next start on, which has its `src`.
         incarnation: Number of starts so far.
@@ -65,9 +65,9 @@
     peer_port: int
     seeds: str
     store_address: str
-    retry_constant: int = 10
     folder: Path
     mutant: str = ''
+    retry_constant: int = 10
     metrics_address: str = ''
     source_root: Path = ROOT
     incarnation: int = 0
