--- a/emulator/entry_fleet.py
+++ b/emulator/entry_fleet.py
@@ -296,6 +296,7 @@
     content = b''
     head = None
     try:
+        connection._parser.answers_head = raw.startswith(b'HEAD ')
         await connection._socket.send(raw)
         answer = await connection.next_response()
         head = answer.head
--- a/emulator/repeating_backend.py
+++ b/emulator/repeating_backend.py
@@ -16,7 +16,7 @@
 from fireflymux.http.response_writer import ResponseWriter
 
 from .backend import Backend
-from .raw_response import encode_answer, end_raw, send_raw
+from .raw_response import encode_answer, send_encoded, send_raw
 
 #: Pause between the parts of a copy, so that they arrive in reads of their own.
 _PAUSE_SECONDS = 0.03
@@ -27,6 +27,12 @@
 )
 
 
+#: Lines behind the body of a success in chunks, by kind.
+_TRAILERS: Mapping[str, bytes] = MappingProxyType(
+    {'stream': b'', 'stream with a trailer': b'X-Not-Executed: 1\r\n'}
+)
+
+
 @attrs.define(frozen=True)
 class CopyTiming:
     """How the copy of an answer is written.
@@ -70,8 +76,8 @@
     The body of each success names the target of its request.
 
     Attributes:
-        first: Kind of the first answer: a key of `_REFUSED_STATUSES`, `success`, or `stream` for a
-            success in chunks.
+        first: Kind of the first answer: a key of `_REFUSED_STATUSES`, `success`, or a key of
+            `_TRAILERS` for a success in chunks.
         timing: How the copy is written.
         connections: Connections on which requests arrived.
     """
@@ -93,8 +99,7 @@
         if not self._is_first:
             self.requests.append(request)
             await self._send_due(writer)
-            await send_raw(writer, self._encode_success(request, fields))
-            end_raw(writer)
+            await send_encoded(writer, self._encode_success(request, fields))
             return
         self._is_first = False
         if self.first not in _REFUSED_STATUSES:
@@ -103,8 +108,7 @@
         copy = self.timing.prefix + self._encode_first(request, copy_fields)
         at_once = len(copy) if self.timing.bytes_at_once is None else self.timing.bytes_at_once
         self._due[writer] = copy[at_once:] if self.timing.is_ended else b''
-        await send_raw(writer, self._encode_first(request, fields) + copy[:at_once])
-        end_raw(writer)
+        await send_encoded(writer, self._encode_first(request, fields) + copy[:at_once])
 
     async def _send_due(self, writer: ResponseWriter) -> None:
         due = self._due.pop(writer, b'')
@@ -125,7 +129,8 @@
         signed = [*fields, (b'X-Server-Signature', b'e0')]
         if request.method == b'HEAD':
             return encode_answer(200, signed, content).removesuffix(content)
-        if self.first != 'stream':
+        if self.first not in _TRAILERS:
             return encode_answer(200, signed, content)
         head = encode_head(status_line(200), [*signed, (b'Transfer-Encoding', b'chunked')])
-        return b'%b%x\r\n%b\r\n0\r\n\r\n' % (head, len(content), content)
+        trailer = _TRAILERS[self.first]
+        return b'%b%x\r\n%b\r\n0\r\n%b\r\n' % (head, len(content), content, trailer)
