A contract that an earlier build wrote holds, however great its numbers

Shown in features/upgrade.feature before the fix: an operator of production writes a contract with a rate of 1e15 and a queue of 1e13; the routers of production serve its account, those of the new build refuse it:

The cause: since a change whose terms are out of range counts as one that changes nothing, also when it is read, and 1e12 is a bound that the operators' command of production does not know.

--- a/features/steps/role_upgrade_steps.py
+++ b/features/steps/role_upgrade_steps.py
@@ -88,6 +88,24 @@
     fleet.wait_ready()
 
 
+@when(
+    'an operator of the old build writes a contract with numbers as great as none is in the new one'
+)
+def write_unlimited_contract(context):
+    _run_operator(
+        context.fleet,
+        'old',
+        'contract',
+        'create',
+        _ACCOUNT,
+        'secret',
+        ','.join([*_MODELS.values(), *_SERVICES.values()]),
+        '--rate=1e15',
+        '--queue={0}'.format(10**13),
+    )
+    context.fleet.wait_ready()
+
+
 @when('each router gets chats and keyed charges for the sidecars of each build')
 def send_through_each(context):
     fleet = context.fleet
--- a/features/upgrade.feature
+++ b/features/upgrade.feature
@@ -67,3 +67,9 @@
     And each router gets chats and keyed charges for the sidecars of each build
     Then each chat is whole
     And each charge ran once, and its repetition through the other router got the same answer
+
+  Scenario: A contract of the old build holds in the new one, however great its numbers
+    Given a router, a sidecar beside an engine and one beside a service of each build
+    When an operator of the old build writes a contract with numbers as great as none is in the new one
+    And each router gets chats and keyed charges for the sidecars of each build
+    Then each chat is whole
--- a/src/fireflymux/store/config_commit.py
+++ b/src/fireflymux/store/config_commit.py
@@ -17,7 +17,7 @@
 from ..wire import codec
 from .config_rows import CHANGE_PREFIX, HEAD_KEY, change_key, change_version, snapshot_name
 from .configuration import Configuration
-from .contract_terms import find_problems
+from .contract_terms import find_problems, limit_terms
 from .platform_client import (
     CommitResult,
     ObjectClient,
@@ -117,7 +117,8 @@
     except codec.DecodeError as error:
         _log.warning('config_snapshot_unreadable', version=version, reason=str(error))
         return
-    valid = [contract for contract in snapshot.contracts if not find_problems(contract)]
+    contracts = map(limit_terms, snapshot.contracts)
+    valid = [contract for contract in contracts if not find_problems(contract)]
     target.replace(attrs.evolve(snapshot, contracts=valid))
 
 
@@ -129,6 +130,8 @@
     except codec.DecodeError as error:
         problems = [str(error)]
     else:
+        if change.contract is not None:
+            change = attrs.evolve(change, contract=limit_terms(change.contract))
         problems = [] if change.contract is None else find_problems(change.contract)
         if change.version != version:
             problems.append('the version is not that of the row')
--- a/src/fireflymux/store/contract_terms.py
+++ b/src/fireflymux/store/contract_terms.py
@@ -2,11 +2,14 @@
 
 import math
 
+import attrs
+
 from ..messages import Contract
 
 #: Bounds of the numbers in a contract; beyond them, sums of service or rates lose all precision.
 _MINIMUM_NUMBER = 1e-9
 _MAXIMUM_NUMBER = 1e12
+_NUMBERS = ('weight', 'rate_per_second', 'concurrency', 'queue_length')
 
 
 def find_problems(contract: Contract) -> list[str]:
@@ -18,12 +21,7 @@
     Returns:
         One sentence for each of them; empty if the contract is valid.
     """
-    numbers = {
-        'weight': contract.weight,
-        'rate_per_second': contract.rate_per_second,
-        'concurrency': contract.concurrency,
-        'queue_length': contract.queue_length,
-    }
+    numbers = {name: getattr(contract, name) for name in _NUMBERS}
     problems = [
         '{0} must be greater than zero and at most {1:g}'.format(name, _MAXIMUM_NUMBER)
         for name, number in numbers.items()
@@ -34,3 +32,24 @@
     if not contract.pools:
         problems.append('pools must contain at least one pool')
     return problems
+
+
+def limit_terms(contract: Contract) -> Contract:
+    """Brings the numbers of a contract that was read within the bounds.
+
+    Operators' commands of earlier builds wrote any number greater than zero. Such a contract holds
+    with the nearest number, as its account would be refused without it.
+
+    Args:
+        contract: The contract.
+
+    Returns:
+        The contract; numbers that were never valid are left as they are.
+    """
+    limited = {}
+    for name in _NUMBERS:
+        number = getattr(contract, name)
+        if 0 < number < math.inf:
+            bounded = min(max(number, _MINIMUM_NUMBER), _MAXIMUM_NUMBER)
+            limited[name] = type(number)(bounded)
+    return attrs.evolve(contract, **limited)
