--- a/emulator/entry_variants.py
+++ b/emulator/entry_variants.py
@@ -20,14 +20,13 @@
     attempt,
     event_relay,
     exchange,
-    outcomes,
     peer_link,
     report_datagrams,
     state,
     store_follower,
     warmups,
 )
-from fireflymux.http import client_connection, connection_pool, response_writer
+from fireflymux.http import client_connection, connection_pool
 from fireflymux.platform import store
 
 
@@ -91,10 +90,6 @@
     FairShares.is_short = is_short
 
 
-#: Status of an error that is passed on at once, unlike a server error, which is retried.
-_NOT_FOUND_STATUS = 404
-
-
 def no_bounds() -> None:
     """Removes the limits on the bytes and answers that are read from an endpoint."""
     client_connection._MAXIMUM_BYTES_WITHOUT_PROGRESS = float('inf')
@@ -105,30 +100,6 @@
     connection_pool.ConnectionPool.close_stale = lambda _pool: None
 
 
-def second_head() -> None:
-    """Writes every response as if nothing of another one had been sent to the caller."""
-    response_writer.ResponseWriter._require = lambda _writer, _phase: None
-    original = attempt._read_response_body
-
-    async def read(*arguments: object) -> object:
-        outcome = await original(*arguments)
-        is_error = isinstance(outcome, outcomes.NotResumed)
-        return outcomes.Whole(_NOT_FOUND_STATUS, [], b'') if is_error else outcome
-
-    attempt._read_response_body = read
-
-
-def any_rest() -> None:
-    """Joins whatever an endpoint sends as the rest of a stream to the events before it."""
-    original = event_relay.EventRelay.begin_attempt
-
-    def begin_attempt(relay: event_relay.EventRelay, fields: object) -> None:
-        original(relay, fields)
-        relay._is_resumed = False
-
-    event_relay.EventRelay.begin_attempt = begin_attempt
-
-
 def any_connection() -> None:
     """Uses connections again whose earlier requests had the identifier of the present one."""
     client_connection.ClientConnection.can_identify = lambda _connection, _identifier: True
@@ -216,8 +187,6 @@
     windowed_shares,
     no_bounds,
     any_connection,
-    second_head,
-    any_rest,
     no_era,
     no_warmup,
     own_warmup,
--- a/features/steps/kept_connection_steps.py
+++ b/features/steps/kept_connection_steps.py
@@ -259,7 +259,7 @@
         async def respond(request, writer):
             await send_raw(writer, earlier.pop(writer, b''))
             recording = _RecordingWriter(writer)
-            await fleet.store.respond(request, recording, '')
+            await fleet.store.respond(request, recording, str)
             earlier[writer] = recording.recorded
 
         address = '127.0.0.1:{0}'.format(free_port())
--- a/tools/show_red.py
+++ b/tools/show_red.py
@@ -95,7 +95,7 @@
         'A stream that broke off gets nothing of an answer that does not resume it -- @1.1 ',
     ),
     (
-        'any_rest',
+        'any_continuation',
         'A stream that broke off gets nothing of an answer that does not resume it -- @1.5 ',
     ),
     (
