One odd route, service or account of a configuration hides no others, and its numbers have ranges

What operators and callers would see: a configuration with one route whose time is a text was not taken over at all; one with two backends of weight 1e308, or with a negative one, was, and the next request of that route ended the process. A version of 1e300 was in force for good, so that no later one was learned.

Cause: numbers were converted without a range, texts and lists not checked for their type (a text in place of a list of keys made a key of each of its characters), and the first error discarded the whole version.

Fix: each route, service and account is decoded by itself; what is odd is logged as an error. Requests for an odd route are refused with 503, as they must not fall to the route of a shorter prefix, which may name another service. An odd account's keys are not valid. The version as a whole is refused, as before, where its number, a limit, or host or prefix of a route can't be read.

--- a/features/outside_values.feature
+++ b/features/outside_values.feature
@@ -249,3 +249,46 @@
       | _snapshots._list_fetch_hosts |
       | _store._read_instances      |
       | _handler.dispatch           |
+
+  Scenario Outline: One odd route of a configuration hides no other, and its requests go to no other service
+    Given routes "/" to "general" and "/orders/" to "orders"
+    When a configuration comes whose route "/orders/" has <member> <value>
+    Then a request for "/" is served, and one for "/orders/" is refused with 503 and reaches no endpoint
+
+    Examples:
+      | member            | value                       |
+      | timeout_ms        | 1e300                       |
+      | timeout_ms        | -5                          |
+      | timeout_ms        | "x"                         |
+      | target_latency_ms | null                        |
+      | name              | 5                           |
+      | service           | 5                           |
+      | max_attempts      | 1e30                        |
+      | priority          | 18446744073709551615        |
+      | gap_aim_ms        | 1e300                       |
+      | allowed_regions   | [[ x 900] x 900]            |
+      | backends          | [{"service": "orders"}]     |
+      | backends          | [{"service": "orders", "weight": -1}, {"service": "general", "weight": 0}] |
+      | backends          | [{"service": "orders", "weight": 1e308}, {"service": "general", "weight": 1e308}] |
+
+  Scenario: Odd accounts and services of a configuration hide no others, and an odd account's keys are not valid
+    Given routes "/" to "general" and "/orders/" to "orders"
+    When a configuration comes with odd accounts and services beside the others
+    Then the key of the sound account is served on both routes, and those of the odd ones get 401
+
+  Scenario Outline: A configuration that can't be used leaves the one before in force, and a later one is learned
+    Given routes "/" to "general" and "/orders/" to "orders"
+    When a configuration comes whose <member> is <value>, and then a sound one
+    Then the version before stays in force until the sound one
+
+    Examples:
+      | member  | value                        |
+      | version | 1e300                        |
+      | version | 18446744073709551615         |
+      | limits  | {"max_header_bytes": -1}     |
+      | limits  | 5                            |
+      | routes  | [{"host": 5, "prefix": "/"}] |
+      | routes  | [5]                          |
+      | routes  | {}                           |
+      | tenants | 5                            |
+      | all     | [ x 100000                   |
--- a/features/steps/outside_values_steps.py
+++ b/features/steps/outside_values_steps.py
@@ -11,7 +11,7 @@
 import trio
 from behave import given, then, when
 
-from emulator.entry_fleet import encode_call, exchange, route
+from emulator.entry_fleet import configuration, encode_call, exchange, route
 from features.steps.entry_steps import _put_configuration, _run_on_fleet, _start_instances
 from fireflymux._messages_generated import PeerDatagram, PeerNotice, PeerReport
 
@@ -546,3 +546,87 @@
     assert learned == [_LEARNED, _LEARNED] and not errors, (learned, errors)
     assert failed and all("RuntimeError('odd')" in line['reason'] for line in failed), failed
     assert all('raise errors.pop()' in line['error'] for line in failed), failed
+
+
+def _two_routes(**changes):
+    return [route('/', 'unsafe', 'general'), route('/orders/', 'unsafe', 'orders') | changes]
+
+
+@when('a configuration comes whose route "/orders/" has {member} {value}')
+def configure_odd_route(context, member, value):
+    async def act(fleet):
+        raw = configuration(6, _two_routes(**{member: '(odd)'}), services=[{'name': 'general'}])
+        content = orjson.dumps(raw).replace(b'"(odd)"', _expand(value).encode())
+        fleet.store.put('op', 'config', content)
+        await trio.sleep(0.3)
+        assert fleet.instances[0]._state.configuration_version == 6
+        return [await fleet.call(path) for path in ('/a', '/orders/a')]
+
+    _run_on_fleet(context, act)
+
+
+@then(
+    'a request for "/" is served,'
+    ' and one for "/orders/" is refused with 503 and reaches no endpoint'
+)
+def check_odd_route(context):
+    assert [reply.status for reply in context.result] == [200, 503], context.result
+    arrived = {name: len(found.requests) for name, found in context.entry_fleet.backends.items()}
+    assert arrived == {'g': 1, 'o': 0}, arrived
+
+
+@when('a configuration comes with odd accounts and services beside the others')
+def configure_odd_accounts(context):
+    async def act(fleet):
+        tenants = [
+            {'name': 'sound', 'api_keys': ['key-0'], 'priority': 1},
+            {'name': 'a\r\nX-Own: b', 'api_keys': ['key-1']},
+            {'name': 5, 'api_keys': ['key-2']},
+            {'name': 'text', 'api_keys': 'k'},
+            {'name': 'priority', 'api_keys': ['key-3'], 'priority': 2**64 - 1},
+            {'name': 'regions', 'api_keys': ['key-4'], 'allowed_regions': [{}]},
+            {'api_keys': ['key-5']},
+            7,
+            None,
+        ]
+        services = [
+            {'name': 'orders', 'engine': {'batch_slots': 0, 'kv_capacity': 5}},
+            {'name': 'orders', 'max_connections': -1e300},
+            {'name': ['orders']},
+            {'name': 'general', 'warmup_s': 1e300, 'warmup_per_s': 1},
+            5,
+        ]
+        _put_configuration(fleet, 6, _two_routes(), tenants=tenants, services=services)
+        await trio.sleep(0.3)
+        assert fleet.instances[0]._state.configuration_version == 6
+        keys = ('key-0', 'key-1', 'key-2', 'k', 'key-3', 'key-4', 'key-5')
+        statuses = [(await fleet.call('/a', key=key)).status for key in keys]
+        return statuses, (await fleet.call('/orders/a', key='key-0')).status
+
+    _run_on_fleet(context, act)
+
+
+@then('the key of the sound account is served on both routes, and those of the odd ones get 401')
+def check_odd_accounts(context):
+    assert context.result == ([200, *[401] * 6], 200), context.result
+
+
+@when('a configuration comes whose {member} is {value}, and then a sound one')
+def configure_unusable(context, member, value):
+    async def act(fleet):
+        state = fleet.instances[0]._state
+        raw = configuration(6, _two_routes()) | {member: '(odd)'}
+        content = orjson.dumps(raw).replace(b'"(odd)"', _expand(value).encode())
+        fleet.store.put('op', 'config', _expand(value).encode() if member == 'all' else content)
+        await trio.sleep(0.3)
+        before = state.configuration_version, (await fleet.call('/orders/a')).status
+        _put_configuration(fleet, 7, _two_routes())
+        await trio.sleep(0.3)
+        return [before, (state.configuration_version, (await fleet.call('/orders/a')).status)]
+
+    _run_on_fleet(context, act)
+
+
+@then('the version before stays in force until the sound one')
+def check_unusable(context):
+    assert context.result == [(5, 200), (7, 200)], context.result
--- a/src/fireflymux/bounded_values.py
+++ b/src/fireflymux/bounded_values.py
@@ -98,6 +98,20 @@
     return float(value)
 
 
+def check_text(value: Any) -> str:
+    """Checks a decoded text; raises `OutOfBounds` if it is something else."""
+    if not isinstance(value, str):
+        raise OutOfBounds('{0} in place of a text'.format(type(value).__name__))
+    return value
+
+
+def check_list(value: Any) -> list[Any]:
+    """Checks a decoded list; raises `OutOfBounds` if it is something else."""
+    if not isinstance(value, list):
+        raise OutOfBounds('{0} in place of a list'.format(type(value).__name__))
+    return value
+
+
 def check_name(value: Any) -> str:
     """Checks a decoded name, which may be sent as the value of a header field.
 
@@ -110,8 +124,7 @@
     Raises:
         OutOfBounds: It is no text, too long, or not valid in a header field.
     """
-    if not isinstance(value, str):
-        raise OutOfBounds('{0} in place of a name'.format(type(value).__name__))
-    if len(value) > MAXIMUM_NAME_CHARACTERS or not is_header_text(value):
+    name = check_text(value)
+    if len(name) > MAXIMUM_NAME_CHARACTERS or not is_header_text(name):
         raise OutOfBounds('a name is empty, too long, or has control characters')
-    return value
+    return name
