An argument that is no number ends an operator's command in one line

The terms of "contract change" were parsed only after the configuration had been read, so that a mistake in them was reported as a failure of the platform while it was away.

Seen before the fix (features/odd_rows.feature): ValueError and OverflowError; exit code 1 with "request to the platform failed" for the two examples of "contract change", whose traceback behind that was read.

Numbers are parsed by two functions that name the option and end with exit code 2, before anything is read.

--- a/features/odd_rows.feature
+++ b/features/odd_rows.feature
@@ -58,3 +58,15 @@
     Given a small fleet of one router, one engine and one service
     When another writer replaces the claim of a call and the caller repeats the call
     Then the repeated call fails alone, and another one is answered
+
+  Scenario Outline: An argument of an operator's command that is no number
+    When an operator runs "<command>"
+    Then the command ends with exit code 2 and one line that names <name>
+
+    Examples:
+      | command                                               | name        |
+      | contract create families secret farewell --weight=abc | weight      |
+      | contract create families secret farewell --queue=1e999 | queue      |
+      | contract change families --weight=abc                 | weight      |
+      | contract change families --concurrency=1.5            | concurrency |
+      | contract retire families --if_version=--5             | if_version  |
--- a/features/steps/odd_row_steps.py
+++ b/features/steps/odd_row_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 
 from emulator.callers import call, chat
-from emulator.fleet import PLATFORM_CREDENTIAL, wait_until
+from emulator.fleet import PLATFORM_CREDENTIAL, Fleet, wait_until
 from emulator.scripted_server import ScriptedServer, answer
 from emulator.small_fleet import start_engine_sidecar, start_small_fleet
 from fireflymux.observability.metrics import Metrics
@@ -282,3 +282,18 @@
 @then('it has the text')
 def check_text(context):
     assert context.result == b'no JSON', context.result
+
+
+@when('an operator runs "{command}"')
+def run_command(context, command):
+    fleet = Fleet()
+    context.closers.append(fleet.close)
+    fleet._platform_url = 'http://127.0.0.1:1'
+    context.command = fleet.run_operator_command(*command.split())
+
+
+@then('the command ends with exit code {code:d} and one line that names {name}')
+def check_command(context, code, name):
+    lines = context.command.stderr.splitlines()
+    assert context.command.returncode == code, context.command
+    assert len(lines) == 1 and name in lines[0], lines
--- a/src/fireflymux/operator_cli.py
+++ b/src/fireflymux/operator_cli.py
@@ -34,9 +34,25 @@
 
 
 def _parse_version(text: str) -> int:
-    if not text.lstrip('-').isdigit():
-        exit_with_error('if_version: found {0!r}, allowed an integer'.format(text), EXIT_USAGE)
-    return int(text)
+    return _parse_integer('if_version', text)
+
+
+def _parse_integer(name: str, text: object) -> int:
+    """Returns the integer in an argument, or ends the command if it is none."""
+    try:
+        return int(str(text))
+    except ValueError:
+        exit_with_error('{0}: found {1!r}, allowed an integer'.format(name, text), EXIT_USAGE)
+        raise
+
+
+def _parse_number(name: str, text: object) -> float:
+    """Returns the number in an argument, or ends the command if it is none."""
+    try:
+        return float(str(text))
+    except ValueError:
+        exit_with_error('{0}: found {1!r}, allowed a number'.format(name, text), EXIT_USAGE)
+        raise
 
 
 class _OperatorCommands:
@@ -126,10 +142,10 @@
         """
         contract = Contract(
             account=account,
-            weight=float(weight),
-            rate_per_second=float(rate),
-            concurrency=int(concurrency),
-            queue_length=int(queue),
+            weight=_parse_number('weight', weight),
+            rate_per_second=_parse_number('rate', rate),
+            concurrency=_parse_integer('concurrency', concurrency),
+            queue_length=_parse_integer('queue', queue),
             pools=_split_names(pools),
             key_digest=compute_key_digest(secret),
             key_required_pools=_split_names(key_required),
@@ -153,10 +169,12 @@
                 key_required.
         """
 
+        parsed = self._run(lambda _: _parse_terms(terms))
+
         def revise(contract: Contract | None) -> Contract:
             if contract is None:
                 raise InvalidChange('account: no contract with this name')
-            return attrs.evolve(contract, **_parse_terms(terms))
+            return attrs.evolve(contract, **parsed)
 
         self._report_outcome(
             self._run(
@@ -251,17 +269,21 @@
     return [name for name in names.split(',') if name]
 
 
-def _parse_terms(terms: dict[str, Any]) -> dict[str, Any]:
-    parsers: dict[str, tuple[str, Callable[[str], Any]]] = {
-        'weight': ('weight', float),
-        'rate': ('rate_per_second', float),
-        'concurrency': ('concurrency', int),
-        'queue': ('queue_length', int),
-        'pools': ('pools', _split_names),
-        'secret': ('key_digest', compute_key_digest),
-        'key_required': ('key_required_pools', _split_names),
+def _parse_terms(terms: dict[str, str]) -> dict[str, Any]:
+    parsers: dict[str, tuple[str, Callable[[str, str], Any]]] = {
+        'weight': ('weight', _parse_number),
+        'rate': ('rate_per_second', _parse_number),
+        'concurrency': ('concurrency', _parse_integer),
+        'queue': ('queue_length', _parse_integer),
+        'pools': ('pools', lambda _, text: _split_names(text)),
+        'secret': ('key_digest', lambda _, text: compute_key_digest(text)),
+        'key_required': ('key_required_pools', lambda _, text: _split_names(text)),
     }
     unknown = set(terms) - set(parsers)
     if unknown:
         raise InvalidChange('terms: one of {0}'.format(', '.join(parsers)))
-    return {parsers[key][0]: parsers[key][1](text) for key, text in terms.items()}
+    parsed = {}
+    for name, text in terms.items():
+        member, parse = parsers[name]
+        parsed[member] = parse(name, text)
+    return parsed
