Numbers of other processes and of engines that are out of range are left out

One number too large would have spread to every process and ended it there: a verdict that holds for ever raised in each heartbeat that was to pass it on, out of the router's task; totals near the largest float make sums infinite, which are then to be written as integers; an engine that states 1e300 completion tokens charges them to its caller's account, in all sidecars. A verdict of an unknown state was passed on as well.

Seen before the fix (features/odd_rows.feature): OverflowError out of list_verdicts; 1e+300 and -5.0 tokens. That the sums end processes was read, not run.

Verdicts and totals out of range are left out, the others of the message hold; a count of tokens that no response can have is replaced by the estimate from its size.

--- a/features/odd_rows.feature
+++ b/features/odd_rows.feature
@@ -70,3 +70,19 @@
       | contract change families --weight=abc                 | weight      |
       | contract change families --concurrency=1.5            | concurrency |
       | contract retire families --if_version=--5             | if_version  |
+
+  Scenario: Numbers of another process that are out of range
+    Given a heartbeat with an odd verdict and an odd total beside good ones
+    When a sidecar decodes and applies it
+    Then its reply has the good ones only
+
+  Scenario Outline: A count of tokens that no response can have
+    Given an engine that states <count> completion tokens for a response of 40 bytes
+    When a sidecar meters the response
+    Then it is charged by its size
+
+    Examples:
+      | count  |
+      | 1e300  |
+      | -5     |
+      | "many" |
--- a/features/steps/odd_row_steps.py
+++ b/features/steps/odd_row_steps.py
@@ -12,7 +12,10 @@
 from emulator.fleet import PLATFORM_CREDENTIAL, Fleet, wait_until
 from emulator.scripted_server import ScriptedServer, answer
 from emulator.small_fleet import start_engine_sidecar, start_small_fleet
+from fireflymux.decisions.crash_registry import CrashRegistry
+from fireflymux.messages import Heartbeat
 from fireflymux.observability.metrics import Metrics
+from fireflymux.sidecar.endpoint_call import _count_completion_tokens
 from fireflymux.store.group_commit import GroupCommitter, PutResult
 from fireflymux.store.platform_client import (
     LiveListClient,
@@ -22,6 +25,8 @@
     TableClient,
 )
 from fireflymux.web.credentials import compute_key_digest
+from fireflymux.wire import codec
+from fireflymux.wire.totals_table import unpack_totals
 
 _PATH = '/services/bookings/reservations'
 _CONTRACT = {
@@ -297,3 +302,48 @@
     lines = context.command.stderr.splitlines()
     assert context.command.returncode == code, context.command
     assert len(lines) == 1 and name in lines[0], lines
+
+
+@given('a heartbeat with an odd verdict and an odd total beside good ones')
+def prepare_heartbeat(context):
+    verdicts = [('odd', 'suspect', '"inf"'), ('odder', 'maybe', 9), ('good', 'suspect', 9)]
+    context.heartbeat = (
+        b'{"router": "r", "address": "http://r:1", "config_version": 1, "sequence": 1, '
+        b'"verdicts": [%s], "totals": {"accounts": ["odd", "good"], "settled": [1e308, 5], '
+        b'"outstanding": [0, 0], "floors": [0, 0]}}'
+    ) % b', '.join(
+        b'{"fingerprint": "%s", "state": "%s", "seconds_left": %s}'
+        % tuple(str(item).encode() for item in verdict)
+        for verdict in verdicts
+    )
+
+
+@when('a sidecar decodes and applies it')
+def apply_heartbeat(context):
+    heartbeat = codec.decode(context.heartbeat, Heartbeat)
+    crashes = CrashRegistry(clock=lambda: 0.0)
+    crashes.merge(heartbeat.verdicts)
+    context.verdicts = crashes.list_verdicts()
+    context.totals = unpack_totals(heartbeat.totals, 'farewell')
+
+
+@then('its reply has the good ones only')
+def check_verdicts(context):
+    assert [verdict.fingerprint for verdict in context.verdicts] == ['good'], context.verdicts
+    assert [total.account for total in context.totals] == ['good'], context.totals
+
+
+@given('an engine that states {count} completion tokens for a response of {size:d} bytes')
+def prepare_token_count(context, count, size):
+    usage = b'{"usage": {"completion_tokens": %s}}' % count.encode()
+    context.body = usage.ljust(size)
+
+
+@when('a sidecar meters the response')
+def meter_response(context):
+    context.tokens = _count_completion_tokens(context.body)
+
+
+@then('it is charged by its size')
+def check_tokens(context):
+    assert context.tokens == len(context.body) / 4, context.tokens
--- a/src/fireflymux/decisions/crash_registry.py
+++ b/src/fireflymux/decisions/crash_registry.py
@@ -75,13 +75,17 @@
         """Merges the verdicts of another process; guilty overrides suspect.
 
         Args:
-            verdicts: Its verdicts.
+            verdicts: Its verdicts; those with an unknown state or a time out of range are left
+                out.
 
         Returns:
             Whether a verdict was added or changed.
         """
         is_new = False
         for verdict in verdicts:
+            is_in_range = 0 < verdict.seconds_left <= _VERDICT_SECONDS
+            if not is_in_range or verdict.state not in {SUSPECT, GUILTY}:
+                continue
             if self.state_of(verdict.fingerprint) in {verdict.state, GUILTY}:
                 continue
             self._set(verdict.fingerprint, verdict.state, verdict.seconds_left)
--- a/src/fireflymux/sidecar/endpoint_call.py
+++ b/src/fireflymux/sidecar/endpoint_call.py
@@ -25,6 +25,7 @@
 _RESUME_DELAY_SECONDS = 0.2
 #: Assumed size of a token, for prompts and for responses that state no token count.
 _BYTES_PER_TOKEN = 4
+_MAXIMUM_COMPLETION_TOKENS = 1e7
 #: Response headers that are not forwarded, because sidecar and router set their own.
 _NOT_FORWARDED_HEADERS = frozenset(
     ('content-type', 'content-length', 'content-encoding', 'date', 'server', 'x-request-id')
@@ -314,7 +315,10 @@
 
 
 def _count_completion_tokens(body: bytes) -> float:
+    """Returns the number of tokens that a response states, or one estimated from its size."""
+    estimate = len(body) / _BYTES_PER_TOKEN
     try:
-        return float(orjson.loads(body)['usage']['completion_tokens'])
+        count = float(orjson.loads(body)['usage']['completion_tokens'])
     except (orjson.JSONDecodeError, KeyError, TypeError, ValueError):
-        return len(body) / _BYTES_PER_TOKEN
+        return estimate
+    return count if 0 <= count <= _MAXIMUM_COMPLETION_TOKENS else estimate
--- a/src/fireflymux/wire/totals_table.py
+++ b/src/fireflymux/wire/totals_table.py
@@ -7,6 +7,9 @@
 
 from ..messages import ServiceTotal, TotalsTable
 
+#: Largest number of cost units in a total; sums of such numbers are exact to a unit.
+_MAXIMUM_UNITS = 1 << 50
+
 
 def pack_totals(totals: Iterable[ServiceTotal]) -> TotalsTable:
     """Packs the service totals of one pool into a table.
@@ -36,7 +39,8 @@
         pool: Pool of the totals, which the table does not contain.
 
     Returns:
-        One total for each account in the table.
+        One total for each account in the table whose numbers are in range. Larger ones would make
+        the sums infinite or imprecise in every process that they spread to.
     """
     columns = zip(
         table.accounts,
@@ -54,4 +58,5 @@
             floor=floor,
         )
         for account, settled, outstanding, floor in columns
+        if max(abs(settled), abs(outstanding), abs(floor)) <= _MAXIMUM_UNITS
     ]
