A sidecar's refusal names the request that it refuses, and a router takes only its own

The answers of an endpoint carry the request's identifier from the sidecar to the router; the errors of the sidecar itself did not. One that was left on a kept connection would have refused the next request there, as "not run", though the sidecar runs it. No sidecar is known to write one twice; the router could not have told.

Seen before the fix (features/role_responses.feature): sidecar_busy, ran: no, for a call that the sidecar answered.

Errors of the run routes carry the identifier in a header of their own; in that of the answers, an older router would take the error for the endpoint's answer. The router closes a connection on which another request's error arrives and asks for the answer anew. Errors without the header are taken as before: older sidecars write such.

--- a/features/role_responses.feature
+++ b/features/role_responses.feature
@@ -91,3 +91,8 @@
     Given a sidecar and a plain service that answer
     When a router passes on a call with the header value "café" and the key "clé"
     Then the service gets both in the caller's encoding
+
+  Scenario: A refusal of a sidecar that is for another request refuses no call
+    Given a sidecar that writes the refusal of another request before its answer
+    When a router sends it a call
+    Then the router has the answer to its own call
--- a/features/steps/router_responses_steps.py
+++ b/features/steps/router_responses_steps.py
@@ -4,9 +4,9 @@
 from behave import given, then, when
 from quart_trio import QuartTrio
 
-from emulator.scripted_server import ScriptedServer, answer, broken_off
+from emulator.scripted_server import ScriptedAnswer, ScriptedServer, answer, broken_off
 from fireflymux._settings_generated import FleetSettings, TlsSettings
-from fireflymux.errors import CallFailure, ErrorKind, ExecutionStatus
+from fireflymux.errors import CallFailure, ErrorKind, ExecutionStatus, to_problem
 from fireflymux.messages import RunOrder
 from fireflymux.observability.metrics import Metrics
 from fireflymux.router import run_client
@@ -146,3 +146,17 @@
     assert 'x-note: café'.encode('latin-1') in request, request
     assert 'idempotency-key: clé'.encode('latin-1') in request, request
     assert 'content-type: café'.encode('latin-1') in request, request
+
+
+@given('a sidecar that writes the refusal of another request before its answer')
+def prepare_other_refusal(context):
+    document = codec.encode(to_problem(CallFailure(ErrorKind.sidecar_busy)))
+    echo = [(headers.PROBLEM_ECHO.encode(), b'another')]
+    refusal = answer(503, document, headers.PROBLEM_JSON.encode(), echo)
+    own = answer(200, b'{"own": 1}', fields=[_ECHO])
+    context.answers = [ScriptedAnswer(refusal.content + own.content), own]
+
+
+@then('the router has the answer to its own call')
+def check_own_answer_at_router(context):
+    assert getattr(context.result, 'body', None) == b'{"own": 1}', context.result
--- a/src/fireflymux/router/run_client.py
+++ b/src/fireflymux/router/run_client.py
@@ -253,12 +253,15 @@
     ) -> BufferedResponse | StreamedResponse | CallFailure:
         response = await self._fleet_clients.to(placement.address).send(request, stream=True)
         content_type = response.headers.get('Content-Type', '')
+        # Errors outside of the run routes, and those of older sidecars, have no echo.
+        problem_echo = response.headers.get(headers.PROBLEM_ECHO, order.request)
+        if response.headers.get(headers.REQUEST_ECHO, problem_echo) != order.request:
+            # The response is not read, so that its connection is closed.
+            await response.aclose()
+            return CallFailure(ErrorKind.outcome_unknown, 'the answer of another request arrived')
         if headers.REQUEST_ECHO not in response.headers:
             body = await response.aread()
             return _decode_problem(content_type, body)
-        if response.headers[headers.REQUEST_ECHO] != order.request:
-            await response.aclose()
-            return CallFailure(ErrorKind.outcome_unknown, 'the answer of another request arrived')
         # Of events with a stated length, as plain services send them, the sidecar has the end: they
         # need no end marker.
         is_open_ended = 'Content-Length' not in response.headers
--- a/src/fireflymux/sidecar/sidecar.py
+++ b/src/fireflymux/sidecar/sidecar.py
@@ -369,20 +369,8 @@
             order = codec.decode(request.headers.get(headers.RUN_ORDER, ''), RunOrder)
         except codec.DecodeError as error:
             return build_problem_response(CallFailure(ErrorKind.malformed_request, str(error)))
-        body = await read_body()
-        span = start_span(
-            sidecar.tracer,
-            'sidecar.run',
-            order.traceparent,
-            request=order.request,
-            account=order.account,
-            pool=order.pool,
-        )
-        try:
-            traced = attrs.evolve(order, traceparent=to_traceparent(span))
-            return await _start_run(sidecar, nursery, traced, body)
-        finally:
-            span.end()
+        response = await _run_order(sidecar, nursery, order)
+        return _echo_in_problem(response, order.request)
 
     @app.get('/v1/runs/<request_id>/<int:attempt>/answer')
     async def read_response(request_id: str, attempt: int) -> Response:
@@ -391,8 +379,10 @@
         if found is None:
             found = _resume_run(sidecar, nursery, offset)
         if found is None or offset < found.buffer.start_offset:
-            return build_problem_response(CallFailure(ErrorKind.answer_expired, 'no such run'))
-        return await _respond_with_run(sidecar, found, request_id, offset=offset)
+            expired = CallFailure(ErrorKind.answer_expired, 'no such run')
+            return _echo_in_problem(build_problem_response(expired), request_id)
+        response = await _respond_with_run(sidecar, found, request_id, offset=offset)
+        return _echo_in_problem(response, request_id)
 
     @app.delete('/v1/runs/<request_id>/<int:attempt>')
     async def cancel(request_id: str, attempt: int) -> Response:
@@ -420,6 +410,30 @@
         return Response(b'ready\n') if refused is None else build_problem_response(refused)
 
 
+def _echo_in_problem(response: Response, request_id: str) -> Response:
+    """Adds the request identifier to a response that is an error of the sidecar itself."""
+    if headers.REQUEST_ECHO not in response.headers:
+        response.headers[headers.PROBLEM_ECHO] = request_id
+    return response
+
+
+async def _run_order(sidecar: Sidecar, nursery: trio.Nursery, order: RunOrder) -> Response:
+    body = await read_body()
+    span = start_span(
+        sidecar.tracer,
+        'sidecar.run',
+        order.traceparent,
+        request=order.request,
+        account=order.account,
+        pool=order.pool,
+    )
+    try:
+        traced = attrs.evolve(order, traceparent=to_traceparent(span))
+        return await _start_run(sidecar, nursery, traced, body)
+    finally:
+        span.end()
+
+
 async def _start_run(
     sidecar: Sidecar,
     nursery: trio.Nursery,
--- a/src/fireflymux/wire/headers.py
+++ b/src/fireflymux/wire/headers.py
@@ -7,6 +7,8 @@
 #: Response header that repeats the request identifier, so that the router can detect a response
 #: to another request.
 REQUEST_ECHO = 'X-Fireflymux-Request'
+#: Response header that repeats it in an error of a sidecar itself, which has no other echo.
+PROBLEM_ECHO = 'X-Fireflymux-Problem-Of'
 JSON = 'application/json'
 PROBLEM_JSON = 'application/problem+json'
 EVENT_STREAM = 'text/event-stream'
