--- a/features/odd_rows.feature
+++ b/features/odd_rows.feature
@@ -58,3 +58,31 @@
     Given a small fleet of one router, one engine and one service
     When another writer replaces the claim of a call and the caller repeats the call
     Then the repeated call fails alone, and another one is answered
+
+  Scenario Outline: An argument of an operator's command that is no number
+    When an operator runs "<command>"
+    Then the command ends with exit code 2 and one line that names <name>
+
+    Examples:
+      | command                                               | name        |
+      | contract create families secret farewell --weight=abc | weight      |
+      | contract create families secret farewell --queue=1e999 | queue      |
+      | contract change families --weight=abc                 | weight      |
+      | contract change families --concurrency=1.5            | concurrency |
+      | contract retire families --if_version=--5             | if_version  |
+
+  Scenario: Numbers of another process that are out of range
+    Given a heartbeat with an odd verdict and an odd total beside good ones
+    When a sidecar decodes and applies it
+    Then its reply has the good ones only
+
+  Scenario Outline: A count of tokens that no response can have
+    Given an engine that states <count> completion tokens for a response of 40 bytes
+    When a sidecar meters the response
+    Then it is charged by its size
+
+    Examples:
+      | count  |
+      | 1e300  |
+      | -5     |
+      | "many" |
