The soak shows a second head, a spliced stream and an early 100 Continue on variants

In the features each is found by the check it is for; a third of the plans has few retries, so that their bound is reached, the others 1000, so that streams are resumed. A request behind an answer in which the caller found a violation does not count as dropped: it was the caller that stopped reading.

--- a/emulator/faulty_answers.py
+++ b/emulator/faulty_answers.py
@@ -19,7 +19,6 @@
 REFUSALS = ('refused', 'limited', 'refused twice')
 #: Answers to requests of any kind.
 _FAILURES = (
-    'failed',
     'failed',
     'not found',
     'unsigned',
@@ -33,12 +32,12 @@
 #: Bodies of signed successes that do not continue the stream that the request resumes.
 _NO_EVENTS = (b'no such stream', b'data: no such stream\n\n', b'<html></html>\n', b'{"kind": 1}')
 _NO_EVENTS_KIND = 'no events'
+#: Answers to requests that resume a stream, beside those to any.
+_FAILURES_OF_RESUMED = ('failed', 'not found', _NO_EVENTS_KIND, _NO_EVENTS_KIND)
 #: Faults beside an answer that is sound.
 EXTRAS = ('another before', 'twice at once', 'twice a little later', 'twice at the next request')
-_SOUND_PROBABILITY = 0.5
+_SOUND_PROBABILITY = 0.7
 _SOUND_PROBABILITY_OF_RESUMED = 0.2
-_REFUSAL_PROBABILITY = 0.15
-_EXTRA_PROBABILITY = 0.15
 #: Probability that a stream that breaks off ends with the head of another answer.
 _SECOND_HEAD_PROBABILITY = 0.3
 #: Probability that an answer is repeated when the next one on the connection is due.
@@ -74,15 +73,10 @@
             is_resumed: Whether the request resumes a stream.
         """
         sound = _SOUND_PROBABILITY_OF_RESUMED if is_resumed else _SOUND_PROBABILITY
-        chance = self._rng.random() - sound
-        if chance < 0:
+        if self._rng.random() < sound:
             return ''
-        if chance < _REFUSAL_PROBABILITY:
-            return self._rng.choice(REFUSALS)
-        if chance < _REFUSAL_PROBABILITY + _EXTRA_PROBABILITY:
-            return self._rng.choice(EXTRAS)
-        kinds = (*_FAILURES, _NO_EVENTS_KIND, _NO_EVENTS_KIND) if is_resumed else _FAILURES
-        return self._rng.choice(kinds)
+        failures = (*_FAILURES, *_FAILURES_OF_RESUMED) if is_resumed else _FAILURES
+        return self._rng.choice((*REFUSALS, *EXTRAS, *failures))
 
     async def send_owed(self, writer: ResponseWriter) -> None:
         """Sends the extra answer to an earlier request that is owed on a connection, if any."""
--- a/emulator/faulty_endpoint.py
+++ b/emulator/faulty_endpoint.py
@@ -20,7 +20,7 @@
 #: Probability that an endpoint in mode `grey` answers a request with an error.
 _ERROR_PROBABILITY = 0.6
 #: Probability that an endpoint in mode `faulty` breaks a stream off that it answers well otherwise.
-_BREAK_PROBABILITY = 0.5
+_BREAK_PROBABILITY = 0.4
 _OK = 200
 _FAILED = 500
 #: End of the identifiers of requests whose events are large, and the bytes added to each of these.
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -10,8 +10,11 @@
     When the soak runs instances with one mechanism disabled
       | mutant              | seed | check               |
       | repeat_anything     | 5    | check_answers       |
-      | forget_leaving      | 3    | check_draining      |
-      | first_configuration | 1    | check_configuration |
+      | forget_leaving      | 38   | check_draining      |
+      | first_configuration | 57   | check_configuration |
+      | second_head         | 3    | check_bytes         |
+      | any_continuation    | 1    | check_answers       |
+      | early_continue      | 1    | check_bytes         |
     Then the named check of each run finds a violation
 
   Scenario: Each check finds what it is for
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -16,6 +16,8 @@
 
 _ROOT = Path(__file__).resolve().parent.parent.parent
 _TIMEOUT_SECONDS = 180
+#: Soaks that run at a time.
+_MAXIMUM_RUNS = 3
 
 
 def _run_soak(*options):
@@ -49,7 +51,7 @@
         return _run_soak('--one={0}'.format(row['seed']), '--mutant={0}'.format(row['mutant']))
 
     rows = list(context.table)
-    with ThreadPoolExecutor(max_workers=len(rows)) as pool:
+    with ThreadPoolExecutor(max_workers=_MAXIMUM_RUNS) as pool:
         context.mutant_runs = list(zip(rows, pool.map(run, rows), strict=True))
 
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -236,9 +236,9 @@
                 await _await_end(connection, exchange)
                 break
     except ConnectionEnded:
-        _mark_dropped(exchanges)
+        _mark_dropped(connection, exchanges)
         return False
-    _mark_dropped(exchanges)
+    _mark_dropped(connection, exchanges)
     reader.continues_before = -1
     return last.is_complete and not reader.answers[-1].closes
 
@@ -276,12 +276,16 @@
     exchange.ended_at = trio.current_time()
 
 
-def _mark_dropped(exchanges: list[Exchange]) -> None:
-    """Marks the requests behind one whose answer ended the connection."""
+def _mark_dropped(connection: StrictConnection, exchanges: list[Exchange]) -> None:
+    """Marks the requests behind one whose answer ended the connection.
+
+    After a violation it was the caller that stopped reading, so that they may run.
+    """
     for exchange in exchanges:
         if exchange.ended_at == float('inf'):
             exchange.ended_at = trio.current_time()
-            exchange.is_dropped = exchange is not exchanges[0]
+            is_behind = exchange is not exchanges[0]
+            exchange.is_dropped = is_behind and not connection.reader.violation
 
 
 async def _await_end(connection: StrictConnection, exchange: Exchange) -> None:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -72,9 +72,9 @@
 #: Events that each plan has, with their targets, and the range of their length: faulty answers of
 #: the first service, whose streams may be resumed, and odd rows.
 _ALWAYS_DRAWN = (('faulty', 0), ('odd_rows', -1))
-_ALWAYS_DRAWN_SECONDS = (2.0, 4.0)
+_ALWAYS_DRAWN_SECONDS = (4.0, 6.0)
 #: With few retries their bound is reached, and with many most streams that broke are resumed.
-_RETRY_CONSTANTS = (10, 100)
+_RETRY_CONSTANTS = (10, 1000, 1000)
 
 
 @attrs.define(frozen=True, kw_only=True)
