--- a/emulator/raw_response.py
+++ b/emulator/raw_response.py
@@ -20,13 +20,14 @@
     await writer._send(content, writer._phase)
 
 
-def end_raw(writer: ResponseWriter) -> None:
-    """Ends a response that was sent as raw bytes, so that its connection stays open.
+async def send_encoded(writer: ResponseWriter, content: bytes) -> None:
+    """Sends the response to a request, and whatever follows it in the same write.
 
     Args:
         writer: Writes the response to the request.
+        content: The encoded response, and further bytes.
     """
-    writer._phase = ResponsePhase.complete
+    await writer._send(content, ResponsePhase.complete)
 
 
 def end_at_close(writer: ResponseWriter) -> None:
@@ -35,7 +36,7 @@
     Args:
         writer: Writes the response to the request.
     """
-    end_raw(writer)
+    writer._phase = ResponsePhase.complete
     writer.must_close = True
 
 
--- a/features/outside_values.feature
+++ b/features/outside_values.feature
@@ -137,3 +137,115 @@
     Given a "safe" route with two endpoints that answer
     When another writer leaves odd rows in the table of instances
     Then an instance that starts knows only the other instance, and both hear each other
+
+  Scenario: Datagrams of any shape and number end no instance and change nothing
+    Given two instances with two endpoints
+    When datagrams arrive whose members are replaced by
+      | message  | member                 | value                               |
+      | datagram | host                   | "nowhere"                           |
+      | datagram | host                   | "host.example"                      |
+      | datagram | host                   | "a\u0000b"                          |
+      | datagram | host                   | "a x 70"                            |
+      | datagram | host                   | ""                                  |
+      | datagram | sequence               | -1                                  |
+      | datagram | sequence               | 18446744073709551615                |
+      | datagram | parts                  | 0                                   |
+      | datagram | part                   | -1                                  |
+      | report   | instance               | ""                                  |
+      | report   | config_version         | 18446744073709551615                |
+      | report   | members_era            | 18446744073709551615                |
+      | report   | members_version        | -1                                  |
+      | report   | loads                  | [1]                                 |
+      | report   | loads                  | [1, -5, -5]                         |
+      | report   | loads                  | [1, 18446744073709551615, 1]        |
+      | report   | placements             | [[]]                                |
+      | report   | placements             | [[1, 2]]                            |
+      | report   | placements             | [[1, 2, -3]]                        |
+      | report   | placements             | [[1, 2, 18446744073709551615]]      |
+      | report   | refusals               | [-1]                                |
+      | report   | usage                  | {"mothers": "nan"}                  |
+      | report   | usage                  | {"mothers": "inf"}                  |
+      | report   | demand                 | {"mothers": "nan"}                  |
+      | report   | demand                 | {"mothers": 1e300}                  |
+      | report   | crashes                | [[1]]                               |
+      | report   | crashes                | [[1, 18446744073709551615, 5, 5, 5]] |
+      | report   | leaving                | [-1]                                |
+      | notice   | instance               | ""                                  |
+      | notice   | op_version             | 18446744073709551615                |
+      | notice   | op_era                 | -1                                  |
+      | notice   | warming                | [1]                                 |
+      | notice   | warming                | [-1, 5]                             |
+    Then both instances still hear each other alone, and answer
+
+  Scenario: Two datagrams of one report that disagree on its parts end no instance
+    Given two instances with two endpoints
+    When part 5 of 6 and part 0 of 2 arrive with the same number
+    Then both instances still hear each other alone, and answer
+
+  Scenario: A report that can't be applied is passed on like any other
+    Given two instances with two endpoints
+    When a report that neither can apply arrives from another failure domain at the first
+    Then the second has got it, too
+
+  Scenario: An endless warm-up in a notice hides none of the other warm-ups
+    Given two instances with two endpoints
+    When a notice states that "e0" warms up for 584 million years and "e1" for 3 seconds
+    Then the instance takes "e1" alone to be warming up
+
+  Scenario: Snapshots of any shape and number end no instance and hide no later one
+    Given two instances with two endpoints
+    When an instance fetches snapshots whose members are replaced by
+      | member          | value                                             |
+      | config_version  | "6"                                               |
+      | config_version  | null                                              |
+      | config_version  | 18446744073709551616                              |
+      | config_row      | 5                                                 |
+      | config_row      | "[ x 9000"                                        |
+      | members_era     | "1"                                               |
+      | members_era     | 1e30                                              |
+      | members_version | -1                                                |
+      | members_version | 18446744073709551616                              |
+      | members         | {"e0": 5}                                         |
+      | members         | [1]                                               |
+      | leaving         | 5                                                 |
+      | leaving         | ["x"]                                             |
+      | leaving         | [{}]                                              |
+      | instances       | {"a": 5}                                          |
+      | instances       | {"a": ["b"]}                                      |
+      | instances       | {"a": "nowhere", "b": "a\u0000b", "": "10.0.0.1"} |
+      | evacuated       | 5                                                 |
+      | evacuated       | [{}]                                              |
+      | op_era          | "1"                                               |
+      | op_version      | 18446744073709551616                              |
+      | added           | [ x 100000                                        |
+      | added           | [ x 100000] x 100000                              |
+    Then both instances still hear each other alone, and answer
+
+  Scenario Outline: A question for a snapshot with an odd version is answered
+    Given two instances with two endpoints
+    When a snapshot newer than the version "<version>" is asked for
+    Then it is answered 200, and both instances go on
+
+    Examples:
+      | version  |
+      | %C2%B2   |
+      | 9 x 5000 |
+      | -1       |
+
+  Scenario Outline: An unexpected error in a background task is logged, and the task goes on
+    Given a "safe" route with two endpoints that answer
+    When "<step>" raises an error three times
+    Then the error is logged with its cause, and the instances learn of a new endpoint and a new version
+
+    Examples:
+      | step                        |
+      | _state.members.expire       |
+      | _state.apply_configuration  |
+      | _state.update_endpoints     |
+      | _state.notify               |
+      | _peers.take                 |
+      | _peers.list_hosts           |
+      | _peers.forget_silent        |
+      | _snapshots._list_fetch_hosts |
+      | _store._read_instances      |
+      | _handler.dispatch           |
--- a/features/role_responses.feature
+++ b/features/role_responses.feature
@@ -71,3 +71,23 @@
     Given an engine that answers
     When a sidecar sends it a streaming call
     Then the call asks for no encoding
+
+  Scenario Outline: A call that did not reach the endpoint does not shorten its backoff
+    Given the runs of a sidecar whose endpoint took no call, and claims that return <claim>
+    When a call with a key runs and the endpoint takes no call again
+    Then the backoff of the endpoint is twice as long
+
+    Examples:
+      | claim    |
+      | a replay |
+      | a refusal |
+
+  Scenario: An error within one run neither ends the sidecar nor keeps its slot
+    Given the runs of a sidecar whose client raises an error that nobody expects
+    When a call with a key runs
+    Then its outcome is unknown, and is recorded so, and its slot is free
+
+  Scenario: Header values outside ASCII reach the endpoint as the caller sent them
+    Given a sidecar and a plain service that answer
+    When a router passes on a call with the header value "café" and the key "clé"
+    Then the service gets both in the caller's encoding
--- a/features/steps/upgrade_steps.py
+++ b/features/steps/upgrade_steps.py
@@ -304,7 +304,7 @@
     async def run():
         return await run_upgrade(context.production, context.folder, seed=1)
 
-    context.history = trio.run(run)
+    context.record = trio.run(run)
 
 
 @then(
@@ -312,8 +312,8 @@
     ' and no check of the soak finds a violation'
 )
 def check_roll(context):
-    history = context.history
-    violations = find_upgrade_violations(history)
+    history = context.record.history
+    violations = find_upgrade_violations(context.record)
     assert not violations, (len(violations), context.folder, violations[:5])
     assert [stop.exit_code for stop in history.stops] == [0] * 6, history.stops
     served = {
