Requests behind bytes that are part of no answer count as abandoned by their caller

They count as abandoned now, from the moment at which the caller stopped reading; a violation itself still fails a soak.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -279,13 +279,19 @@
 def _mark_dropped(connection: StrictConnection, exchanges: list[Exchange]) -> None:
     """Marks the requests behind one whose answer ended the connection.
 
-    After a violation it was the caller that stopped reading, so that they may run.
+    After a violation it was the caller that stopped reading: they may run, and count as abandoned.
     """
+    now = trio.current_time()
     for exchange in exchanges:
-        if exchange.ended_at == float('inf'):
-            exchange.ended_at = trio.current_time()
-            is_behind = exchange is not exchanges[0]
-            exchange.is_dropped = is_behind and not connection.reader.violation
+        if exchange.ended_at < float('inf'):
+            continue
+        exchange.ended_at = now
+        if exchange is exchanges[0]:
+            continue
+        if connection.reader.violation:
+            exchange.abandoned_at = now
+        else:
+            exchange.is_dropped = True
 
 
 async def _await_end(connection: StrictConnection, exchange: Exchange) -> None:
