--- a/tools/show_red.py
+++ b/tools/show_red.py
@@ -90,14 +90,6 @@
     ('no_bounds', 'An endless response is rejected -- @1.6 '),
     ('no_bounds', 'A stream with an endless event ends and does not look complete'),
     ('no_bounds', 'Endless data after a complete response reaches no caller -- @1.2 '),
-    (
-        'second_head',
-        'A stream that broke off gets nothing of an answer that does not resume it -- @1.1 ',
-    ),
-    (
-        'any_continuation',
-        'A stream that broke off gets nothing of an answer that does not resume it -- @1.5 ',
-    ),
     (
         'any_connection',
         'A refusal that is written again sends no request that runs to a second endpoint',
