--- a/src/fireflymux/http/client_connection.py
+++ b/src/fireflymux/http/client_connection.py
@@ -11,6 +11,7 @@
 
 import errno
 import socket
+from array import array
 
 import attrs
 import trio
@@ -71,8 +72,8 @@
     # Bytes received since the parser last made progress.
     _bytes_without_progress: int = 0
     # Hashes of the identifiers of all requests so far; a caller's identifier can be long. Two that
-    # share a hash only cost a new connection.
-    _identifier_hashes: set[int] = attrs.field(factory=set)
+    # share a hash only cost a new connection. An array takes an eighth of the memory of a set.
+    _identifier_hashes: 'array[int]' = attrs.field(factory=lambda: array('q'))
     idle_until: float = float('inf')
 
     @classmethod
@@ -140,7 +141,7 @@
 
     def add_identifier(self, identifier: bytes) -> None:
         """Records the identifier of a request that is about to be sent; empty for none."""
-        self._identifier_hashes.add(hash(identifier))
+        self._identifier_hashes.append(hash(identifier))
 
     def close(self) -> None:
         """Closes the connection."""
