A connection to the platform carries one call, so that no claim is taken for committed by mistake

A sidecar could send a call that another one has claimed: the response to a transaction names no transaction, and one that the table (or a proxy before it) wrote once more stays in the reader's buffer of the kept connection and is read as the response to the next transaction. A call that must run at most once would have run twice. No platform is known to write one twice.

Seen before the fix (features/odd_rows.feature): "committed" for a transaction that the table answers with a conflict.

The client for the platform keeps no connection, like the one for the endpoint. Each call to the platform opens one; what that costs, with TLS above all, was not measured. Claims are committed in groups, and the other calls are one or two a second.

--- a/features/odd_rows.feature
+++ b/features/odd_rows.feature
@@ -86,3 +86,8 @@
       | 1e300  |
       | -5     |
       | "many" |
+
+  Scenario: A table that wrote the response to an earlier transaction once more
+    Given a table that answers the first transaction twice and refuses the second one
+    When a sidecar commits two claims one after the other
+    Then the second one is not committed
--- a/features/steps/odd_row_steps.py
+++ b/features/steps/odd_row_steps.py
@@ -3,28 +3,23 @@
 import time
 import uuid
 
-import httpx
 import orjson
 import trio
 from behave import given, then, when
 
 from emulator.callers import call, chat
 from emulator.fleet import PLATFORM_CREDENTIAL, Fleet, wait_until
-from emulator.scripted_server import ScriptedServer, answer
+from emulator.scripted_server import ScriptedAnswer, ScriptedServer, answer
 from emulator.small_fleet import start_engine_sidecar, start_small_fleet
+from fireflymux._settings_generated import PlatformSettings, TlsSettings
 from fireflymux.decisions.crash_registry import CrashRegistry
 from fireflymux.messages import Heartbeat
 from fireflymux.observability.metrics import Metrics
 from fireflymux.sidecar.endpoint_call import _count_completion_tokens
 from fireflymux.store.group_commit import GroupCommitter, PutResult
-from fireflymux.store.platform_client import (
-    LiveListClient,
-    ObjectClient,
-    PlatformClients,
-    Put,
-    TableClient,
-)
+from fireflymux.store.platform_client import CommitResult, PlatformClients, Put
 from fireflymux.web.credentials import compute_key_digest
+from fireflymux.web.http_clients import create_platform_client
 from fireflymux.wire import codec
 from fireflymux.wire.totals_table import unpack_totals
 
@@ -213,19 +208,17 @@
     _check_processes(context)
 
 
-def _use_platform(context, use):
-    """Calls `use` with the clients of a platform that sends the answer in the context."""
+def _use_platform(context, use, answers=None):
+    """Calls `use` with the clients of a platform that sends the answers or that in the context."""
+    scripted = answers or [context.platform_answer]
 
     async def run():
         async with trio.open_nursery() as nursery:
-            context.server = await ScriptedServer.start(nursery, [context.platform_answer])
-            async with httpx.AsyncClient() as client:
-                url = context.server.url
-                platform = PlatformClients(
-                    TableClient(client, url),
-                    ObjectClient(client, url),
-                    LiveListClient(client, url),
-                )
+            context.server = await ScriptedServer.start(nursery, scripted)
+            url = context.server.url
+            settings = PlatformSettings(table_url=url, object_url=url, live_url=url)
+            async with create_platform_client(settings, TlsSettings()) as client:
+                platform = PlatformClients.from_settings(settings, client)
                 context.result = await use(platform, nursery)
             nursery.cancel_scope.cancel()
 
@@ -347,3 +340,24 @@
 @then('it is charged by its size')
 def check_tokens(context):
     assert context.tokens == len(context.body) / 4, context.tokens
+
+
+@given('a table that answers the first transaction twice and refuses the second one')
+def prepare_repeated_commit(context):
+    committed = answer(200, b'{}').content
+    conflict = answer(409, b'{"failed": ["calls/second"]}')
+    context.platform_answers = [ScriptedAnswer(committed + committed), conflict]
+
+
+@when('a sidecar commits two claims one after the other')
+def commit_two(context):
+    async def commit(platform, _nursery):
+        await platform.table.commit([Put('calls/first', 0, {})])
+        return await platform.table.commit([Put('calls/second', 0, {})])
+
+    _use_platform(context, commit, context.platform_answers)
+
+
+@then('the second one is not committed')
+def check_second_commit(context):
+    assert context.result.result is CommitResult.conflict, context.result
--- a/src/fireflymux/web/http_clients.py
+++ b/src/fireflymux/web/http_clients.py
@@ -54,6 +54,9 @@
 def create_platform_client(platform: PlatformSettings, tls: TlsSettings) -> httpx.AsyncClient:
     """Creates the client for the services of the platform.
 
+    It opens a connection for each request: a response to a transaction names no transaction, so that
+    what the platform wrote once more on a kept connection would be taken for the next one's.
+
     Args:
         platform: Section [platform] of the settings.
         tls: Section [tls] of the settings.
@@ -61,13 +64,14 @@
     Returns:
         The client, which sends the platform credential if there is one.
     """
+    headers = {'Connection': 'close'}
+    if platform.credential:
+        headers['Authorization'] = BEARER_PREFIX + platform.credential
     return httpx.AsyncClient(
         verify=create_ssl_context(tls),
         timeout=platform.timeout_seconds,
-        headers={'Authorization': BEARER_PREFIX + platform.credential}
-        if platform.credential
-        else {},
-        limits=_UNLIMITED,
+        headers=headers,
+        limits=_WITHOUT_KEEP_ALIVE,
         cookies=_refuse_cookies(),
         trust_env=False,
     )
