--- a/emulator/instance_process.py
+++ b/emulator/instance_process.py
@@ -7,11 +7,18 @@
 from pathlib import Path
 
 import attrs
+import trio
 
+from fireflymux.http.client_connection import ConnectFailed
+
+from .entry_fleet import exchange
 from .overlaps import Overlap
 
 #: Folder of the build in the work tree.
 ROOT = Path(__file__).resolve().parent.parent
+_READINESS_REQUEST = b'GET /api/readyz HTTP/1.1\r\nHost: x\r\n\r\n'
+_READINESS_TIMEOUT_SECONDS = 0.5
+_OK = 200
 _SETTINGS = """[entry]
 name = {name}
 failure_domain = {failure_domain}
@@ -101,6 +108,16 @@
                 stderr=subprocess.STDOUT,
             )
 
+    async def is_ready(self) -> bool:
+        """Asks whether it is ready, as a load balancer does."""
+        with trio.move_on_after(_READINESS_TIMEOUT_SECONDS):
+            try:
+                reply = await exchange(self.readiness_address, _READINESS_REQUEST)
+            except (ConnectFailed, OSError):
+                return False
+            return reply.status == _OK
+        return False
+
     def signal(self, signum: signal.Signals) -> None:
         """Sends a signal to its process, unless the process has ended."""
         if self.process is None or self.process.poll() is not None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,13 +5,14 @@
 
 import trio
 
+from emulator.endpoint_host import EndpointHost
 from emulator.faulty_endpoint import FaultyEndpoint
 from emulator.odd_rows import ODD_ROWS
 from emulator.proxies import TcpProxy
 
 from .history import Stop
 from .plan import RESTORE_OUTAGE_SECONDS, REWRITE_DELAY_SECONDS, Event
-from .testbed import SERVICES, EndpointHost, Testbed
+from .testbed import SERVICES, Testbed
 
 #: Delay that the fault `delay` adds to each block of bytes.
 _PROXY_DELAY_SECONDS = 0.15
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -19,14 +19,14 @@
     STORE_PORT,
     AddressBlock,
 )
-from emulator.entry_fleet import configuration, exchange, route
+from emulator.entry_fleet import configuration, route
+from emulator.endpoint_host import EndpointHost
 from emulator.faulty_endpoint import SLOTS, FaultyEndpoint
 from emulator.instance_process import ROOT, InstanceProcess
 from emulator.overlaps import Overlap
 from emulator.proxies import TcpProxy, UdpProxy
 from emulator.row_store import RowStore
 from fireflymux.entry.listeners import Listener
-from fireflymux.http.client_connection import ConnectFailed
 from fireflymux.http.messages import HttpLimits, Request
 from fireflymux.http.response_writer import ResponseWriter
 
@@ -57,7 +57,6 @@
 #: Time between two backups of the store, and number of backups kept.
 _BACKUP_INTERVAL_SECONDS = 0.25
 _MAXIMUM_BACKUPS = 20
-_OK = 200
 #: Purposes of addresses, for `AddressBlock.host`.
 _INSTANCE_ADDRESSES = 1
 _ADVERTISED_ADDRESSES = 2
@@ -97,29 +96,6 @@
     content: tuple[int, dict]
 
 
-@attrs.define(kw_only=True)
-class EndpointHost:
-    """An address that is used by one endpoint after another.
-
-    Attributes:
-        number: Index in `Testbed.endpoint_hosts`.
-        address: IP address and port that the endpoint listens on.
-        proxy: Proxy that instances connect to instead.
-        endpoint: The current endpoint; None once it drains or has crashed, until its replacement
-            starts.
-    """
-
-    number: int
-    address: str
-    proxy: TcpProxy
-    endpoint: FaultyEndpoint | None = None
-
-    @property
-    def name(self) -> str:
-        """Target under which disturbances of its address and proxy are recorded."""
-        return 'host/{0}'.format(self.number)
-
-
 class Testbed:
     """Instance processes of one run, with simulated endpoints, store and network.
 
@@ -342,7 +318,7 @@
         """
         misses = 0
         while True:
-            misses = 0 if await _is_ready(instance.readiness_address) else misses + 1
+            misses = 0 if await instance.is_ready() else misses + 1
             if not misses:
                 self.ready.add(instance.name)
             elif misses == 2:
@@ -365,13 +341,3 @@
                 )
             )
             instance.start()
-
-
-async def _is_ready(address: str) -> bool:
-    with trio.move_on_after(_POLL_SECONDS * 2):
-        try:
-            reply = await exchange(address, b'GET /api/readyz HTTP/1.1\r\nHost: x\r\n\r\n')
-        except (ConnectFailed, OSError):
-            return False
-        return reply.status == _OK
-    return False
