--- a/soak/upgrade.py
+++ b/soak/upgrade.py
@@ -23,6 +23,9 @@
 _READY_SECONDS = 20.0
 #: Time for which all instances serve together between two replacements.
 _PAUSE_SECONDS = 1.0
+#: Time for which callers go on after the last replacement, so that the checks of what is served
+#: then have many requests of each instance.
+_SETTLED_SECONDS = 10.0
 #: Longest time from a request to its answer.
 _ANSWER_SECONDS = 3.0
 _OK = 200
@@ -80,7 +83,7 @@
                     await _roll(testbed, build)
                     _record_production(record, testbed, production)
                 testbed.history.faults_ended_at = trio.current_time()
-                await trio.sleep(2 * _ANSWER_SECONDS)
+                await trio.sleep(_SETTLED_SECONDS)
                 testbed.history.ended_at = trio.current_time()
                 caller_tasks.cancel_scope.cancel()
         finally:
