A crash count of an endless generation is not taken over

What operators would see: one instance that reports a generation near the greatest number makes each instance that counts the same request state a generation beyond it, so that the others would drop its full reports.

Cause: counts take the generation of the others and a response increases it; only reports had a range.

Evidence, without the fix (features/outside_values.feature): the own count has the generation. That the reports after a response are then dropped was read, not run.

Fix: a count with a generation above 1,000,000 is left out and logged; the others of the report count.

--- a/features/outside_values.feature
+++ b/features/outside_values.feature
@@ -184,6 +184,11 @@
     When a notice states that "e0" warms up for 584 million years and "e1" for 3 seconds
     Then the instance takes "e1" alone to be warming up
 
+  Scenario: An endless generation of a crash count hides no other count, and is passed on to none
+    Given two instances with two endpoints
+    When a report states a count with the generation 72057594037927935 and one that leads to a refusal
+    Then the instance takes over the latter alone
+
   Scenario: Snapshots of any shape and number end no instance and hide no later one
     Given two instances with two endpoints
     When an instance fetches snapshots whose members are replaced by
--- a/features/steps/outside_values_steps.py
+++ b/features/steps/outside_values_steps.py
@@ -467,6 +467,27 @@
     assert context.result == ['e1'], context.result
 
 
+@when('a report states a count with the generation {generation:d} and one that leads to a refusal')
+def send_endless_generation(context, generation):
+    async def act(fleet):
+        crashes = [[1, generation, 5, 6, 7], [2, 0, 5, 6, 7]]
+        _send_datagram(fleet, _pack(_DATAGRAM, content=_pack(_REPORT, crashes=crashes)))
+        await trio.sleep(0.3)
+        counts = fleet.instances[0]._state.crashes
+        for fingerprint in (1, 2):
+            counts.record(fingerprint, endpoint=9, sent_at=0, now=trio.current_time())
+        return counts.report(trio.current_time()), counts.must_refuse(1), counts.must_refuse(2)
+
+    _run_on_fleet(context, act)
+
+
+@then('the instance takes over the latter alone')
+def check_generation(context):
+    own, *refused = context.result
+    assert [count.generation for count in own] == [0, 0], own
+    assert refused == [False, True], refused
+
+
 @when('an instance fetches snapshots whose members are replaced by')
 def fetch_odd_snapshots(context):
     async def act(fleet):
--- a/src/fireflymux/entry/peer_link.py
+++ b/src/fireflymux/entry/peer_link.py
@@ -45,6 +45,8 @@
 _MAXIMUM_DATAGRAM_BYTES = 65536
 #: Numbers per endpoint in the loads of a report: its number, pending tokens, running requests.
 _LOAD_FIELDS = 3
+#: Greatest generation of a crash count that is taken over, since a response increases it.
+_MAXIMUM_GENERATION = 1000000
 _MILLISECONDS_PER_SECOND = 1000.0
 #: How long the list of heard instances is reused before it is computed again.
 _HEARD_CACHE_SECONDS = 0.1
@@ -309,13 +311,7 @@
         mark_leaving(state, report.leaving or (), report.instance)
         # Usage counts the tokens of placed requests (given), demand those of all requests (asked).
         state.shares.merge(report.instance, given=report.usage, asked=report.demand, now=now)
-        state.crashes.merge(
-            report.instance,
-            [
-                CrashCount(fingerprint, generation, tuple(endpoints))
-                for fingerprint, generation, *endpoints in report.crashes
-            ],
-        )
+        state.crashes.merge(report.instance, _decode_crashes(report))
 
 
 def _decode_loads(encoded: list[int]) -> dict[int, EndpointLoad]:
@@ -326,6 +322,17 @@
     }
 
 
+def _decode_crashes(report: PeerReport) -> list[CrashCount]:
+    """Returns the crash counts of a report, without those whose generation is out of range."""
+    counts: list[CrashCount] = []
+    for fingerprint, generation, *endpoints in report.crashes or ():
+        if generation > _MAXIMUM_GENERATION:
+            _log.warning('crash_count_malformed', peer=report.instance, generation=generation)
+            continue
+        counts.append(CrashCount(fingerprint, generation, tuple(endpoints)))
+    return counts
+
+
 def _parse_seed_hosts(seeds: str) -> list[str]:
     """Returns the IPv4 addresses in the setting `seeds`, a list of hosts with ports."""
     hosts = [entry.strip().rpartition(':')[0] for entry in seeds.split(',') if entry.strip()]
