--- a/src/fireflymux/bounded_values.py
+++ b/src/fireflymux/bounded_values.py
@@ -11,6 +11,7 @@
 
 import ipaddress
 import string
+from functools import lru_cache
 from typing import Any
 
 #: Greatest integer that floats, and so all implementations of JSON, represent exactly.
@@ -26,6 +27,9 @@
 MAXIMUM_NAME_CHARACTERS = 200
 #: Digits after which a text counts as no number, whatever they are.
 _MAXIMUM_DIGITS = 20
+#: Addresses whose check is remembered, since each datagram states one.
+_CACHED_ADDRESSES = 1024
+_MAXIMUM_ADDRESS_CHARACTERS = 15
 _DECIMAL = 10
 _DECIMAL_DIGITS = frozenset(string.digits.encode())
 _HEXADECIMAL_DIGITS = frozenset(string.hexdigits.encode())
@@ -61,10 +65,18 @@
 
 def is_ipv4_address(value: Any) -> bool:
     """Tells whether a decoded value is an IPv4 address in text; False for host names."""
+    if not isinstance(value, str) or len(value) > _MAXIMUM_ADDRESS_CHARACTERS:
+        return False
+    return _is_ipv4_text(value)
+
+
+@lru_cache(maxsize=_CACHED_ADDRESSES)
+def _is_ipv4_text(text: str) -> bool:
     try:
-        return isinstance(value, str) and bool(ipaddress.IPv4Address(value))
+        ipaddress.IPv4Address(text)
     except ValueError:
         return False
+    return True
 
 
 def check_integer(value: Any, *, maximum: int = MAXIMUM_INTEGER, minimum: int = 0) -> int:
