The HTTP interfaces of router and sidecar have modules of their own

No logic is changed; the variants of make red patch the names where they went. Log lines of the moved parts have the new names as their module.

features/role_responses.feature, path, whole_answers, limits: 58 passed.

--- a/emulator/variants.py
+++ b/emulator/variants.py
@@ -40,8 +40,8 @@
 )
 from fireflymux.http import client_connection, connection_pool
 from fireflymux.platform import store
-from fireflymux.router import router, run_client
-from fireflymux.sidecar import claims, engine_orders, grants, sidecar
+from fireflymux.router import router, router_app, run_client
+from fireflymux.sidecar import claims, engine_orders, grants, sidecar, sidecar_app
 from fireflymux.store import config_reader, configuration
 
 
@@ -181,7 +181,7 @@
 
 def no_end_marker() -> None:
     """Treats a stream without the end marker as complete."""
-    router.is_whole = lambda _stream: True
+    router_app.is_whole = lambda _stream: True
     run_client.is_whole = lambda _stream: True
 
 
@@ -218,8 +218,8 @@
     async def drain(*_arguments: object, **_options: object) -> bool:
         return True
 
-    router.drain = drain
-    sidecar.drain = drain
+    router_app.drain = drain
+    sidecar_app.drain = drain
 
 
 def no_peers() -> None:
--- a/src/fireflymux/cli.py
+++ b/src/fireflymux/cli.py
@@ -40,7 +40,7 @@
     Args:
         settings: Path of the INI file with a section [router].
     """
-    from .router.router import run_router
+    from .router.router_app import run_router
 
     _run_role(settings, run_router)
 
@@ -52,7 +52,7 @@
     Args:
         settings: Path of the INI file with a section [sidecar].
     """
-    from .sidecar.sidecar import run_sidecar
+    from .sidecar.sidecar_app import run_sidecar
 
     _run_role(settings, run_sidecar)
 
