--- a/soak/faults.py
+++ b/soak/faults.py
@@ -210,14 +210,13 @@
 
 
 async def _disturb_service(testbed: Testbed, event: Event) -> None:
-    """Makes several endpoints of one service, or all of them, answer with faults at once."""
+    """Makes all endpoints of one service answer with faults at once."""
     hosts = [
         endpoint_host
         for endpoint_host in testbed.endpoint_hosts
         if endpoint_host.endpoint and endpoint_host.endpoint.service == SERVICES[event.target]
     ]
-    spared = testbed.rng.choice((0, 0, 1))
-    await _disturb_hosts(testbed, event, hosts[spared:])
+    await _disturb_hosts(testbed, event, hosts)
 
 
 async def _disturb_hosts(testbed: Testbed, event: Event, hosts: list[EndpointHost]) -> None:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -51,7 +51,7 @@
     'drain',
     'drain',
 )
-#: Kinds of events that affect several endpoints of one service at once.
+#: Kinds of events that affect all endpoints of one service at once.
 SERVICE_KINDS = ('faulty',)
 #: Kinds of events that affect the store for all instances. After `forget_history` they must read
 #: whole tables again, since the store no longer has the changes; `odd_rows` writes rows that
