A call reaches the endpoint with the path that its caller sent

An endpoint ran calls with another path than their callers had sent: the sidecar's HTTP client resolves dots in a path and takes what follows a number sign for no part of it, so that POST /a/../b//./c was run as /b//c, and /a#b?c=... as /a, without its query.

Found while reading what the client does to a request. Seen before the fix (features/ role_responses.feature): b'POST /b//c HTTP/1.1', b'POST /a HTTP/1.1', b'POST /b HTTP/1.1'.

The request target is given to the connection as it is, behind the path of the endpoint's URL.

--- a/features/role_responses.feature
+++ b/features/role_responses.feature
@@ -96,3 +96,14 @@
     Given a sidecar that writes the refusal of another request before its answer
     When a router sends it a call
     Then the router has the answer to its own call
+
+  Scenario Outline: A path reaches the endpoint as the caller sent it
+    Given a <kind> that sets a cookie in its answers
+    When a sidecar sends it a call of the path "<path>"
+    Then the endpoint gets that path
+
+    Examples:
+      | kind    | path           |
+      | service | /a/../b//./c   |
+      | service | /a#b?c=/d&e=%2f |
+      | engine  | /a/../b        |
--- a/features/steps/role_responses_steps.py
+++ b/features/steps/role_responses_steps.py
@@ -140,3 +140,15 @@
 @then('the call asks for no encoding')
 def check_no_encoding(context):
     assert b'accept-encoding: identity' in context.server.requests[0].lower()
+
+
+@when('a sidecar sends it a call of the path "{path}"')
+def send_path(context, path):
+    context.path = path
+    _send_calls(context, context.kind, [build_order(path=path)])
+
+
+@then('the endpoint gets that path')
+def check_path(context):
+    line = context.server.requests[0].split(b'\r\n')[0]
+    assert line == b'POST %s HTTP/1.1' % context.path.encode(), line
--- a/src/fireflymux/sidecar/endpoint_call.py
+++ b/src/fireflymux/sidecar/endpoint_call.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 import httpx
 import orjson
@@ -115,7 +116,7 @@
                 self._url + call.order.path,
                 content=call.body,
                 headers=self._headers(call),
-                extensions={'trace': self._check_before_send},
+                extensions=self._extensions(call),
             )
         except _SendRefused as refusal:
             call.buffer.finish(refusal.refused)
@@ -147,7 +148,7 @@
             self._url + call.order.path,
             content=call.body,
             headers=self._headers(call),
-            extensions={'trace': self._check_before_send},
+            extensions=self._extensions(call),
         )
         failure = await self._send_and_receive(call, request, sent_at=trio.current_time())
         may_have_run = failure is not None and failure.outcome is not ExecutionStatus.no
@@ -278,6 +279,11 @@
         if refused is not None:
             raise _SendRefused(refused)
 
+    def _extensions(self, call: EndpointCall) -> dict[str, Any]:
+        # The client would shorten a path with dots, and cut it off at a number sign.
+        target = httpx.URL(self._url).raw_path.rstrip(b'/') + call.order.path.encode('latin-1')
+        return {'trace': self._check_before_send, 'target': target}
+
     def _headers(self, call: EndpointCall) -> list[tuple[bytes, bytes]]:
         headers = {
             **call.order.headers,
