Tell the rest of a stream from a success that is none

A resumed stream ended as if it were complete where the next endpoint answered 204, 202, or 200 with an empty body, with comments or with events that the caller had already: nothing was joined, but the end was written. A rest now needs the status and the media type of the first response, and where neither states a media type, at least one new event: a stream that broke off behind its last event has an empty rest, but one that says it is a stream.

Refused without need before, and joined now: a media type with other parameters or capitals, blank lines and fields that carry no data and no id. The end of a stream that was read whole is no longer cut by the watch for stalls while the caller is slow (read, not run).

Two scenarios pin what held: a late answer in the middle of a stream whose rest meets an error, which on gave a second head, and a handler that leaves its response unfinished.

--- a/emulator/backend.py
+++ b/emulator/backend.py
@@ -108,6 +108,39 @@
     await writer.answer(404, fields, b'not found')
 
 
+def _answer_with(
+    status: int, more: HeaderFields, content: bytes
+) -> Callable[[Request, ResponseWriter, HeaderFields], Any]:
+    """Returns a behaviour that answers with a status, further header fields and a body."""
+
+    async def behave(request: Request, writer: ResponseWriter, fields: HeaderFields) -> None:
+        await writer.answer(status, [*fields, *more], content)
+
+    return behave
+
+
+async def _stream_with_late_answer(
+    request: Request, writer: ResponseWriter, fields: HeaderFields
+) -> None:
+    """Writes an answer of another request where the third event of its stream is due."""
+    await writer.start(200, fields, b'')
+    for event in _remaining_events(request, 2):
+        await writer.send_chunk(event)
+        await trio.sleep(_EVENT_INTERVAL_SECONDS)
+    unrelated = [(b'X-Attempt-Id', b'of-another'), (b'X-Server-Signature', b'x')]
+    await send_extra_answer(writer, 200, unrelated, b'late')
+    await trio.sleep_forever()
+
+
+async def _answer_in_two_codings(
+    request: Request, writer: ResponseWriter, fields: HeaderFields
+) -> None:
+    """Closes the connection within a chunk of a body that states two transfer codings."""
+    codings = b'Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n\r\n'
+    await send_raw(writer, _encode_head(fields, codings) + b'10\r\nonly a part')
+    writer.abort()
+
+
 async def _stream_without_ids(
     request: Request, writer: ResponseWriter, fields: HeaderFields
 ) -> None:
@@ -334,6 +367,16 @@
             'stream': _stream,
             'stream with a long id': _stream_with_long_id,
             'events without ids': _stream_without_ids,
+            'events of another type': _answer_with(
+                200, [(b'Content-Type', b'text/plain')], b'id: 2\ndata: no such stream\n\n'
+            ),
+            'no content': _answer_with(204, [], b''),
+            'accepted': _answer_with(202, [], b''),
+            'an empty body': _answer_with(200, [], b''),
+            'only comments': _answer_with(200, [], b': nothing\n\n'),
+            'only old events': _answer_with(200, [], b'id: 1\ndata: piece 1\n\n'),
+            'stream and late answer': _stream_with_late_answer,
+            'answer in two codings': _answer_in_two_codings,
             'stream and cut': _stream_then_abort,
             'stream slowly': _stream_slowly,
             'stream and trickle': _stream_unfinished_event,
--- a/emulator/entry_variants.py
+++ b/emulator/entry_variants.py
@@ -123,8 +123,8 @@
     """Joins whatever an endpoint sends as the rest of a stream to the events before it."""
     original = event_relay.EventRelay.begin_attempt
 
-    def begin_attempt(relay: event_relay.EventRelay, fields: object) -> None:
-        original(relay, fields)
+    def begin_attempt(relay: event_relay.EventRelay, status: object, fields: object) -> None:
+        original(relay, status, fields)
         relay._is_resumed = False
 
     event_relay.EventRelay.begin_attempt = begin_attempt
--- a/features/broken_streams.feature
+++ b/features/broken_streams.feature
@@ -20,6 +20,17 @@
       | break off                |
       | noise without end        |
       | events without ids       |
+      | events of another type   |
+      | no content               |
+      | accepted                 |
+      | an empty body            |
+      | only comments            |
+      | only old events          |
+
+  Scenario: A late answer in the middle of a stream, and an error to the request that resumes it, reach no caller
+    Given a resumable stream route with one endpoint of behaviour "stream and late answer" and one of behaviour "fail"
+    When a caller reads a stream byte by byte
+    Then its bytes are one head and 2 events, without an end
 
   Scenario: A stream that broke off is resumed by a third endpoint after the second one answered with an error
     Given a resumable stream route with endpoints that break off, fail and stream, of which 3 may be tried
@@ -47,7 +58,7 @@
     Then another caller is still served
 
   Scenario: An event id that is too long for a number ends neither the stream nor the instance
-    Given a resumable stream route with one endpoint of behaviour "stream with a long id"
+    Given a resumable stream route with only one endpoint, of behaviour "stream with a long id"
     When a caller reads a stream byte by byte
     Then its bytes are one head, 6 events and an event with a long id, with an end
 
@@ -60,3 +71,8 @@
     Given a "safe" route whose only endpoint has behaviour "answer"
     When a caller asks by HEAD without a key, and then by POST on the same connection
     Then the two responses are read without a byte between them
+
+  Scenario: A handler that leaves its response unfinished has its connection closed
+    Given a listener whose handler sends a part of its response only
+    When a caller sends two requests on one connection
+    Then its bytes are one head and 1 events, without an end
--- a/features/steps/broken_stream_steps.py
+++ b/features/steps/broken_stream_steps.py
@@ -61,11 +61,11 @@
     return received
 
 
-def _set_up_resumable_route(context, behaviours, attempts=2):
+def _set_up_resumable_route(context, behaviours, attempts=2, first='stream and cut'):
     """Sets up an endpoint that breaks off and is tried first, and others behind it."""
 
     async def build(fleet):
-        await fleet.add_backend('cut', 'pool', 'stream and cut', zone='a')
+        await fleet.add_backend('cut', 'pool', first, zone='a')
         for number, behaviour in enumerate(behaviours):
             # Instances prefer endpoints of their own failure domain, `a`, and then lower numbers.
             await fleet.add_backend('e{0}'.format(number), 'pool', behaviour, zone='b')
@@ -84,7 +84,15 @@
     _set_up_resumable_route(context, [behaviour])
 
 
-@given('a resumable stream route with one endpoint of behaviour "{behaviour}"')
+@given(
+    'a resumable stream route with one endpoint of behaviour "{first}"'
+    ' and one of behaviour "{second}"'
+)
+def first_and_second(context, first, second):
+    _set_up_resumable_route(context, [second], first=first)
+
+
+@given('a resumable stream route with only one endpoint, of behaviour "{behaviour}"')
 def only_one(context, behaviour):
     _set_up_one_route(context, 'streaming', [behaviour], stream_resume=True)
 
@@ -128,5 +136,7 @@
 def check_stream(context, count, without):
     stream = parse_stream(context.result)
     events = [b'id: %d\ndata: piece %d\n\n' % (number, number) for number in range(count)]
-    assert stream.content == b''.join(events), context.result
+    # Comments are no events; clients do not see them.
+    content = stream.content.replace(b': nothing\n\n', b'')
+    assert content == b''.join(events), context.result
     assert stream.has_end == (without == 'with'), context.result
--- a/features/steps/message_steps.py
+++ b/features/steps/message_steps.py
@@ -91,6 +91,7 @@
 def relay_split_stream(context):
     events = [b'id: %d\ndata: piece %d\n\n' % (number, number) for number in range(8)]
     whole = b''.join(events)
+    fields = [(b'Content-Type', b'text/event-stream')]
 
     @_PROPERTY_SETTINGS
     @generate(strategies.integers(0, len(whole)), strategies.integers(1, 40))
@@ -98,9 +99,10 @@
         async def play():
             caller = _RecordingWriter()
             relay = EventRelay(caller, resume_after=-1, has_event_ids=True)
+            relay.begin_attempt(200, fields)
             for start in range(0, broken_at, piece):
                 await relay.forward(whole[start : min(start + piece, broken_at)], 200, [])
-            relay.begin_attempt([])
+            relay.begin_attempt(200, fields)
             # The next endpoint resumes after the last complete event, or repeats that event.
             rest = b''.join(events[max(relay.last_event_id, 0) :])
             for start in range(0, len(rest), piece):
--- a/features/steps/response_state_steps.py
+++ b/features/steps/response_state_steps.py
@@ -73,7 +73,7 @@
         with trio.CancelScope() as scope:
             scope.cancel()
             await relay.forward(_EVENTS[0], 200, [])
-        relay.begin_attempt([])
+        relay.begin_attempt(200, [])
         for event in _EVENTS:
             await relay.forward(event, 200, [])
         await relay.end(200, [])
@@ -230,3 +230,71 @@
     first, _, second = context.result.partition(b'\r\n\r\n')
     assert first.startswith(b'HTTP/1.1 401'), context.result
     assert second.startswith(b'HTTP/1.1 200') and second.endswith(b'answer of e0'), context.result
+
+
+@when('a caller sends "{method}" with "{fields}" and a body')
+def send_upgrade(context, method, fields):
+    async def act(fleet):
+        more = fields.replace('\\r\\n', '\r\n')
+        raw = encode_call('/a', method=method, more=more, content=b'abc')
+        return await read_to_close(fleet.settings[0].caller_address, raw)
+
+    _run_on_fleet(context, act)
+
+
+@then('it is answered {status:d} once, and the endpoint ran nothing')
+def check_refused_once(context, status):
+    head, _, content = context.result.partition(b'\r\n\r\n')
+    assert head.startswith(b'HTTP/1.1 %d ' % status), context.result
+    assert b'HTTP/1.1' not in content, context.result
+    assert not context.entry_fleet.backends['e0'].requests
+
+
+@when('a caller asks once')
+def ask_once(context):
+    async def act(fleet):
+        return await fleet.call('/a')
+
+    _run_on_fleet(context, act)
+
+
+@then('it is answered {status:d}')
+def check_status(context, status):
+    assert context.result.status == status and context.result.is_whole, context.result
+
+
+@when(
+    'an instance stops while a caller reads a stream,'
+    ' behind which a request waits to be told to continue'
+)
+def stop_with_expecting(context):
+    async def act(fleet):
+        state = fleet.instances[0]._state
+        state.is_stopping = True
+        raw = encode_call('/a') + _WAITING_HEAD
+        return await read_to_close(fleet.settings[0].caller_address, raw)
+
+    _run_on_fleet(context, act)
+
+
+@given('a listener whose handler sends a part of its response only')
+def unfinished_listener(context):
+    async def handle(request, writer):
+        await writer.start(200, [], _EVENTS[0])
+
+    context.listener_address = '127.0.0.1:{0}'.format(free_port())
+    context.listener = Listener(
+        context.listener_address, handle, limits=HttpLimits, is_stopping=bool
+    )
+
+
+@when('a caller sends two requests on one connection')
+def send_two(context):
+    async def act():
+        async with trio.open_nursery() as nursery:
+            await nursery.start(context.listener.run)
+            raw = encode_call('/a') + encode_call('/b')
+            context.result = await read_to_close(context.listener_address, raw)
+            nursery.cancel_scope.cancel()
+
+    trio.run(act)
--- a/src/fireflymux/entry/attempt.py
+++ b/src/fireflymux/entry/attempt.py
@@ -249,7 +249,7 @@
     started_at = trio.current_time()
     head: ResponseHead = response.head
     fields = filter_response_headers(head)
-    relay.begin_attempt(fields)
+    relay.begin_attempt(head.status, fields)
     while True:
         part = await connection.next_body_part(response)
         if not part:
@@ -263,6 +263,8 @@
     prefill_seconds = attempt.placement.tokens / attempt.live.first_event_model.tokens_per_second
     slot_time_model = state.slot_time_models[attempt.live.endpoint.service]
     slot_time_model.observe(trio.current_time() - started_at + prefill_seconds)
+    # The endpoint has done its part; only the caller may delay the end now.
+    attempt.stall_scope.deadline = float('inf')
     await relay.end(head.status, fields)
     return Relayed()
 
--- a/src/fireflymux/entry/event_relay.py
+++ b/src/fireflymux/entry/event_relay.py
@@ -11,6 +11,7 @@
 
 _EVENT_END = b'\n\n'
 _ID_FIELD = b'id:'
+_DATA_FIELD = b'data'
 _COMMENT_PREFIX = b':'
 #: Longest number that counts as the id of an event.
 _MAXIMUM_ID_DIGITS = 18
@@ -51,7 +52,11 @@
         self._has_event_ids = has_event_ids
         self._partial = b''
         self._is_resumed = False
-        self._content_type = b''
+        # Of the response to the caller.
+        self._status = 0
+        self._media_type = b''
+        # Events that were forwarded before the present attempt.
+        self._writes_before = 0
 
     @property
     def is_begun(self) -> bool:
@@ -63,21 +68,25 @@
         """Whether all received bytes belong to complete events."""
         return not self._partial
 
-    def begin_attempt(self, fields: HeaderFields) -> None:
+    def begin_attempt(self, status: int, fields: HeaderFields) -> None:
         """Discards the incomplete event of an attempt that broke off, and starts the next one.
 
         Args:
+            status: Status of the endpoint's response.
             fields: Header fields of the endpoint's response.
 
         Raises:
-            StreamNotResumed: The response to the caller has begun with another content type.
+            StreamNotResumed: The response to the caller has begun with another status or media
+                type.
         """
         self._partial = b''
-        content_type = find_header(fields, b'content-type')
         self._is_resumed = self.is_begun
-        if self._is_resumed and content_type != self._content_type:
-            raise StreamNotResumed('its content type is {0!r}'.format(content_type))
-        self._content_type = content_type
+        self._writes_before = self.event_writes
+        media_type = _parse_media_type(fields)
+        if self._is_resumed and (status, media_type) != (self._status, self._media_type):
+            raise StreamNotResumed('it is {0} {1!r}'.format(status, media_type))
+        self._status = status
+        self._media_type = media_type
 
     async def forward(self, received: bytes, status: int, fields: HeaderFields) -> None:
         """Adds bytes of the endpoint's response, and forwards the events that are complete.
@@ -119,13 +128,12 @@
             fields: Header fields for the caller, if the response has not begun.
 
         Raises:
-            StreamNotResumed: The stream was resumed, and there are bytes left that are no event.
+            StreamNotResumed: The stream was resumed, and there are bytes left that are no event,
+                or nothing tells that the response is a stream.
         """
         remainder = self._partial
-        if self._is_resumed and remainder:
-            raise StreamNotResumed(
-                'it ends with {0} bytes that are no event'.format(len(remainder))
-            )
+        if self._is_resumed:
+            self._check_end_of_rest()
         self._partial = b''
         if not self.is_begun:
             await self._writer.start(status, fields, remainder)
@@ -133,6 +141,16 @@
             await self._writer.send_chunk(remainder)
         await self._writer.end()
 
+    def _check_end_of_rest(self) -> None:
+        """Raises `StreamNotResumed` unless the rest of a stream ends as one does."""
+        if self._partial:
+            raise StreamNotResumed(
+                'it ends with {0} bytes that are no event'.format(len(self._partial))
+            )
+        if not self._media_type and self.event_writes == self._writes_before:
+            # A stream that broke off behind its last event has an empty rest, but it says so.
+            raise StreamNotResumed('it holds no event')
+
     async def _send(self, content: bytes, status: int, fields: HeaderFields) -> None:
         if not content:
             return
@@ -156,7 +174,7 @@
         last_event_id = self.last_event_id
         for event in events.split(_EVENT_END)[:-1]:
             number = _parse_event_id(event)
-            if number is None and self._is_resumed and _contains_event(event):
+            if number is None and self._is_resumed and _has_data(event):
                 raise StreamNotResumed('it has an event without an id')
             if number is not None and number <= last_event_id:
                 continue
@@ -172,6 +190,16 @@
     return any(not event.startswith(_COMMENT_PREFIX) for event in content.split(_EVENT_END)[:-1])
 
 
+def _has_data(event: bytes) -> bool:
+    """Tells whether an event has data; without any, a client does not see it."""
+    return any(line.startswith(_DATA_FIELD) for line in event.split(b'\n'))
+
+
+def _parse_media_type(fields: HeaderFields) -> bytes:
+    """Returns the media type of a response in lower case, without parameters; empty for none."""
+    return find_header(fields, b'content-type').partition(b';')[0].strip().lower()
+
+
 def _parse_event_id(event: bytes) -> int | None:
     """Returns the id of an event, or None if it has none, or none of a number's form and length."""
     for line in event.split(b'\n'):
