Refuse a request for another protocol before it is handled

A request with `Upgrade`, which some HTTP clients send unasked, or by CONNECT was handled without its body and then answered 400 as well: an endpoint ran it with another body than the caller's, and the caller read two answers. The parser reports an upgrade behind the head as a complete message first. Found by review; the three rows failed before (200 and 400 for one request). It is now refused with the head.

--- a/features/broken_streams.feature
+++ b/features/broken_streams.feature
@@ -72,6 +72,17 @@
     When a caller asks by HEAD without a key, and then by POST on the same connection
     Then the two responses are read without a byte between them
 
+  Scenario Outline: A request that asks for another protocol is refused once, and reaches no endpoint
+    Given a "safe" route whose only endpoint has behaviour "answer"
+    When a caller sends "<method>" with "<fields>" and a body
+    Then it is answered 400 once, and the endpoint ran nothing
+
+    Examples:
+      | method  | fields                                   |
+      | POST    | Connection: Upgrade\r\nUpgrade: h2c      |
+      | GET     | Connection: Upgrade\r\nUpgrade: websocket |
+      | CONNECT | X-Other: 1                               |
+
   Scenario: A handler that leaves its response unfinished has its connection closed
     Given a listener whose handler sends a part of its response only
     When a caller sends two requests on one connection
--- a/src/fireflymux/http/request_parser.py
+++ b/src/fireflymux/http/request_parser.py
@@ -16,6 +16,7 @@
 _CONTENT_TOO_LARGE = 413
 _HEADERS_TOO_LARGE = 431
 _CHUNKED = b'chunked'
+_UPGRADE_REASON = 'upgrades are not supported'
 
 
 @attrs.define(frozen=True)
@@ -75,7 +76,7 @@
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserUpgrade:
-            self._reject(_BAD_REQUEST, 'upgrades are not supported')
+            self._reject(_BAD_REQUEST, _UPGRADE_REASON)
         except httptools.HttpParserError as error:
             self._reject(_BAD_REQUEST, str(error))
 
@@ -104,7 +105,8 @@
         """Validates the head and the body length that it states."""
         self.is_in_head = False
         self.is_in_body = True
-        reason = self._validate_head()
+        # The parser takes what follows an upgrade for another protocol, so that no body would arrive.
+        reason = _UPGRADE_REASON if self._parser.should_upgrade() else self._validate_head()
         if reason:
             self._reject(_BAD_REQUEST, reason)
             return
