Take no answer whose transfer codings are others than chunked alone

Of two Transfer-Encoding fields the first alone was looked at: with `identity` and `chunked` the body counted as one that ends with the connection, so that an answer cut within a chunk was passed on as complete. Found by review; the scenario failed before with 200. Such an answer now counts as bytes that are no answer (502).

--- a/features/broken_streams.feature
+++ b/features/broken_streams.feature
@@ -83,6 +83,11 @@
       | GET     | Connection: Upgrade\r\nUpgrade: websocket |
       | CONNECT | X-Other: 1                               |
 
+  Scenario: An answer in two transfer codings that breaks off is not taken for complete
+    Given a "unsafe" route whose only endpoint has behaviour "answer in two codings"
+    When a caller asks once
+    Then it is answered 502
+
   Scenario: A handler that leaves its response unfinished has its connection closed
     Given a listener whose handler sends a part of its response only
     When a caller sends two requests on one connection
--- a/src/fireflymux/http/response_parser.py
+++ b/src/fireflymux/http/response_parser.py
@@ -11,9 +11,11 @@
     HeaderFields,
     ResponseHead,
     find_header,
+    list_header_values,
 )
 
 _FIRST_FINAL_STATUS = 200
+_CHUNKED = b'chunked'
 
 
 @attrs.define(eq=False)
@@ -105,8 +107,13 @@
         status = self._parser.get_status_code()
         if status < _FIRST_FINAL_STATUS:
             return
+        codings = b','.join(list_header_values(self._fields, b'transfer-encoding')).lower()
+        if codings not in {b'', _CHUNKED}:
+            # With other codings, its end and its content could not be told for certain.
+            self.is_malformed = True
+            return
         length = find_header(self._fields, b'content-length')
-        is_chunked = b'chunked' in find_header(self._fields, b'transfer-encoding').lower()
+        is_chunked = codings == _CHUNKED
         self._current_response = IncomingResponse(
             ResponseHead(
                 status=status,
