Tell no caller to continue behind a response that closes the connection

While an instance stops, a request that waits behind the last response of its connection was told to continue and never answered. Found by review; the scenario failed before with `100 Continue` behind the last chunk.

--- a/features/broken_streams.feature
+++ b/features/broken_streams.feature
@@ -88,6 +88,11 @@
     When a caller asks once
     Then it is answered 502
 
+  Scenario: A caller is not told to continue behind a response that closes the connection
+    Given a "streaming" route whose only endpoint has behaviour "stream"
+    When an instance stops while a caller reads a stream, behind which a request waits to be told to continue
+    Then its bytes are one head and 6 events, with an end
+
   Scenario: A handler that leaves its response unfinished has its connection closed
     Given a listener whose handler sends a part of its response only
     When a caller sends two requests on one connection
--- a/src/fireflymux/http/server_connection.py
+++ b/src/fireflymux/http/server_connection.py
@@ -211,7 +211,7 @@
         if not self._writer.is_complete:
             # The response to the next request would continue the one that is not complete.
             self._writer.abort()
-        if not self._requests:
+        if not (self._requests or self._writer.must_close):
             await self._send_due_continue()
         self._is_handling = False
         if self.is_idle:
