A caller that found a violation has given up its requests: no stop has cut them off

Seen once in a roll from the build in production (features/upgrade.feature): it sent 100 Continue before another answer, which that feature excuses for that build, and the two requests that the caller then left unread counted as cut off by the SIGTERM 0.6 s later. Read from the logs of that run: the instance logged neither request, both ended 1.4 ms after they were sent.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -236,9 +236,9 @@
                 await _await_end(connection, exchange)
                 break
     except ConnectionEnded:
-        _mark_dropped(connection, exchanges)
+        _mark_unanswered(connection, exchanges)
         return False
-    _mark_dropped(connection, exchanges)
+    _mark_unanswered(connection, exchanges)
     reader.continues_before = -1
     return last.is_complete and not reader.answers[-1].closes
 
@@ -276,16 +276,20 @@
     exchange.ended_at = trio.current_time()
 
 
-def _mark_dropped(connection: StrictConnection, exchanges: list[Exchange]) -> None:
-    """Marks the requests behind one whose answer ended the connection.
+def _mark_unanswered(connection: StrictConnection, exchanges: list[Exchange]) -> None:
+    """Marks requests without a complete answer: given up after a violation, or dropped.
 
-    After a violation it was the caller that stopped reading, so that they may run.
+    After a violation it is the caller that stops reading and closes the connection. Otherwise the
+    requests behind one whose answer ended the connection were dropped.
     """
+    now = trio.current_time()
     for exchange in exchanges:
+        if connection.reader.violation and not exchange.is_complete:
+            exchange.abandoned_at = now
         if exchange.ended_at == float('inf'):
-            exchange.ended_at = trio.current_time()
-            is_behind = exchange is not exchanges[0]
-            exchange.is_dropped = is_behind and not connection.reader.violation
+            exchange.ended_at = now
+            exchange.is_dropped = exchange is not exchanges[0]
+        exchange.is_dropped = exchange.is_dropped and not connection.reader.violation
 
 
 async def _await_end(connection: StrictConnection, exchange: Exchange) -> None:
