Write the error event of a broken stream behind a whole event

A stream through a router that broke off within an event got the error event written behind the part: callers read one garbled event in place of the error. Found by review; the scenario failed before with `data: {"tokevent: error`.

--- a/features/role_responses.feature
+++ b/features/role_responses.feature
@@ -107,3 +107,8 @@
       | service | /a/../b//./c   |
       | service | /a#b?c=/d&e=%2f |
       | engine  | /a/../b        |
+
+  Scenario: A stream that breaks off within an event ends with an error event of its own
+    Given a router whose stream breaks off within its second event
+    When its caller reads the stream to its end
+    Then it gets the first event and then an error event, and nothing between them
--- a/src/fireflymux/router/router_app.py
+++ b/src/fireflymux/router/router_app.py
@@ -30,6 +30,7 @@
 from ..wire import codec
 from .backlog import Placement
 from .caller_requests import CallerRequest, ReceivedRequest, authenticate, parse_request
+from .event_buffer import EventBuffer
 from .router import Router
 from .run_client import BufferedResponse, StreamedResponse, is_whole
 
@@ -212,8 +213,8 @@
     router.active_requests += 1
     result = 'abandoned'
     try:
-        async for chunk in router.run_client.read_stream(stream):
-            yield chunk
+        async for events in _read_events(router, stream):
+            yield events
         result = 'whole' if is_whole(stream) else 'cut'
         if result == 'cut':
             router.dispatcher.record_stream_crash(stream)
@@ -228,6 +229,17 @@
                 await router.run_client.cancel(stream.placement, stream.order)
 
 
+async def _read_events(router: Router, stream: StreamedResponse) -> AsyncIterator[bytes]:
+    """Reads a stream without the incomplete event that it breaks off in."""
+    buffer = EventBuffer()
+    async for chunk in router.run_client.read_stream(stream):
+        events = buffer.add(chunk)
+        if events:
+            yield events
+    if buffer.partial and is_whole(stream):
+        yield buffer.partial
+
+
 def _build_error_event() -> bytes:
     """Returns the event that ends an incomplete stream in place of `data: [DONE]`."""
     problem = codec.to_builtins(to_problem(CallFailure(ErrorKind.answer_cut)))
