Refuse addresses in the settings that no socket takes

A port of 99999, or 1.2.3.4.5 as an IP address, passed the check of the settings: the pattern has no range. The process ended with a traceback at start, or, for the store, at its first call.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -149,6 +149,11 @@
     When the entry role starts
     Then it names all three and exits with code 2
 
+  Scenario: Addresses that no socket takes are reported before an instance listens
+    Given a settings file of an entry instance with the store at port 99999 and callers at 1.2.3.4.5
+    When the entry role starts
+    Then it names both addresses and exits with code 2
+
   Scenario: Metrics count requests by their results
     Given routes "/" to "general" and "/orders/" to "orders"
     When a caller is answered once and refused once
--- a/features/steps/entry_process_steps.py
+++ b/features/steps/entry_process_steps.py
@@ -95,6 +95,23 @@
     context.path = path
 
 
+@given(
+    'a settings file of an entry instance with the store at port 99999 and callers at 1.2.3.4.5'
+)
+def write_unusable_addresses(context):
+    path = Path(tempfile.mkdtemp()) / 'entry.ini'
+    text = _SETTINGS_TEMPLATE.format(caller=1, readiness=1, peer=1, store='127.0.0.1:99999')
+    path.write_text(text.replace('127.0.0.1:1\n', '1.2.3.4.5:1\n', 1))
+    context.path = path
+
+
+@then('it names both addresses and exits with code 2')
+def check_address_errors(context):
+    assert context.code == 2, context.errors
+    for key in ('caller_address', 'store_address'):
+        assert key in context.errors, context.errors
+
+
 @when('the entry role starts')
 def start_with_invalid_settings(context):
     process = _start_process(context.path)
--- a/src/fireflymux/bounded_values.py
+++ b/src/fireflymux/bounded_values.py
@@ -70,6 +70,12 @@
     return _is_ipv4_text(value)
 
 
+def is_socket_address(text: str) -> bool:
+    """Tells whether a text is an IPv4 address and a port from 1 to the greatest, with a colon."""
+    host, _, port = text.rpartition(':')
+    return is_ipv4_address(host) and bool(parse_integer(port.encode(), maximum=MAXIMUM_PORT))
+
+
 @lru_cache(maxsize=_CACHED_ADDRESSES)
 def _is_ipv4_text(text: str) -> bool:
     try:
--- a/src/fireflymux/settings.py
+++ b/src/fireflymux/settings.py
@@ -2,7 +2,7 @@
 
 import configparser
 import re
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from importlib import resources
 from pathlib import Path
@@ -22,6 +22,7 @@
     SidecarSettings,
     TlsSettings,
 )
+from .bounded_values import MAXIMUM_PORT, is_ipv4_address, is_socket_address
 
 _SECTION_TYPES: Mapping[str, type] = MappingProxyType(
     {
@@ -39,6 +40,16 @@
 _REQUIRED_SECTIONS = frozenset(('instance', 'fleet', 'platform'))
 #: Sections that are read as empty if they are missing, since all of their keys have defaults.
 _DEFAULTED_SECTIONS = frozenset(('tls', 'observability'))
+#: Checks of addresses, by the member `address` of a key in the schema.
+_ADDRESS_CHECKS: Mapping[str, Callable[[str], bool]] = MappingProxyType(
+    {'host': is_ipv4_address, 'host_and_port': is_socket_address}
+)
+_ADDRESS_DESCRIPTIONS: Mapping[str, str] = MappingProxyType(
+    {
+        'host': 'an IPv4 address',
+        'host_and_port': 'an IPv4 address and a port from 1 to {0}'.format(MAXIMUM_PORT),
+    }
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -273,12 +284,18 @@
         return False
     if len(text) < key_schema.get('minLength', 0):
         return False
-    return 'pattern' not in key_schema or re.match(key_schema['pattern'], text) is not None
+    if 'pattern' in key_schema and re.match(key_schema['pattern'], text) is None:
+        return False
+    # A pattern has no range; an empty text is for the pattern to allow.
+    is_address = _ADDRESS_CHECKS.get(key_schema.get('address', ''))
+    return is_address is None or not text or is_address(text)
 
 
 def _describe_allowed(key_schema: Mapping[str, Any]) -> str:
     if 'enum' in key_schema:
         return 'one of {0}'.format(', '.join(key_schema['enum']))
+    if 'address' in key_schema:
+        return _ADDRESS_DESCRIPTIONS[key_schema['address']]
     if 'pattern' in key_schema:
         return 'text that matches {0}'.format(key_schema['pattern'])
     if key_schema['type'] == 'string':
