--- a/src/fireflymux/web/http_clients.py
+++ b/src/fireflymux/web/http_clients.py
@@ -6,12 +6,12 @@
 import httpx
 
 from .._settings_generated import FleetSettings, PlatformSettings, TlsSettings
+from ..bounded_values import MAXIMUM_PORT
 from .credentials import BEARER_PREFIX
 
 _CONNECT_TIMEOUT_SECONDS = 1.0
 #: Timeout of a short request to another process of the fleet, such as a heartbeat.
 FLEET_REQUEST_TIMEOUT_SECONDS = 1.0
-_MAXIMUM_PORT = 65535
 _UNLIMITED = httpx.Limits(max_connections=None, max_keepalive_connections=None)
 _WITHOUT_KEEP_ALIVE = httpx.Limits(max_connections=None, max_keepalive_connections=0)
 
@@ -30,7 +30,7 @@
         url.host.encode('idna')
     except (httpx.InvalidURL, UnicodeError):
         return False
-    is_port_valid = url.port is None or 0 < url.port <= _MAXIMUM_PORT
+    is_port_valid = url.port is None or 0 < url.port <= MAXIMUM_PORT
     return url.scheme in {'http', 'https'} and bool(url.host) and is_port_valid
 
 
