--- a/emulator/entry_fleet.py
+++ b/emulator/entry_fleet.py
@@ -27,6 +27,9 @@
 #: Ports for listeners. The range lies below the kernel's ephemeral ports, which an outgoing
 #: connection can occupy at any time.
 _PORT_RANGE = (20000, 32000)
+#: Ports after which a process may return earlier ones again.
+_MAXIMUM_RETURNED_PORTS = 6000
+_returned_ports: set[int] = set()
 _LIMITS: Mapping[str, int] = MappingProxyType(
     {
         'max_header_bytes': 4096,
@@ -56,14 +59,22 @@
 
 
 def free_port(host: str = '127.0.0.1') -> int:
-    """Returns an unused TCP port outside the ephemeral range."""
+    """Returns an unused TCP port outside the ephemeral range, and the same one only once.
+
+    Nothing listens on the port until its user does, so that it looks unused for a while.
+    """
     while True:
         port = random.randint(*_PORT_RANGE)
+        if port in _returned_ports:
+            continue
         with socket.socket() as sock:
             try:
                 sock.bind((host, port))
             except OSError:
                 continue
+        if len(_returned_ports) >= _MAXIMUM_RETURNED_PORTS:
+            _returned_ports.clear()
+        _returned_ports.add(port)
         return port
 
 
