Send HTTP/1.0 callers no chunks and no interim responses

What callers saw: a stream to an HTTP/1.0 caller came in chunks, whose sizes it reads as part of the body, and a request with Expect got 100 Continue: bytes that are no answer in its protocol. Cause: the writer of responses did not know the version of the request. A body of unknown length now ends with the connection for such a caller, and is reset where it breaks off, so that it does not look complete. features/caller_connections.feature, three scenarios, red before: chunked heads twice, and an interim response as the first bytes.

--- /dev/null
+++ b/features/caller_connections.feature
@@ -0,0 +1,17 @@
+Feature: Callers that speak HTTP/1.0, ask by HEAD or do not read
+  What is written to a caller can be read by it, and a caller that reads nothing is disconnected.
+
+  Scenario: A stream to an HTTP/1.0 caller has no chunks and ends with the connection
+    Given a "streaming" route whose only endpoint has behaviour "stream"
+    When an HTTP/1.0 caller reads a stream
+    Then it gets 6 events behind a head that states no coding, and the connection closes
+
+  Scenario: A stream that breaks off does not look complete to an HTTP/1.0 caller
+    Given a resumable stream route with one endpoint that breaks off and one of behaviour "fail"
+    When an HTTP/1.0 caller reads a stream
+    Then it gets 2 events behind a head that states no coding, and the connection is reset
+
+  Scenario: An HTTP/1.0 caller is not told to continue
+    Given a "safe" route whose only endpoint has behaviour "answer"
+    When an HTTP/1.0 caller sends a request with a body and an expectation to be told to continue
+    Then the first bytes that it reads are the head of its response
--- /dev/null
+++ b/features/steps/caller_connection_steps.py
@@ -0,0 +1,66 @@
+"""Steps for callers that speak HTTP/1.0, ask by HEAD, or read slowly or not at all."""
+
+import trio
+from behave import then, when
+
+from emulator.entry_fleet import encode_call
+from features.steps.entry_steps import _run_on_fleet
+
+
+def _encode_old_call(path, **options):
+    return encode_call(path, **options).replace(b'HTTP/1.1', b'HTTP/1.0', 1)
+
+
+async def _read_to_end(address, raw):
+    """Sends bytes on a new connection; returns what is received, and whether it was reset."""
+    host, _, port = address.rpartition(':')
+    received = b''
+    async with await trio.open_tcp_stream(host, int(port)) as stream:
+        await stream.send_all(raw)
+        with trio.fail_after(5):
+            try:
+                while part := await stream.receive_some():
+                    received += part
+            except trio.BrokenResourceError:
+                return received, True
+    return received, False
+
+
+@when('an HTTP/1.0 caller reads a stream')
+def read_as_old_caller(context):
+    async def act(fleet):
+        return await _read_to_end(fleet.settings[0].caller_address, _encode_old_call('/a'))
+
+    _run_on_fleet(context, act)
+
+
+@then('it gets {count:d} events behind a head that states no coding, and the connection {end}')
+def check_plain_stream(context, count, end):
+    received, is_reset = context.result
+    head, _, content = received.partition(b'\r\n\r\n')
+    assert head.startswith(b'HTTP/1.1 200 '), received
+    names = {line.partition(b':')[0].lower() for line in head.split(b'\r\n')[1:]}
+    assert not names & {b'transfer-encoding', b'content-length'}, head
+    events = content.split(b'\n\n')
+    assert not events.pop() and len(events) == count, content
+    assert all(event.startswith(b'id: %d\n' % index) for index, event in enumerate(events))
+    assert is_reset == (end == 'is reset'), context.result
+
+
+@when('an HTTP/1.0 caller sends a request with a body and an expectation to be told to continue')
+def send_old_expectation(context):
+    async def act(fleet):
+        raw = _encode_old_call('/a', content=b'body', more='Expect: 100-continue')
+        host, _, port = fleet.settings[0].caller_address.rpartition(':')
+        async with await trio.open_tcp_stream(host, int(port)) as stream:
+            await stream.send_all(raw[:-4])
+            await trio.sleep(0.1)
+            await stream.send_all(raw[-4:])
+            return await stream.receive_some()
+
+    _run_on_fleet(context, act)
+
+
+@then('the first bytes that it reads are the head of its response')
+def check_no_interim(context):
+    assert context.result.startswith(b'HTTP/1.1 200 '), context.result
--- a/src/fireflymux/http/messages.py
+++ b/src/fireflymux/http/messages.py
@@ -78,6 +78,8 @@
         content: Body, with any chunked transfer coding removed.
         received_at: Time at which the last byte was read, in seconds of trio's clock.
         keeps_alive: Whether the connection stays open for another request (HTTP keep-alive).
+        accepts_chunks: Whether the response may use the chunked transfer coding, which HTTP/1.0
+            does not know.
     """
 
     method: bytes
@@ -86,6 +88,7 @@
     content: bytes = b''
     received_at: float = 0.0
     keeps_alive: bool = True
+    accepts_chunks: bool = True
 
     @property
     def path(self) -> bytes:
--- a/src/fireflymux/http/request_parser.py
+++ b/src/fireflymux/http/request_parser.py
@@ -16,6 +16,7 @@
 _CONTENT_TOO_LARGE = 413
 _HEADERS_TOO_LARGE = 431
 _CHUNKED = b'chunked'
+_FIRST_VERSION_WITH_CHUNKS = '1.1'
 _UPGRADE_REASON = 'upgrades are not supported'
 
 
@@ -110,7 +111,8 @@
         if reason:
             self._reject(_BAD_REQUEST, reason)
             return
-        self.expects_continue = find_header(self._fields, b'expect').lower() == b'100-continue'
+        expectation = find_header(self._fields, b'expect').lower()
+        self.expects_continue = expectation == b'100-continue' and self._knows_chunks()
         length = find_header(self._fields, b'content-length')
         if length and int(length) > self._limits.body_bytes:
             self._reject(_CONTENT_TOO_LARGE, 'the body is too large')
@@ -135,9 +137,14 @@
                 fields=self._fields,
                 content=b''.join(self._body),
                 keeps_alive=self._parser.should_keep_alive(),
+                accepts_chunks=self._knows_chunks(),
             )
         )
 
+    def _knows_chunks(self) -> bool:
+        """Tells whether the caller knows chunks and interim responses; HTTP/1.0 has neither."""
+        return self._parser.get_http_version() >= _FIRST_VERSION_WITH_CHUNKS
+
     def _add_head_bytes(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > self._limits.header_bytes:
--- a/src/fireflymux/http/response_writer.py
+++ b/src/fireflymux/http/response_writer.py
@@ -8,6 +8,7 @@
 
 import enum
 import socket
+import struct
 from collections.abc import Callable, Iterable
 
 import trio
@@ -17,6 +18,8 @@
 _LAST_CHUNK = b'0\r\n\r\n'
 _CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _HEAD_METHOD = b'HEAD'
+#: Value of the socket option that makes a close reset the connection at once.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 class ResponsePhase(enum.Enum):
@@ -66,6 +69,7 @@
         self._is_stopping = is_stopping
         self._phase = ResponsePhase.complete
         self._may_have_body = True
+        self._accepts_chunks = True
 
     @property
     def has_begun(self) -> bool:
@@ -82,17 +86,20 @@
         """Whether the connection is to be closed at once, within the current response."""
         return self._phase is ResponsePhase.broken
 
-    def begin(self, *, method: bytes, keeps_alive: bool) -> None:
+    def begin(self, *, method: bytes, keeps_alive: bool, accepts_chunks: bool = True) -> None:
         """Prepares for the response to the next request, unless the connection is broken.
 
         Args:
             method: HTTP method of the request.
             keeps_alive: Whether the connection stays open after the response.
+            accepts_chunks: Whether the caller knows the chunked transfer coding. For one that does
+                not, a body of unknown length ends with the connection.
         """
         if self.is_broken:
             return
         self._phase = ResponsePhase.pending
         self._may_have_body = method != _HEAD_METHOD
+        self._accepts_chunks = accepts_chunks
         self.must_close = not keeps_alive
 
     def has_caller_disconnected(self) -> bool:
@@ -139,52 +146,58 @@
         self,
         status: int,
         fields: Iterable[tuple[bytes, bytes]],
-        first_chunk: bytes,
+        first_part: bytes,
     ) -> None:
-        """Starts a chunked response by sending its head and first chunk.
+        """Starts a response of unknown length by sending its head and the first part of its body.
 
         Args:
             status: Status code.
             fields: Header fields, without those that state the body length.
-            first_chunk: First part of the body; may be empty.
+            first_part: First part of the body; may be empty.
 
         Raises:
             ResponseStateError: A response was sent already, or has begun.
             OSError: The connection failed, or the response was cut.
         """
         self._require(ResponsePhase.pending)
-        head = self._encode_head(status, fields, (b'Transfer-Encoding', b'chunked'))
-        chunk = self._select_body(_encode_chunk(first_chunk))
-        await self._send(head + chunk, ResponsePhase.body)
+        if not self._accepts_chunks:
+            self.must_close = True
+        framing = (b'Transfer-Encoding', b'chunked') if self._accepts_chunks else None
+        head = self._encode_head(status, fields, framing)
+        await self._send(head + self._encode_part(first_part), ResponsePhase.body)
 
     async def send_chunk(self, content: bytes) -> None:
-        """Sends the next part of a chunked response body.
+        """Sends the next part of the body of a response that was started.
 
         Args:
             content: The part; may be empty.
 
         Raises:
-            ResponseStateError: No chunked response was started, or it has ended.
+            ResponseStateError: No response was started, or it has ended.
             OSError: The connection failed, or the response was cut.
         """
         self._require(ResponsePhase.body)
-        await self._send(self._select_body(_encode_chunk(content)), ResponsePhase.body)
+        await self._send(self._encode_part(content), ResponsePhase.body)
 
     async def end(self) -> None:
-        """Ends a chunked response.
+        """Ends a response that was started.
 
         Raises:
-            ResponseStateError: No chunked response was started, or it has ended.
+            ResponseStateError: No response was started, or it has ended.
             OSError: The connection failed, or the response was cut.
         """
         self._require(ResponsePhase.body)
-        await self._send(self._select_body(_LAST_CHUNK), ResponsePhase.complete)
+        last_part = _LAST_CHUNK if self._accepts_chunks else b''
+        await self._send(self._select_body(last_part), ResponsePhase.complete)
 
     def abort(self) -> None:
         """Marks the connection to be closed without ending the current response.
 
-        The caller then sees a truncated response and does not take it for a complete one.
+        The caller then sees a truncated response and does not take it for a complete one. A body
+        that ends with the connection is told to be truncated by a reset.
         """
+        if self._phase is ResponsePhase.body and not self._accepts_chunks:
+            self._raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         self.must_close = True
         self._phase = ResponsePhase.broken
 
@@ -213,6 +226,11 @@
             elif len(view) < len(content):
                 self.abort()
 
+    def _encode_part(self, content: bytes) -> bytes:
+        """Encodes a part of a body of unknown length."""
+        encoded = _encode_chunk(content) if self._accepts_chunks else content
+        return self._select_body(encoded)
+
     def _select_body(self, encoded: bytes) -> bytes:
         return encoded if self._may_have_body else b''
 
@@ -220,13 +238,13 @@
         self,
         status: int,
         fields: Iterable[tuple[bytes, bytes]],
-        framing: tuple[bytes, bytes],
+        framing: tuple[bytes, bytes] | None,
     ) -> bytes:
         """Encodes the head, with `Connection: close` if the connection closes afterwards."""
         lines = list(fields)
         if status in BODYLESS_STATUSES:
             self._may_have_body = False
-        else:
+        elif framing is not None:
             lines.append(framing)
         if self._is_stopping():
             self.must_close = True
--- a/src/fireflymux/http/server_connection.py
+++ b/src/fireflymux/http/server_connection.py
@@ -206,7 +206,11 @@
     async def _handle_next(self, handler: Handler) -> None:
         request = self._requests.popleft()
         self._is_handling = True
-        self._writer.begin(method=request.method, keeps_alive=request.keeps_alive)
+        self._writer.begin(
+            method=request.method,
+            keeps_alive=request.keeps_alive,
+            accepts_chunks=request.accepts_chunks,
+        )
         await handler(request, self._writer)
         if not self._writer.is_complete:
             # The response to the next request would continue the one that is not complete.
