Send no body with the error to an invalid HEAD request

What callers saw: 413, 431 and 408 to a HEAD request had a body, which a caller does not read, so that its bytes stand where nothing is due. Cause: the error to invalid input began a response without the method of the request. The parser keeps the method.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -15,3 +15,8 @@
     Given a "safe" route whose only endpoint has behaviour "answer"
     When an HTTP/1.0 caller sends a request with a body and an expectation to be told to continue
     Then the first bytes that it reads are the head of its response
+
+  Scenario: An error to a HEAD request that is too large has no body
+    Given a "safe" route whose only endpoint has behaviour "answer"
+    When a caller asks by HEAD with 6000 bytes of header fields
+    Then it gets a head with status 431 and nothing behind it
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -4,6 +4,7 @@
 from behave import then, when
 
 from emulator.entry_fleet import encode_call
+from features.steps.broken_stream_steps import read_to_close
 from features.steps.entry_steps import _run_on_fleet
 
 
@@ -64,3 +65,18 @@
 @then('the first bytes that it reads are the head of its response')
 def check_no_interim(context):
     assert context.result.startswith(b'HTTP/1.1 200 '), context.result
+
+
+@when('a caller asks by HEAD with {size:d} bytes of header fields')
+def ask_by_large_head(context, size):
+    async def act(fleet):
+        raw = encode_call('/a', method='HEAD', more='X-Padding: {0}'.format('x' * size))
+        return await read_to_close(fleet.settings[0].caller_address, raw)
+
+    _run_on_fleet(context, act)
+
+
+@then('it gets a head with status {status:d} and nothing behind it')
+def check_head_alone(context, status):
+    head, _, content = context.result.partition(b'\r\n\r\n')
+    assert head.startswith(b'HTTP/1.1 %d ' % status) and not content, context.result
--- a/src/fireflymux/http/request_parser.py
+++ b/src/fireflymux/http/request_parser.py
@@ -42,6 +42,7 @@
         violation: First error found, or None. After it no request is passed on and the
             connection parses no further input. The connection sets it for a request that is too
             slow.
+        method: Method of the current or last request; empty until it is known.
         is_in_head: Whether the parser is between the first byte and the end of a head.
         is_in_body: Whether the parser is between the end of a head and the end of the body.
         expects_continue: Whether the caller waits to be told to send the body of the current
@@ -56,6 +57,7 @@
             on_request: Called with each complete request.
         """
         self.violation: Violation | None = None
+        self.method = b''
         self.is_in_head = False
         self.is_in_body = False
         self.expects_continue = False
@@ -83,6 +85,7 @@
 
     def on_message_begin(self) -> None:
         """Resets the state for a new request."""
+        self.method = b''
         self.is_in_head = True
         self.expects_continue = False
         self._target = b''
@@ -92,7 +95,8 @@
         self._body_bytes = 0
 
     def on_url(self, part: bytes) -> None:
-        """Adds a part of the request target."""
+        """Adds a part of the request target, before which the method has been parsed."""
+        self.method = self._parser.get_method()
         self._target += part
         self._add_head_bytes(len(part))
 
@@ -132,7 +136,7 @@
             return
         self._on_request(
             Request(
-                method=self._parser.get_method(),
+                method=self.method,
                 target=self._target,
                 fields=self._fields,
                 content=b''.join(self._body),
--- a/src/fireflymux/http/server_connection.py
+++ b/src/fireflymux/http/server_connection.py
@@ -198,7 +198,7 @@
         """
         violation = self._parser.violation
         if violation is not None and not self._writer.must_close:
-            self._writer.begin(method=b'', keeps_alive=False)
+            self._writer.begin(method=self._parser.method, keeps_alive=False)
             await self._writer.answer(violation.status, (), violation.reason.encode())
         if not self._writer.is_broken:
             await self._close_lingering()
