Disconnect a caller that reads nothing of its response for 15 s

On the code before, a write of 4 MB was still blocked after 20 s. Cause: only the deadline of the request bounds writes, and the answer is written behind it. Each write now has to make progress within 15 s; otherwise the response is broken. A caller that reads slowly, but reads, still gets all of it (scenario).

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -20,3 +20,13 @@
     Given a "safe" route whose only endpoint has behaviour "answer"
     When a caller asks by HEAD with 6000 bytes of header fields
     Then it gets a head with status 431 and nothing behind it
+
+  Scenario: A caller that reads nothing of its response is disconnected
+    Given a response to a caller that does not read
+    When 4 megabytes are written to it with a stall time of 0.2 s
+    Then the write fails within 2 s, and the response is broken
+
+  Scenario: A caller that reads its response slowly gets all of it
+    Given a response to a caller that does not read
+    When 4 megabytes are written to it with a stall time of 0.2 s while it reads for longer than that
+    Then the whole response arrives
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -6,6 +6,11 @@
 from emulator.entry_fleet import encode_call
 from features.steps.broken_stream_steps import read_to_close
 from features.steps.entry_steps import _run_on_fleet
+from fireflymux.http.response_writer import ResponseWriter
+
+_MEGABYTE = 1000000
+_SLOW_READ_BYTES = 65536
+_SLOW_READ_PAUSE_SECONDS = 0.02
 
 
 def _encode_old_call(path, **options):
@@ -80,3 +85,67 @@
 def check_head_alone(context, status):
     head, _, content = context.result.partition(b'\r\n\r\n')
     assert head.startswith(b'HTTP/1.1 %d ' % status) and not content, context.result
+
+
+def _open_stalling_writer(sock, stall_seconds):
+    writer = ResponseWriter(
+        trio.socket.from_stdlib_socket(sock), sock, is_stopping=bool, stall_seconds=stall_seconds
+    )
+    writer.begin(method=b'POST', keeps_alive=True)
+    return writer
+
+
+@when('{size:d} megabytes are written to it with a stall time of {seconds:g} s')
+def write_unread(context, size, seconds):
+    async def act():
+        writer = _open_stalling_writer(context.server_socket, seconds)
+        started = trio.current_time()
+        context.error = None
+        with trio.move_on_after(5):
+            try:
+                await writer.answer(200, [], b'x' * size * _MEGABYTE)
+            except OSError as error:
+                context.error = error
+        context.seconds = trio.current_time() - started
+        context.is_broken = writer.is_broken
+
+    trio.run(act)
+
+
+@then('the write fails within {seconds:g} s, and the response is broken')
+def check_write_failed(context, seconds):
+    assert isinstance(context.error, ConnectionAbortedError), context.error
+    assert context.seconds <= seconds and context.is_broken, context.seconds
+
+
+async def _read_slowly(sock, size):
+    received = 0
+    while received < size:
+        received += len(await sock.recv(_SLOW_READ_BYTES))
+        await trio.sleep(_SLOW_READ_PAUSE_SECONDS)
+    return received
+
+
+@when(
+    '{size:d} megabytes are written to it with a stall time of {seconds:g} s'
+    ' while it reads for longer than that'
+)
+def write_to_slow_reader(context, size, seconds):
+    async def act():
+        writer = _open_stalling_writer(context.server_socket, seconds)
+        started = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(writer.answer, 200, [], b'x' * size * _MEGABYTE)
+            sock = trio.socket.from_stdlib_socket(context.caller_socket)
+            with trio.fail_after(20):
+                context.received = await _read_slowly(sock, size * _MEGABYTE)
+        assert trio.current_time() - started > 2 * seconds
+        context.is_complete = writer.is_complete
+        context.size = size * _MEGABYTE
+
+    trio.run(act)
+
+
+@then('the whole response arrives')
+def check_whole(context):
+    assert context.received >= context.size and context.is_complete, context.received
--- a/src/fireflymux/http/response_writer.py
+++ b/src/fireflymux/http/response_writer.py
@@ -6,6 +6,7 @@
 `ConnectionAbortedError`, as if the connection had failed.
 """
 
+import contextlib
 import enum
 import socket
 import struct
@@ -18,6 +19,8 @@
 _LAST_CHUNK = b'0\r\n\r\n'
 _CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _HEAD_METHOD = b'HEAD'
+#: Time in which a caller has to read some of what was sent, before its connection is closed.
+_STALL_SECONDS = 15.0
 #: Value of the socket option that makes a close reset the connection at once.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
@@ -54,19 +57,22 @@
         raw_socket: socket.socket,
         *,
         is_stopping: Callable[[], bool],
+        stall_seconds: float = _STALL_SECONDS,
     ) -> None:
         """Wraps an accepted socket.
 
         Args:
             sock: The socket.
-            raw_socket: The same socket as a standard socket, for non-blocking checks.
+            raw_socket: The same socket as a standard socket, in non-blocking mode.
             is_stopping: Tells whether the server is stopping; a response that starts while it
                 is says `Connection: close`, and the connection closes after it.
+            stall_seconds: Time after which a write is given up if the caller reads nothing.
         """
         self.must_close = False
         self._socket = sock
         self._raw_socket = raw_socket
         self._is_stopping = is_stopping
+        self._stall_seconds = stall_seconds
         self._phase = ResponsePhase.complete
         self._may_have_body = True
         self._accepts_chunks = True
@@ -213,19 +219,30 @@
     async def _send(self, content: bytes, next_phase: ResponsePhase) -> None:
         """Sends bytes, and enters the next phase once all of them are sent.
 
-        If it is cancelled or fails before the first byte, the phase stays as it is. After that the
-        response is broken, since whatever follows would continue the part that was sent.
+        If it is cancelled or fails before the first byte, the phase stays as it is. After that, and
+        if the caller reads nothing for too long, the response is broken, since whatever follows
+        would continue the part that was sent.
         """
         view = memoryview(content)
         try:
             while view:
-                view = view[await self._socket.send(view) :]
+                view = view[await self._send_some(view) :]
         finally:
             if not view:
                 self._phase = next_phase
             elif len(view) < len(content):
                 self.abort()
 
+    async def _send_some(self, content: memoryview) -> int:
+        """Sends as many bytes as the connection takes, and returns their number."""
+        await trio.lowlevel.checkpoint()
+        with contextlib.suppress(BlockingIOError):
+            return self._raw_socket.send(content)
+        with trio.move_on_after(self._stall_seconds):
+            return await self._socket.send(content)
+        self.abort()
+        raise ConnectionAbortedError('the caller reads nothing')
+
     def _encode_part(self, content: bytes) -> bytes:
         """Encodes a part of a body of unknown length."""
         encoded = _encode_chunk(content) if self._accepts_chunks else content
