Parse nothing behind an invalid request

What callers saw: the error to an invalid HEAD request had a body where a GET request followed in the same write, and the error to an invalid GET request had none where a HEAD request followed, so that the caller took bytes for what they are not. Cause: the parser went on within the bytes that it had, and the method of the next request replaced that of the rejected one, by which the error is framed. Rejecting a request now ends the parsing with an error, so that no state of a later request exists.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -21,6 +21,16 @@
     When a caller asks by HEAD with 6000 bytes of header fields
     Then it gets a head with status 431 and nothing behind it
 
+  Scenario Outline: The error to an invalid request is read as the response to it, whatever follows it
+    Given a "safe" route whose only endpoint has behaviour "answer"
+    When a caller sends "<first>" with two Host fields and "<second>" in one write
+    Then it gets status 400 with <body> as "<first>" asks for
+
+    Examples:
+      | first | second | body        |
+      | HEAD  | GET    | no body     |
+      | GET   | HEAD   | a body      |
+
   Scenario: A caller that reads nothing of its response is disconnected
     Given a response to a caller that does not read
     When 4 megabytes are written to it with a stall time of 0.2 s
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -1,5 +1,7 @@
 """Steps for callers that speak HTTP/1.0, ask by HEAD, or read slowly or not at all."""
 
+import re
+
 import trio
 from behave import then, when
 
@@ -87,6 +89,25 @@
     assert head.startswith(b'HTTP/1.1 %d ' % status) and not content, context.result
 
 
+@when('a caller sends "{first}" with two Host fields and "{second}" in one write')
+def send_invalid_and_other(context, first, second):
+    async def act(fleet):
+        raw = encode_call('/a', method=first, more='Host: other') + encode_call(
+            '/b', method=second
+        )
+        return await read_to_close(fleet.settings[0].caller_address, raw)
+
+    _run_on_fleet(context, act)
+
+
+@then('it gets status {status:d} with {body} as "{method}" asks for')
+def check_body_by_method(context, status, body, method):
+    head, _, content = context.result.partition(b'\r\n\r\n')
+    assert head.startswith(b'HTTP/1.1 %d ' % status), context.result
+    stated = int(re.search(b'Content-Length: ([0-9]+)', head).group(1))
+    assert stated and len(content) == (stated if body == 'a body' else 0), context.result
+
+
 def _open_stalling_writer(sock, stall_seconds):
     writer = ResponseWriter(
         trio.socket.from_stdlib_socket(sock), sock, is_stopping=bool, stall_seconds=stall_seconds
--- a/src/fireflymux/http/request_parser.py
+++ b/src/fireflymux/http/request_parser.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from typing import NoReturn
 
 import attrs
 import httptools
@@ -20,6 +21,10 @@
 _UPGRADE_REASON = 'upgrades are not supported'
 
 
+class _Rejected(Exception):
+    """Stops the httptools parser, which would go on to the next request otherwise."""
+
+
 @attrs.define(frozen=True)
 class Violation:
     """Why the input of a connection was rejected.
@@ -39,10 +44,9 @@
     The methods whose names begin with `on_` are callbacks of the httptools parser.
 
     Attributes:
-        violation: First error found, or None. After it no request is passed on and the
-            connection parses no further input. The connection sets it for a request that is too
-            slow.
-        method: Method of the current or last request; empty until it is known.
+        violation: First error found, or None. After it no input is parsed. The connection sets it
+            for a request that is too slow.
+        method: Method of the current, last or rejected request; empty until it is known.
         is_in_head: Whether the parser is between the first byte and the end of a head.
         is_in_body: Whether the parser is between the end of a head and the end of the body.
         expects_continue: Whether the caller waits to be told to send the body of the current
@@ -79,9 +83,9 @@
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserUpgrade:
-            self._reject(_BAD_REQUEST, _UPGRADE_REASON)
+            self._add_violation(_BAD_REQUEST, _UPGRADE_REASON)
         except httptools.HttpParserError as error:
-            self._reject(_BAD_REQUEST, str(error))
+            self._add_violation(_BAD_REQUEST, str(error))
 
     def on_message_begin(self) -> None:
         """Resets the state for a new request."""
@@ -114,7 +118,6 @@
         reason = _UPGRADE_REASON if self._parser.should_upgrade() else self._validate_head()
         if reason:
             self._reject(_BAD_REQUEST, reason)
-            return
         expectation = find_header(self._fields, b'expect').lower()
         self.expects_continue = expectation == b'100-continue' and self._knows_chunks()
         length = find_header(self._fields, b'content-length')
@@ -126,14 +129,11 @@
         self._body_bytes += len(part)
         if self._body_bytes > self._limits.body_bytes:
             self._reject(_CONTENT_TOO_LARGE, 'the body is too large')
-            return
         self._body.append(part)
 
     def on_message_complete(self) -> None:
         """Passes the complete request to `on_request`."""
         self.is_in_body = False
-        if self.violation is not None:
-            return
         self._on_request(
             Request(
                 method=self.method,
@@ -168,6 +168,11 @@
             return 'the target is not a path'
         return ''
 
-    def _reject(self, status: int, reason: str) -> None:
+    def _reject(self, status: int, reason: str) -> NoReturn:
+        """Records a violation; called within `feed` only, which the error ends."""
+        self._add_violation(status, reason)
+        raise _Rejected(reason)
+
+    def _add_violation(self, status: int, reason: str) -> None:
         if self.violation is None:
             self.violation = Violation(status, reason)
