Reset an HTTP/1.0 stream that ends without its last event, whatever ended it

What callers saw: a stream to an HTTP/1.0 caller, whose body ends with the connection, looked complete where the instance was stopped within it or its handler failed. Cause: only an abort of the response made the close a reset; a cancelled or failed connection closes its socket without one, and so does the kernel when the process is killed. The socket now resets on close from the head of such a body on, and ends in the usual way once the body is complete. Red before: the rows "waits" and "fails" of the scenario (the part, then the usual end of a connection); "returns" held.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -11,6 +11,17 @@
     When an HTTP/1.0 caller reads a stream
     Then it gets 2 events behind a head that states no coding, and the connection is reset
 
+  Scenario Outline: A stream that an instance does not end does not look complete to an HTTP/1.0 caller
+    Given a listener whose handler sends a part of its response and <then>
+    When an HTTP/1.0 caller asks, and the listener is cancelled a moment later
+    Then it gets the part, and the connection is reset
+
+    Examples:
+      | then     |
+      | waits    |
+      | fails    |
+      | returns  |
+
   Scenario: An HTTP/1.0 caller is not told to continue
     Given a "safe" route whose only endpoint has behaviour "answer"
     When an HTTP/1.0 caller sends a request with a body and an expectation to be told to continue
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -3,14 +3,18 @@
 import re
 
 import trio
-from behave import then, when
+from behave import given, then, when
 
-from emulator.entry_fleet import encode_call
+from emulator.entry_fleet import encode_call, free_port
 from features.steps.broken_stream_steps import read_to_close
 from features.steps.entry_steps import _run_on_fleet
+from fireflymux.entry.listeners import Listener
+from fireflymux.http.messages import HttpLimits
 from fireflymux.http.response_writer import ResponseWriter
 
 _MEGABYTE = 1000000
+_PART = b'data: a part\n\n'
+_PAUSE_SECONDS = 0.2
 _SLOW_READ_BYTES = 65536
 _SLOW_READ_PAUSE_SECONDS = 0.02
 
@@ -55,6 +59,46 @@
     assert is_reset == (end == 'is reset'), context.result
 
 
+async def _fail():
+    raise KeyError('a mistake of the handler')
+
+
+_ENDINGS = {'waits': trio.sleep_forever, 'fails': _fail, 'returns': trio.lowlevel.checkpoint}
+
+
+@given('a listener whose handler sends a part of its response and {ending}')
+def listener_with_part(context, ending):
+    async def handle(request, writer):
+        await writer.start(200, [], _PART)
+        await _ENDINGS[ending]()
+
+    context.listener_address = '127.0.0.1:{0}'.format(free_port())
+    context.listener = Listener(
+        context.listener_address, handle, limits=HttpLimits, is_stopping=bool
+    )
+
+
+@when('an HTTP/1.0 caller asks, and the listener is cancelled a moment later')
+def ask_and_cancel(context):
+    async def act():
+        async with trio.open_nursery() as callers, trio.open_nursery() as nursery:
+            await nursery.start(context.listener.run)
+            callers.start_soon(ask)
+            await trio.sleep(_PAUSE_SECONDS)
+            nursery.cancel_scope.cancel()
+
+    async def ask():
+        context.result = await _read_to_end(context.listener_address, _encode_old_call('/a'))
+
+    trio.run(act)
+
+
+@then('it gets the part, and the connection is reset')
+def check_part_and_reset(context):
+    received, is_reset = context.result
+    assert received.endswith(b'\r\n\r\n' + _PART) and is_reset, context.result
+
+
 @when('an HTTP/1.0 caller sends a request with a body and an expectation to be told to continue')
 def send_old_expectation(context):
     async def act(fleet):
--- a/src/fireflymux/http/response_writer.py
+++ b/src/fireflymux/http/response_writer.py
@@ -21,8 +21,10 @@
 _HEAD_METHOD = b'HEAD'
 #: Time in which a caller has to read some of what was sent, before its connection is closed.
 _STALL_SECONDS = 15.0
-#: Value of the socket option that makes a close reset the connection at once.
+#: Values of the socket option for linger: a close resets the connection at once, or ends it in the
+#: usual way.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+_END_ON_CLOSE = struct.pack('ii', 0, 0)
 
 
 class ResponsePhase(enum.Enum):
@@ -168,6 +170,9 @@
         self._require(ResponsePhase.pending)
         if not self._accepts_chunks:
             self.must_close = True
+            # The body ends with the connection. Until it is complete, whatever closes the
+            # connection, even the end of the process, must not look like its end.
+            self._set_linger(_RESET_ON_CLOSE)
         framing = (b'Transfer-Encoding', b'chunked') if self._accepts_chunks else None
         head = self._encode_head(status, fields, framing)
         await self._send(head + self._encode_part(first_part), ResponsePhase.body)
@@ -195,6 +200,8 @@
         self._require(ResponsePhase.body)
         last_part = _LAST_CHUNK if self._accepts_chunks else b''
         await self._send(self._select_body(last_part), ResponsePhase.complete)
+        if not self._accepts_chunks:
+            self._set_linger(_END_ON_CLOSE)
 
     def abort(self) -> None:
         """Marks the connection to be closed without ending the current response.
@@ -202,8 +209,6 @@
         The caller then sees a truncated response and does not take it for a complete one. A body
         that ends with the connection is told to be truncated by a reset.
         """
-        if self._phase is ResponsePhase.body and not self._accepts_chunks:
-            self._raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         self.must_close = True
         self._phase = ResponsePhase.broken
 
@@ -243,6 +248,9 @@
         self.abort()
         raise ConnectionAbortedError('the caller reads nothing')
 
+    def _set_linger(self, linger: bytes) -> None:
+        self._raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def _encode_part(self, content: bytes) -> bytes:
         """Encodes a part of a body of unknown length."""
         encoded = _encode_chunk(content) if self._accepts_chunks else content
