Count only a caller's own time against it

What callers saw: 408 for a pipelined request that they sent in time. Causes: the deadline of a head or body ran on while the instance did not read, because four requests were queued; it ran on while a caller that expects to be told to continue waited for the response to its earlier request; and a head that began in the read that ended the one before had only what was left of that one's time. The time of a pause is added, the time of a body begins with the word to continue, and each head has its own.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -51,3 +51,18 @@
     Given a response to a caller that does not read
     When 4 megabytes are written to it with a stall time of 0.2 s while it reads for longer than that
     Then the whole response arrives
+
+  Scenario: A pipelined request is not too slow while the instance does not read
+    Given a listener that takes 0.3 s for each response and waits 0.2 s for the rest of a head
+    When a caller sends 5 requests and a part of another one, and the rest of it at once
+    Then it gets 6 responses with status 200
+
+  Scenario: A request that waits to be told to continue is not too slow before it is told
+    Given a listener that takes 0.5 s for each response and waits 0.2 s for the rest of a body
+    When a caller sends a request, and behind it one that waits to be told to continue
+    Then it gets 2 responses with status 200
+
+  Scenario: The head of a pipelined request has a time of its own
+    Given a listener that takes 0 s for each response and waits 0.4 s for the rest of a head
+    When a caller sends two heads, each in two parts 0.3 s apart, the second part of one with the first of the next
+    Then it gets 2 responses with status 200
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -15,6 +15,9 @@
 _MEGABYTE = 1000000
 _PART = b'data: a part\n\n'
 _PAUSE_SECONDS = 0.2
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+#: Limits of a listener by the part of a request whose rest they wait for.
+_TIMEOUTS = {'head': 'header_seconds', 'body': 'idle_seconds'}
 _SLOW_READ_BYTES = 65536
 _SLOW_READ_PAUSE_SECONDS = 0.02
 
@@ -214,3 +217,92 @@
 @then('the whole response arrives')
 def check_whole(context):
     assert context.received >= context.size and context.is_complete, context.received
+
+
+@given(
+    'a listener that takes {pause:g} s for each response'
+    ' and waits {seconds:g} s for the rest of a {part}'
+)
+def slow_listener(context, pause, seconds, part):
+    async def handle(request, writer):
+        await trio.sleep(pause)
+        await writer.answer(200, [], request.content)
+
+    limits = HttpLimits(**{_TIMEOUTS[part]: seconds})
+    context.listener_address = '127.0.0.1:{0}'.format(free_port())
+    context.listener = Listener(
+        context.listener_address, handle, limits=lambda: limits, is_stopping=bool
+    )
+
+
+def _run_with_listener(context, act):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            await nursery.start(context.listener.run)
+            context.result = await act()
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+@when('a caller sends {count:d} requests and a part of another one, and the rest of it at once')
+def pipeline_part(context, count):
+    async def act():
+        host, _, port = context.listener_address.rpartition(':')
+        last = encode_call('/last', more='Connection: close')
+        async with await trio.open_tcp_stream(host, int(port)) as stream:
+            await stream.send_all(encode_call('/a') * count + last[:20])
+            # Time for the listener to read the part by itself.
+            await trio.sleep(0.05)
+            await stream.send_all(last[20:])
+            return await _receive_all(stream)
+
+    _run_with_listener(context, act)
+
+
+@when('a caller sends a request, and behind it one that waits to be told to continue')
+def pipeline_waiting(context):
+    async def act():
+        host, _, port = context.listener_address.rpartition(':')
+        raw = encode_call('/b', content=b'body', more='Expect: 100-continue\r\nConnection: close')
+        async with await trio.open_tcp_stream(host, int(port)) as stream:
+            await stream.send_all(encode_call('/a') + raw.removesuffix(b'body'))
+            received = b''
+            with trio.fail_after(3):
+                while _CONTINUE not in received and (part := await stream.receive_some()):
+                    received += part
+            await stream.send_all(b'body')
+            return received.replace(_CONTINUE, b'') + await _receive_all(stream)
+
+    _run_with_listener(context, act)
+
+
+@when(
+    'a caller sends two heads, each in two parts {seconds:g} s apart,'
+    ' the second part of one with the first of the next'
+)
+def send_two_heads_in_parts(context, seconds):
+    async def act():
+        host, _, port = context.listener_address.rpartition(':')
+        first, second = encode_call('/a'), encode_call('/b', more='Connection: close')
+        async with await trio.open_tcp_stream(host, int(port)) as stream:
+            for part in (first[:20], first[20:] + second[:20], second[20:]):
+                await stream.send_all(part)
+                await trio.sleep(seconds)
+            return await _receive_all(stream)
+
+    _run_with_listener(context, act)
+
+
+async def _receive_all(stream):
+    received = b''
+    with trio.fail_after(5):
+        while part := await stream.receive_some():
+            received += part
+    return received
+
+
+@then('it gets {count:d} responses with status {status:d}')
+def check_responses(context, count, status):
+    heads = re.findall(b'HTTP/1.1 ([0-9]{3}) ', context.result)
+    assert heads == [b'%d' % status] * count, context.result
--- a/src/fireflymux/http/request_parser.py
+++ b/src/fireflymux/http/request_parser.py
@@ -47,6 +47,7 @@
         violation: First error found, or None. After it no input is parsed. The connection sets it
             for a request that is too slow.
         method: Method of the current, last or rejected request; empty until it is known.
+        requests_begun: Number of requests whose first byte was parsed.
         is_in_head: Whether the parser is between the first byte and the end of a head.
         is_in_body: Whether the parser is between the end of a head and the end of the body.
         expects_continue: Whether the caller waits to be told to send the body of the current
@@ -62,6 +63,7 @@
         """
         self.violation: Violation | None = None
         self.method = b''
+        self.requests_begun = 0
         self.is_in_head = False
         self.is_in_body = False
         self.expects_continue = False
@@ -90,6 +92,7 @@
     def on_message_begin(self) -> None:
         """Resets the state for a new request."""
         self.method = b''
+        self.requests_begun += 1
         self.is_in_head = True
         self.expects_continue = False
         self._target = b''
--- a/src/fireflymux/http/server_connection.py
+++ b/src/fireflymux/http/server_connection.py
@@ -109,8 +109,7 @@
 
     async def _read(self) -> None:
         while self._parser.violation is None:
-            while len(self._requests) >= _MAXIMUM_PIPELINED_REQUESTS:
-                await self._state_changed.wait()
+            await self._wait_for_room()
             received = await self._receive()
             if received is None:
                 break
@@ -121,11 +120,18 @@
         self._is_reading_done = True
         self._notify()
 
+    async def _wait_for_room(self) -> None:
+        """Waits while many requests are queued; that time does not count for the caller's next."""
+        paused_at = trio.current_time()
+        while len(self._requests) >= _MAXIMUM_PIPELINED_REQUESTS:
+            await self._state_changed.wait()
+        self._read_deadline += trio.current_time() - paused_at
+
     async def _process(self, received: bytes) -> bool:
         """Parses input; returns False if the connection failed."""
-        was_in_head = self._parser.is_in_head
+        begun_before = self._parser.requests_begun
         self._parser.feed(received)
-        self._extend_read_deadline(was_in_head=was_in_head)
+        self._extend_read_deadline(is_new=self._parser.requests_begun > begun_before)
         if self._is_handling or self._requests:
             # The caller is told to go on after the responses to its earlier requests.
             return True
@@ -144,6 +150,7 @@
         if parser.expects_continue and parser.is_in_body and parser.violation is None:
             parser.expects_continue = False
             await self._writer.send_continue()
+            self._set_read_deadline(self._limits.idle_seconds)
 
     async def _receive(self) -> bytes | None:
         """Receives bytes; None if cancelled or timed out, empty if the connection closed."""
@@ -157,23 +164,27 @@
             self._parser.violation = Violation(_REQUEST_TIMEOUT_STATUS, 'the request is too slow')
         return None
 
-    def _extend_read_deadline(self, *, was_in_head: bool) -> None:
+    def _extend_read_deadline(self, *, is_new: bool) -> None:
         """Sets, removes or leaves the deadline of the next input, after input was parsed.
 
-        - Within a head: set to the timeout of the head if the parser was in no head before this
-          input, otherwise left. Further bytes thus do not extend the timeout, so that a caller
+        - Within a head: set to the timeout of the head if it began in this input, otherwise left.
+          Further bytes thus do not extend the timeout, so that a caller
           cannot hold a connection by sending the head slowly.
-        - Within a body: set to the idle timeout.
+        - Within a body that the caller is to be told to send, after the responses to its earlier
+          requests: removed. `_send_due_continue` sets the idle timeout.
+        - Within another body: set to the idle timeout.
         - Otherwise, while a request is handled or queued: removed. `_handle_next` sets the idle
           timeout once the connection is idle.
         - Otherwise left, as no request has begun.
         """
         if self._parser.is_in_head:
-            if not was_in_head:
+            if is_new:
                 self._set_read_deadline(self._limits.header_seconds)
-        elif self._parser.is_in_body:
+            return
+        is_busy = self._is_handling or bool(self._requests)
+        if self._parser.is_in_body and not (is_busy and self._parser.expects_continue):
             self._set_read_deadline(self._limits.idle_seconds)
-        elif self._is_handling or self._requests:
+        elif is_busy:
             self._set_read_deadline(float('inf'))
 
     async def _handle_requests(self, handler: Handler, scope: trio.CancelScope) -> None:
