Resume no stream behind an event without a numeric id

What callers saw: where an endpoint's events had no ids, or the last of them had none, and it broke off, the events of another run were joined to the stream, with pieces twice, and it ended as if complete. Cause: the stream was asked for from the last id that was seen, or from its beginning, although more had been forwarded; only the events of the resumed run were checked for ids. The relay now knows whether the last id tells the place in the stream, and no attempt begins where it does not: the stream ends cut.

--- a/emulator/backend.py
+++ b/emulator/backend.py
@@ -236,6 +236,21 @@
     writer.abort()
 
 
+def _cut_behind(
+    *events: bytes,
+) -> Callable[[Request, ResponseWriter, HeaderFields], Any]:
+    """Returns a behaviour that streams some events and breaks off."""
+
+    async def behave(request: Request, writer: ResponseWriter, fields: HeaderFields) -> None:
+        await writer.start(200, fields, b'')
+        for event in events:
+            await writer.send_chunk(event)
+            await trio.sleep(_EVENT_INTERVAL_SECONDS)
+        writer.abort()
+
+    return behave
+
+
 async def _stream_slowly(request: Request, writer: ResponseWriter, fields: HeaderFields) -> None:
     await writer.start(200, fields, b'')
     for event in _remaining_events(request, 1000):
@@ -378,6 +393,14 @@
             'stream and late answer': _stream_with_late_answer,
             'answer in two codings': _answer_in_two_codings,
             'stream and cut': _stream_then_abort,
+            'events without ids and cut': _cut_behind(b'data: piece 0\n\n', b'data: piece 1\n\n'),
+            'an event without an id and cut': _cut_behind(
+                b'id: 0\ndata: piece 0\n\n', b'data: piece 1\n\n'
+            ),
+            'an event with an odd id and cut': _cut_behind(
+                b'id: 0\ndata: piece 0\n\n', b'id: x1\ndata: piece 1\n\n'
+            ),
+            'only comments and cut': _cut_behind(b': nothing\n\n'),
             'stream slowly': _stream_slowly,
             'stream and trickle': _stream_unfinished_event,
             'stream with pauses': _stream_with_pauses,
--- a/features/broken_streams.feature
+++ b/features/broken_streams.feature
@@ -32,6 +32,23 @@
     When a caller reads a stream byte by byte
     Then its bytes are one head and 2 events, without an end
 
+  Scenario Outline: A stream whose last event has no numeric id is not resumed, as its place is not known
+    Given a resumable stream route with one endpoint of behaviour "<first>" and one of behaviour "stream"
+    When a caller reads a stream byte by byte
+    Then its bytes are one head and 2 events of the first endpoint, without an end
+    And the second endpoint ran 0 requests
+
+    Examples:
+      | first                           |
+      | events without ids and cut      |
+      | an event without an id and cut  |
+      | an event with an odd id and cut |
+
+  Scenario: A stream of nothing but comments that breaks off is begun again elsewhere
+    Given a resumable stream route with one endpoint of behaviour "only comments and cut" and one of behaviour "stream"
+    When a caller reads a stream byte by byte
+    Then its bytes are one head and 6 events, with an end
+
   Scenario: A stream that broke off is resumed by a third endpoint after the second one answered with an error
     Given a resumable stream route with endpoints that break off, fail and stream, of which 3 may be tried
     When a caller reads a stream that breaks off first, byte by byte
--- a/features/steps/broken_stream_steps.py
+++ b/features/steps/broken_stream_steps.py
@@ -1,5 +1,7 @@
 """Steps for streams that break off, read by a caller that parses every byte strictly."""
 
+import re
+
 import attrs
 import trio
 from behave import given, then, when
@@ -140,3 +142,16 @@
     content = stream.content.replace(b': nothing\n\n', b'')
     assert content == b''.join(events), context.result
     assert stream.has_end == (without == 'with'), context.result
+
+
+@then('its bytes are one head and {count:d} events of the first endpoint, without an end')
+def check_first_events(context, count):
+    stream = parse_stream(context.result)
+    pieces = re.findall(b'data: (piece [0-9])\n\n', stream.content)
+    assert pieces == [b'piece %d' % number for number in range(count)], context.result
+    assert not stream.has_end, context.result
+
+
+@then('the second endpoint ran {count:d} requests')
+def check_second_endpoint(context, count):
+    assert len(context.entry_fleet.backends['e0'].requests) == count
--- a/src/fireflymux/entry/event_relay.py
+++ b/src/fireflymux/entry/event_relay.py
@@ -50,6 +50,9 @@
         self.event_writes = 0
         self._writer = writer
         self._has_event_ids = has_event_ids
+        # Whether `last_event_id` tells where the caller is in the stream: no event without an id
+        # was forwarded after it.
+        self._is_place_known = has_event_ids
         self._partial = b''
         self._is_resumed = False
         # Of the response to the caller.
@@ -63,6 +66,11 @@
         """Whether any of the response was sent to the caller."""
         return self._writer.has_begun
 
+    @property
+    def can_begin_attempt(self) -> bool:
+        """Whether another endpoint could send the rest; all of it as long as nothing was sent."""
+        return self._is_place_known or not self.is_begun
+
     @property
     def is_between_events(self) -> bool:
         """Whether all received bytes belong to complete events."""
@@ -109,12 +117,13 @@
             return
         complete = content[: end + len(_EVENT_END)]
         self._partial = content[len(complete) :]
-        last_event_id = self.last_event_id
+        last_event_id, is_place_known = self.last_event_id, self._is_place_known
         if self._has_event_ids:
-            complete, last_event_id = self._drop_repeated(complete)
+            complete, last_event_id, is_place_known = self._drop_repeated(complete)
         await self._send(complete, status, fields)
         # An event counts as forwarded once it was sent: a write that is cancelled before sends none.
         self.last_event_id = last_event_id
+        self._is_place_known = is_place_known
 
     async def end(self, status: int, fields: HeaderFields) -> None:
         """Forwards the bytes that are left, and ends the response.
@@ -160,27 +169,42 @@
             return
         await self._writer.start(status, fields, content)
 
-    def _drop_repeated(self, events: bytes) -> tuple[bytes, int]:
+    def _drop_repeated(self, events: bytes) -> tuple[bytes, int, bool]:
         """Drops events whose id is not above that of the last forwarded one.
 
         Returns:
-            The events that are left, and the id of the last one.
+            The events that are left, the id of the last one that has one, and whether no event
+            without an id follows that one.
 
         Raises:
             StreamNotResumed: The stream was resumed, and an event has no id, so that its place
                 among the events before it is not known.
         """
         kept = []
-        last_event_id = self.last_event_id
+        last_event_id, is_place_known = self.last_event_id, self._is_place_known
         for event in events.split(_EVENT_END)[:-1]:
             number = _parse_event_id(event)
-            if number is None and self._is_resumed and _has_data(event):
-                raise StreamNotResumed('it has an event without an id')
-            if number is not None and number <= last_event_id:
+            if number is None:
+                is_place_known = self._check_unnumbered(event) and is_place_known
+                kept.append(event + _EVENT_END)
                 continue
-            last_event_id = last_event_id if number is None else number
+            if number <= last_event_id:
+                continue
+            last_event_id, is_place_known = number, True
             kept.append(event + _EVENT_END)
-        return b''.join(kept), last_event_id
+        return b''.join(kept), last_event_id, is_place_known
+
+    def _check_unnumbered(self, event: bytes) -> bool:
+        """Tells whether the place in the stream is the same behind an event without an id.
+
+        Raises:
+            StreamNotResumed: The stream was resumed, and the event has data.
+        """
+        if not _has_data(event):
+            return True
+        if self._is_resumed:
+            raise StreamNotResumed('it has an event without an id')
+        return False
 
 
 def _contains_event(content: bytes) -> bool:
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -294,6 +294,8 @@
         now = trio.current_time()
         ending = _ENDINGS[type(outcome)]
         call.history.record(ending)
+        if call.relay is not None and not call.relay.can_begin_attempt:
+            return False
         allowance = self._retry_allowances.get(call.service)
         is_retried = may_retry(
             call.history,
