Read the configuration beside a row whose key has thousands of digits

Every process that reads the configuration from the table ended with a ValueError once another writer had left a row under config/changes/ whose key ends in more than 4,300 digits: the digits were converted to an integer outside of what makes a row unreadable. The version in a key now has a bound on its digits, as other values from outside.

Seen before the fix: the scenario failed with that error in change_version. It passes with it. A row whose version exceeds 64 bits was left out before too, and is pinned.

--- /dev/null
+++ b/features/role_values.feature
@@ -0,0 +1,12 @@
+Feature: Values from outside that routers, sidecars and operators' commands read
+  They cost at most the row, message or request that has them.
+
+  Scenario Outline: An odd row among those of the configuration
+    Given a table with two changes of the configuration and a row <oddity> beside them
+    When a router reads the configuration
+    Then it has the contracts of both changes
+
+    Examples:
+      | oddity                                          |
+      | whose key has 5000 digits                       |
+      | whose version has more than 64 bits             |
--- /dev/null
+++ b/features/steps/role_value_steps.py
@@ -0,0 +1,107 @@
+"""Steps for values from outside that routers, sidecars and operators' commands read."""
+
+import httpx
+import orjson
+import trio
+from behave import given, then, when
+
+from fireflymux._settings_generated import PlatformSettings
+from fireflymux.store.config_commit import load_configuration
+from fireflymux.store.config_rows import CHANGE_PREFIX, HEAD_KEY, change_key
+from fireflymux.store.configuration import Configuration
+from fireflymux.store.platform_client import PlatformClients
+
+_CONTRACT = {
+    'account': 'families',
+    'weight': 1.0,
+    'rate_per_second': 1.0,
+    'concurrency': 1,
+    'queue_length': 1,
+    'pools': ['farewell'],
+    'key_digest': 'digest',
+}
+
+
+class StoredPlatform:
+    """Table and object store whose rows and objects are stated as JSON, without a network.
+
+    Attributes:
+        rows: JSON of each row by key.
+        objects: Content of each object by name.
+    """
+
+    def __init__(self):
+        self.rows = {}
+        self.objects = {}
+
+    def put(self, key, value, version=b'1'):
+        content = value if isinstance(value, bytes) else orjson.dumps(value)
+        self.rows[key] = b'{"key": %s, "version": %s, "value": %s}' % (
+            orjson.dumps(key),
+            version,
+            content,
+        )
+
+    def connect(self):
+        url = 'http://127.0.0.1'
+        settings = PlatformSettings(
+            table_url=url, object_url=url + '/objects', live_url=url + '/live'
+        )
+        client = httpx.AsyncClient(transport=httpx.MockTransport(self._answer))
+        return PlatformClients.from_settings(settings, client)
+
+    def _answer(self, request):
+        path = request.url.path
+        if path == '/rows':
+            prefix, after = request.url.params['prefix'], request.url.params['after']
+            keys = sorted(key for key in self.rows if key.startswith(prefix) and key > after)
+            return httpx.Response(200, content=b'[%s]' % b','.join(map(self.rows.get, keys)))
+        if path.startswith('/rows/'):
+            return self._answer_with(self.rows, path.removeprefix('/rows/'))
+        return self._answer_with(self.objects, path.removeprefix('/objects/'))
+
+    def _answer_with(self, stored, name):
+        if name not in stored:
+            return httpx.Response(404)
+        return httpx.Response(200, content=stored[name])
+
+
+def _build_change(version, **terms):
+    return {
+        'version': version,
+        'change_id': 'change-{0}'.format(version),
+        'operator': 'operator',
+        'contract': {**_CONTRACT, 'account': 'account-{0}'.format(version), **terms},
+    }
+
+
+_ODD_CHANGES = {
+    'whose contract has a concurrency of 4000 digits': {'concurrency': '9' * 4000},
+    'whose contract has a queue of -4000 digits': {'queue_length': '-' + '9' * 4000},
+}
+
+
+@given('a table with two changes of the configuration and a row {oddity} beside them')
+def prepare_odd_row(context, oddity):
+    context.platform = StoredPlatform()
+    context.platform.put(HEAD_KEY, {'version': 3, 'snapshot_version': 0})
+    for version in (1, 2, 3):
+        terms = _ODD_CHANGES.get(oddity, {}) if version == 2 else {}
+        context.platform.put(change_key(version), _build_change(version, **terms))
+    if 'key' in oddity:
+        context.platform.put(CHANGE_PREFIX + '9' * 5000, {})
+    if 'bits' in oddity:
+        context.platform.put(CHANGE_PREFIX + 'odd', {}, version=b'18446744073709551615')
+
+
+@when('a router reads the configuration')
+def read_configuration(context):
+    context.configuration = Configuration()
+    platform = context.platform.connect()
+    trio.run(load_configuration, platform.table, platform.objects, context.configuration)
+
+
+@then('it has the contracts of both changes')
+def check_contracts(context):
+    assert context.configuration.version == 3, context.configuration.version
+    assert {'account-1', 'account-3'} <= set(context.configuration.contracts)
--- a/src/fireflymux/store/config_rows.py
+++ b/src/fireflymux/store/config_rows.py
@@ -4,6 +4,8 @@
 row that holds the change that created it.
 """
 
+from ..bounded_values import MAXIMUM_INTEGER, parse_integer
+
 HEAD_KEY = 'config/head'
 CHANGE_PREFIX = 'config/changes/'
 
@@ -42,5 +44,5 @@
         The version; zero, which no change has, for any other key.
     """
     digits = key.removeprefix(CHANGE_PREFIX)
-    version = int(digits) if digits.isdecimal() else 0
+    version = parse_integer(digits.encode(), maximum=MAXIMUM_INTEGER) or 0
     return version if key == change_key(version) else 0
