Refuse the numbers of a contract that no float can hold

A contract whose concurrency or queue length is a text of some thousand digits, which the decoder turns into an integer, ended every process that read it with an OverflowError if it is negative, and the operator's command with a traceback if it is positive: the check asked whether a float is finite before it compared. A comparison with the bounds alone refuses such integers and what is no number.

Seen before the fix: two scenarios failed with that error. They pass with it, as does odd_rows.

--- a/features/role_values.feature
+++ b/features/role_values.feature
@@ -10,3 +10,9 @@
       | oddity                                          |
       | whose key has 5000 digits                       |
       | whose version has more than 64 bits             |
+      | whose contract has a concurrency of 4000 digits |
+      | whose contract has a queue of -4000 digits      |
+
+  Scenario: An operator's command with a number of thousands of digits
+    When an operator creates a contract with a queue of 4000 digits
+    Then the command ends with exit code 2 and one line that names queue
--- a/features/steps/role_value_steps.py
+++ b/features/steps/role_value_steps.py
@@ -5,6 +5,7 @@
 import trio
 from behave import given, then, when
 
+from emulator.fleet import Fleet
 from fireflymux._settings_generated import PlatformSettings
 from fireflymux.store.config_commit import load_configuration
 from fireflymux.store.config_rows import CHANGE_PREFIX, HEAD_KEY, change_key
@@ -105,3 +106,13 @@
 def check_contracts(context):
     assert context.configuration.version == 3, context.configuration.version
     assert {'account-1', 'account-3'} <= set(context.configuration.contracts)
+
+
+@when('an operator creates a contract with a queue of {count:d} digits')
+def create_contract(context, count):
+    fleet = Fleet()
+    context.closers.append(fleet.close)
+    fleet.start_platform()
+    context.command = fleet.run_operator_command(
+        'contract', 'create', 'families', 'secret', 'farewell', '--queue=' + '9' * count
+    )
--- a/src/fireflymux/store/contract_terms.py
+++ b/src/fireflymux/store/contract_terms.py
@@ -22,10 +22,11 @@
         One sentence for each of them; empty if the contract is valid.
     """
     numbers = {name: getattr(contract, name) for name in _NUMBERS}
+    # A float that is not a number fails every comparison.
     problems = [
         '{0} must be greater than zero and at most {1:g}'.format(name, _MAXIMUM_NUMBER)
         for name, number in numbers.items()
-        if not math.isfinite(number) or not _MINIMUM_NUMBER <= number <= _MAXIMUM_NUMBER
+        if not _MINIMUM_NUMBER <= number <= _MAXIMUM_NUMBER
     ]
     if not contract.account or '.' in contract.account:
         problems.append('account must be non-empty and must not contain a dot')
