--- a/features/role_values.feature
+++ b/features/role_values.feature
@@ -16,3 +16,13 @@
   Scenario: An operator's command with a number of thousands of digits
     When an operator creates a contract with a queue of 4000 digits
     Then the command ends with exit code 2 and one line that names queue
+
+  Scenario Outline: A snapshot of the configuration that states another version than its name
+    Given a table whose newest snapshot states the version <version>
+    When a router reads the configuration, and again after a further change
+    Then it has the contract of the further change
+
+    Examples:
+      | version             |
+      | 9007199254740991    |
+      | 1                   |
--- a/features/steps/role_value_steps.py
+++ b/features/steps/role_value_steps.py
@@ -8,7 +8,7 @@
 from emulator.fleet import Fleet
 from fireflymux._settings_generated import PlatformSettings
 from fireflymux.store.config_commit import load_configuration
-from fireflymux.store.config_rows import CHANGE_PREFIX, HEAD_KEY, change_key
+from fireflymux.store.config_rows import CHANGE_PREFIX, HEAD_KEY, change_key, snapshot_name
 from fireflymux.store.configuration import Configuration
 from fireflymux.store.platform_client import PlatformClients
 
@@ -116,3 +116,27 @@
     context.command = fleet.run_operator_command(
         'contract', 'create', 'families', 'secret', 'farewell', '--queue=' + '9' * count
     )
+
+
+@given('a table whose newest snapshot states the version {version:d}')
+def prepare_odd_snapshot(context, version):
+    context.platform = StoredPlatform()
+    context.platform.put(HEAD_KEY, {'version': 2, 'snapshot_version': 2})
+    snapshot = {'version': version, 'contracts': [], 'endpoints': []}
+    context.platform.objects[snapshot_name(2)] = orjson.dumps(snapshot)
+    for number in (1, 2):
+        context.platform.put(change_key(number), _build_change(number))
+
+
+@when('a router reads the configuration, and again after a further change')
+def read_twice(context):
+    read_configuration(context)
+    context.platform.put(HEAD_KEY, {'version': 3, 'snapshot_version': 2}, version=b'2')
+    context.platform.put(change_key(3), _build_change(3))
+    platform = context.platform.connect()
+    trio.run(load_configuration, platform.table, platform.objects, context.configuration)
+
+
+@then('it has the contract of the further change')
+def check_further_contract(context):
+    assert 'account-3' in context.configuration.contracts, context.configuration.contracts
--- a/src/fireflymux/store/config_commit.py
+++ b/src/fireflymux/store/config_commit.py
@@ -113,7 +113,7 @@
     """Loads a snapshot, unless it is malformed: the changes that it sums up apply as well."""
     content = await objects.read(snapshot_name(version))
     try:
-        snapshot = codec.decode(content, ConfigSnapshot)
+        snapshot = _decode_snapshot(content, version)
     except codec.DecodeError as error:
         _log.warning('config_snapshot_unreadable', version=version, reason=str(error))
         return
@@ -122,6 +122,14 @@
     target.replace(attrs.evolve(snapshot, contracts=valid))
 
 
+def _decode_snapshot(content: bytes, version: int) -> ConfigSnapshot:
+    """Decodes a snapshot; raises DecodeError if it is malformed or that of another version."""
+    snapshot = codec.decode(content, ConfigSnapshot)
+    if snapshot.version != version:
+        raise codec.DecodeError('the version is not that of the name')
+    return snapshot
+
+
 def _read_change(row: Row) -> ConfigChange:
     """Returns the change in a row, or one without content if it cannot be read."""
     version = change_version(row.key)
