--- /dev/null
+++ b/features/role_values.feature
@@ -0,0 +1,28 @@
+Feature: Values from outside that routers, sidecars and operators' commands read
+  They cost at most the row, message or request that has them.
+
+  Scenario Outline: An odd row among those of the configuration
+    Given a table with two changes of the configuration and a row <oddity> beside them
+    When a router reads the configuration
+    Then it has the contracts of both changes
+
+    Examples:
+      | oddity                                          |
+      | whose key has 5000 digits                       |
+      | whose version has more than 64 bits             |
+      | whose contract has a concurrency of 4000 digits |
+      | whose contract has a queue of -4000 digits      |
+
+  Scenario: An operator's command with a number of thousands of digits
+    When an operator creates a contract with a queue of 4000 digits
+    Then the command ends with exit code 2 and one line that names queue
+
+  Scenario Outline: A snapshot of the configuration that states another version than its name
+    Given a table whose newest snapshot states the version <version>
+    When a router reads the configuration, and again after a further change
+    Then it has the contract of the further change
+
+    Examples:
+      | version             |
+      | 9007199254740991    |
+      | 1                   |
