Place requests of a router in a module of its own

dispatch.py held both the choice of a sidecar for each attempt and the retries. The choice is in router/placement.py now, and the list of sidecars that a request may go to, which stood there twice, has one function.

--- a/features/steps/cut_event_steps.py
+++ b/features/steps/cut_event_steps.py
@@ -29,7 +29,8 @@
     context.router = SimpleNamespace(
         active_requests=0,
         run_client=_CutStreams(),
-        dispatcher=SimpleNamespace(record_stream_crash=_ignore, release_concurrency=_ignore),
+        dispatcher=SimpleNamespace(record_stream_crash=_ignore),
+        placer=SimpleNamespace(release_concurrency=_ignore),
         metrics=SimpleNamespace(requests=SimpleNamespace(inc=_ignore)),
     )
 
--- a/src/fireflymux/router/dispatch.py
+++ b/src/fireflymux/router/dispatch.py
@@ -1,10 +1,6 @@
-"""Queues requests, sends each one to a sidecar and retries failed attempts where that is safe.
+"""Sends each request to a sidecar and retries failed attempts where that is safe.
 
-A request is placed on a sidecar in one of three ways:
-
-- directly, if the sidecar reported a free slot and no request of the account waits;
-- by a grant: a sidecar offers a free slot, and a queued request takes it;
-- isolated, if it is suspected of crashing endpoints, so that no other request runs beside it.
+`placement` chooses the sidecar of each attempt.
 """
 
 import random
@@ -17,11 +13,12 @@
 from ..decisions.crash_registry import GUILTY, SUSPECT, CrashRegistry
 from ..decisions.retry_budget import RetryBudget, backoff_seconds
 from ..errors import CallFailure, ErrorKind, ExecutionStatus
-from ..messages import GrantOffer, RunOrder
+from ..messages import RunOrder
 from ..observability.metrics import Metrics
-from .backlog import Backlog, PendingRequest, Placement
+from .backlog import PendingRequest
 from .caller_requests import CallerRequest
-from .peers import PeerDirectory, SidecarPeer
+from .peers import PeerDirectory
+from .placement import Placer
 from .run_client import BufferedResponse, RunClient, StreamedResponse
 
 #: Refusals of a sidecar that did not start the request. The request is placed again: it returns to
@@ -42,7 +39,6 @@
 #: Attempts of any result after which a request is given up; checked only when a sidecar refuses
 #: the placement.
 _MAXIMUM_ATTEMPTS = 1000
-_ISOLATION_POLL_SECONDS = 0.1
 
 
 @attrs.define(eq=False)
@@ -74,19 +70,19 @@
 
     Attributes:
         router_id: Incarnation of this router.
-        backlog: Waiting requests and free concurrency of the accounts.
         peers: Known sidecars.
+        placer: Places the attempts on sidecars.
         crashes: Verdicts on requests that ran when an endpoint crashed.
         run_client: Client that sends run orders to sidecars.
         metrics: Metrics of the process.
-        rng: Random source for choosing sidecars and jittering delays.
+        rng: Random source for jittering delays.
         retry_limit: Maximum number of retries of one request.
         get_config_version: Returns the version of the configuration replica.
     """
 
     router_id: str
-    backlog: Backlog
     peers: PeerDirectory
+    placer: Placer
     crashes: CrashRegistry
     run_client: RunClient
     metrics: Metrics
@@ -113,7 +109,7 @@
         """Queues a request and runs it, with retries.
 
         Unless the request is refused, it counts against the concurrency of its account until
-        `release_concurrency` is called, which must be done once the response is delivered.
+        `Placer.release_concurrency` is called, which must be done once the response is delivered.
 
         Args:
             request: The validated request.
@@ -130,7 +126,7 @@
             if state == GUILTY:
                 return _adjust_outcome(dispatch, CallFailure(ErrorKind.crash_suspected))
             dispatch.order = attrs.evolve(dispatch.order, isolated=state == SUSPECT)
-            failure = await self._wait_for_placement(dispatch, is_requeued=is_requeued)
+            failure = await self._place(dispatch, is_requeued=is_requeued)
             if failure is not None:
                 return _adjust_outcome(dispatch, failure)
             result = await self._run_attempt(dispatch)
@@ -145,46 +141,6 @@
             is_requeued = True
             await self._wait_before_retry(dispatch, result)
 
-    def release_concurrency(self, account: str) -> None:
-        """Releases the concurrency that a request used, so that another one may run.
-
-        Args:
-            account: Client account of the request.
-        """
-        self._context.backlog.release_concurrency(account)
-        for pool in self._context.peers.pools:
-            # As in `_wait_for_placement`, one grantable request is reported early.
-            if self._context.backlog.count_grantable(pool, account) == 1:
-                self._context.peers.trigger_heartbeats(pool)
-
-    def accept_grant(self, offer: GrantOffer, placement: Placement) -> str:
-        """Places a waiting request in the slot that a sidecar offers.
-
-        Args:
-            offer: The grant offer. If it names no account, the slot goes to the account with the
-                oldest request that may run.
-            placement: The sidecar and the ID of the offer.
-
-        Returns:
-            The account whose request takes the slot; empty if the offer is declined.
-        """
-        peer = self._context.peers.find(placement.address)
-        if peer is None or not self._context.peers.accepts_work(peer):
-            return ''
-        account = offer.account or self._context.backlog.oldest_account(offer.pool)
-        pending = None
-        if account:
-            pending = self._context.backlog.take(offer.pool, account, placement.sidecar_id)
-        if pending is None:
-            # The number of free slots in an offer leaves out the offered one. After a decline that
-            # slot is free too, unless the sidecar offers it to another router: an offer that names
-            # an account shows that it knows of waiting requests.
-            peer.free_slots = offer.free_slots if offer.account else offer.free_slots + 1
-            return ''
-        self._context.backlog.acquire_concurrency(pending.account)
-        pending.place(placement)
-        return pending.account
-
     def record_stream_crash(self, stream: StreamedResponse) -> None:
         """Records a crash if a stream ended early because its endpoint crashed.
 
@@ -219,113 +175,18 @@
             request, order, PendingRequest(request.pool, request.account), deadline
         )
 
-    async def _wait_for_placement(
-        self, dispatch: DispatchState, *, is_requeued: bool
-    ) -> CallFailure | None:
-        pending = PendingRequest(
+    async def _place(self, dispatch: DispatchState, *, is_requeued: bool) -> CallFailure | None:
+        dispatch.pending = PendingRequest(
             dispatch.request.pool,
             dispatch.request.account,
             excluded_sidecar_ids=dispatch.pending.excluded_sidecar_ids,
         )
-        dispatch.pending = pending
-        self._reset_exclusions(pending)
-        if dispatch.order.isolated:
-            return await self._place_isolated(dispatch)
-        if self._place_directly(pending):
-            return None
-        self._context.backlog.add(pending, at_front=is_requeued)
-        # Heartbeats are sent early only if this is the account's only grantable request or a
-        # retried one. Each heartbeat reports all reservations of the pool, so the regular ones
-        # report the other requests.
-        if (
-            self._context.backlog.count_grantable(pending.pool, pending.account) == 1
-            or is_requeued
-        ):
-            self._context.peers.trigger_heartbeats(pending.pool)
-        try:
-            with trio.move_on_at(dispatch.deadline):
-                await pending.placed.wait()
-        except trio.Cancelled:
-            self._abandon(pending)
-            raise
-        if pending.placement is not None:
-            return None
-        self._context.backlog.remove(pending)
-        return CallFailure(ErrorKind.queue_timeout)
-
-    def _reset_exclusions(self, pending: PendingRequest) -> None:
-        """Clears the exclusions of a request if no other sidecar accepts work."""
-        available_ids = [
-            peer.sidecar_id
-            for peer in self._context.peers.list_sidecars(pending.pool)
-            if self._context.peers.accepts_work(peer)
-        ]
-        if pending.excluded_sidecar_ids.issuperset(available_ids):
-            pending.excluded_sidecar_ids.clear()
-
-    def _abandon(self, pending: PendingRequest) -> None:
-        """Drops a request whose task was cancelled while it waited."""
-        self._context.backlog.remove(pending)
-        if pending.placement is not None:
-            self.release_concurrency(pending.account)
-
-    def _place_directly(self, pending: PendingRequest) -> bool:
-        """Places a request on a sidecar with a free slot, unless others of its account wait.
-
-        Returns:
-            Whether it was placed.
-        """
-        if self._context.backlog.count_grantable(pending.pool, pending.account):
-            return False
-        if self._context.backlog.free_concurrency(pending.account) == 0:
-            return False
-        peer = self._choose_idle(pending)
-        if peer is None:
-            return False
-        peer.free_slots -= 1
-        self._context.backlog.acquire_concurrency(pending.account)
-        pending.place(Placement(peer.address, peer.sidecar_id))
-        return True
-
-    async def _place_isolated(self, dispatch: DispatchState) -> CallFailure | None:
-        """Places a suspect, which must run alone, where no earlier attempt failed.
-
-        The request is not queued; the sidecar accepts it once its endpoint is idle.
-
-        Returns:
-            Why the request was not placed, or None if it was.
-        """
-        pending = dispatch.pending
-        while trio.current_time() < dispatch.deadline:
-            available = [
-                peer
-                for peer in self._context.peers.list_sidecars(pending.pool)
-                if self._context.peers.accepts_work(peer)
-                and peer.sidecar_id not in pending.excluded_sidecar_ids
-            ]
-            if available and self._context.backlog.free_concurrency(pending.account):
-                peer = max(available, key=lambda item: item.free_slots)
-                self._context.backlog.acquire_concurrency(pending.account)
-                pending.place(Placement(peer.address, peer.sidecar_id))
-                return None
-            await trio.sleep(_ISOLATION_POLL_SECONDS)
-            self._reset_exclusions(pending)
-        return CallFailure(ErrorKind.queue_timeout)
-
-    def _choose_idle(self, pending: PendingRequest) -> SidecarPeer | None:
-        idle = [
-            peer
-            for peer in self._context.peers.list_sidecars(pending.pool)
-            if peer.free_slots > 0
-            and peer.sidecar_id not in pending.excluded_sidecar_ids
-            and self._context.peers.accepts_work(peer)
-        ]
-        if not idle:
-            return None
-        # Chooses the better of two random sidecars: routers with the same information would
-        # otherwise all choose the same one.
-        candidates = self._context.rng.sample(idle, min(len(idle), 2))
-        return max(candidates, key=lambda peer: peer.free_slots)
+        return await self._context.placer.place(
+            dispatch.pending,
+            deadline=dispatch.deadline,
+            is_isolated=dispatch.order.isolated,
+            is_requeued=is_requeued,
+        )
 
     async def _run_attempt(
         self, dispatch: DispatchState
@@ -345,12 +206,12 @@
                 dispatch.request.body,
             )
         except BaseException:
-            self.release_concurrency(dispatch.request.account)
+            self._context.placer.release_concurrency(dispatch.request.account)
             with trio.CancelScope(shield=True):
                 await self._context.run_client.cancel(placement, dispatch.order)
             raise
         if isinstance(result, CallFailure):
-            self.release_concurrency(dispatch.request.account)
+            self._context.placer.release_concurrency(dispatch.request.account)
         return result
 
     def _handle_failure(self, dispatch: DispatchState, failure: CallFailure) -> CallFailure | None:
--- a/src/fireflymux/router/router.py
+++ b/src/fireflymux/router/router.py
@@ -28,6 +28,7 @@
 from .caller_requests import CallerRequest
 from .dispatch import DispatchContext, Dispatcher
 from .peers import PeerContext, PeerDirectory
+from .placement import Placer
 from .run_client import RunClient
 
 
@@ -94,15 +95,17 @@
             )
         )
         self.run_client = RunClient(self._fleet_clients, self.peers, self.metrics)
+        rng = random.Random()
+        self.placer = Placer(self.backlog, self.peers, rng=rng)
         self.dispatcher = Dispatcher(
             DispatchContext(
                 router_id=self.incarnation,
-                backlog=self.backlog,
                 peers=self.peers,
+                placer=self.placer,
                 crashes=self.crashes,
                 run_client=self.run_client,
                 metrics=self.metrics,
-                rng=random.Random(),
+                rng=rng,
                 retry_limit=router_settings.retry_limit,
                 get_config_version=lambda: self.configuration.version,
             )
--- a/src/fireflymux/router/router_app.py
+++ b/src/fireflymux/router/router_app.py
@@ -88,7 +88,7 @@
         except codec.DecodeError as error:
             return build_problem_response(CallFailure(ErrorKind.malformed_request, str(error)))
         placement = Placement(offer.address, offer.sidecar, offer.grant)
-        account = router.dispatcher.accept_grant(offer, placement)
+        account = router.placer.accept_grant(offer, placement)
         reservations = router.backlog.count_reservations(offer.pool)
         return build_message_response(GrantReply(account=account, reservations=reservations))
 
@@ -196,7 +196,7 @@
         return _build_failure_response(router, result)
     headers = {'Content-Type': result.content_type, 'traceparent': to_traceparent(span)}
     if isinstance(result, BufferedResponse):
-        router.dispatcher.release_concurrency(caller_request.account)
+        router.placer.release_concurrency(caller_request.account)
         router.metrics.requests.inc({'pool': caller_request.pool, 'result': 'whole'})
         headers = {**result.headers, **headers}
         return Response(result.body, status=result.status, headers=headers)
@@ -221,7 +221,7 @@
             yield _build_error_event()
     finally:
         router.active_requests -= 1
-        router.dispatcher.release_concurrency(caller_request.account)
+        router.placer.release_concurrency(caller_request.account)
         router.metrics.requests.inc({'pool': caller_request.pool, 'result': result})
         span.end()
         if result == 'abandoned':
