Select the sidecars of a router in a module of its own

Rendezvous hashing needs nothing of the peer directory but addresses and two settings, so it is a function in router/sidecar_selection.py.

--- a/src/fireflymux/router/peers.py
+++ b/src/fireflymux/router/peers.py
@@ -5,7 +5,6 @@
 there, and the sidecar's state and free slots back.
 """
 
-import hashlib
 import random
 
 import attrs
@@ -24,6 +23,7 @@
 from ..wire.totals_table import pack_totals, unpack_totals
 from ..wire.wire_size import request_size, response_size
 from .backlog import Backlog
+from .sidecar_selection import select_sidecars
 
 _log = get_logger(__name__)
 #: Consecutive unanswered heartbeats after which a sidecar is considered down.
@@ -222,7 +222,14 @@
         listed = [item for item in entries if item.role == 'sidecar']
         self._listed_pools = {item.pool for item in listed}
         self._listed_addresses = {item.address for item in listed}
-        sidecars = {item.address: item for item in self._select_sidecars(listed)}
+        selected = select_sidecars(
+            listed,
+            router=self._address,
+            other_routers=self.router_addresses,
+            fanout=self._context.fanout,
+            routers_per_sidecar=self._context.routers_per_sidecar,
+        )
+        sidecars = {item.address: item for item in selected}
         for address, entry in sidecars.items():
             if address in self._peers:
                 self._peers[address].instance = entry
@@ -236,29 +243,6 @@
                 self._peers.pop(address).task_scope.cancel()
                 nursery.start_soon(self._context.fleet_clients.close, address)
 
-    def _select_sidecars(self, listed: list[LiveInstance]) -> list[LiveInstance]:
-        """Selects sidecars by rendezvous hashing, so that few change when the list does.
-
-        The router selects up to `fanout` sidecars of each pool that rank first for it, so that it
-        reaches every pool. It also selects each sidecar for which it ranks among the first
-        `routers_per_sidecar` routers, so that no sidecar is without routers.
-        """
-        ranked = sorted(listed, key=lambda item: _rendezvous_hash(self._address, item.address))
-        counts: dict[str, int] = {}
-        selected = []
-        for entry in ranked:
-            counts[entry.pool] = counts.get(entry.pool, 0) + 1
-            if counts[entry.pool] <= self._context.fanout or self._is_preferred_by(entry.address):
-                selected.append(entry)
-        return selected
-
-    def _is_preferred_by(self, sidecar_address: str) -> bool:
-        own_hash = _rendezvous_hash(self._address, sidecar_address)
-        routers_ahead = sum(
-            1 for url in self.router_addresses if _rendezvous_hash(url, sidecar_address) < own_hash
-        )
-        return routers_ahead < self._context.routers_per_sidecar
-
     async def _run_heartbeats(self, peer: SidecarPeer) -> None:
         with peer.task_scope:
             while True:
@@ -348,8 +332,3 @@
         _log.warning('sidecar_down', address=peer.address, reason=reason)
         for scope in list(peer.transfer_scopes):
             scope.cancel()
-
-
-def _rendezvous_hash(router_address: str, sidecar_address: str) -> bytes:
-    """Returns the hash of two addresses; the pairs with the lowest hashes are preferred."""
-    return hashlib.sha256('{0} {1}'.format(router_address, sidecar_address).encode()).digest()
