--- a/src/fireflymux/router/placement.py
+++ b/src/fireflymux/router/placement.py
@@ -14,7 +14,8 @@
 from ..errors import CallFailure, ErrorKind
 from ..messages import GrantOffer
 from .backlog import Backlog, PendingRequest, Placement
-from .peers import PeerDirectory, SidecarPeer
+from .peers import PeerDirectory
+from .sidecar_peer import SidecarPeer
 
 _ISOLATION_POLL_SECONDS = 0.1
 
--- a/src/fireflymux/router/run_client.py
+++ b/src/fireflymux/router/run_client.py
@@ -17,7 +17,8 @@
 from ..web.http_clients import FleetClients
 from ..wire import codec, headers
 from .backlog import Placement
-from .peers import PeerDirectory, SidecarPeer
+from .peers import PeerDirectory
+from .sidecar_peer import SidecarPeer
 
 #: Transfers of one streamed response, resumed ones included, before it counts as cut off.
 _MAXIMUM_TRANSFERS = 5
