Names and values of the platform's header fields have modules of their own

call_headers.py held the names, the sets of fields that are not forwarded, the decoding of single values, and the metadata built from them.

--- a/src/fireflymux/platform/call_headers.py
+++ b/src/fireflymux/platform/call_headers.py
@@ -8,95 +8,31 @@
 
 import attrs
 
-from ..bounded_values import (
-    MAXIMUM_IDENTIFIER,
-    MAXIMUM_INTEGER,
-    MAXIMUM_SECONDS,
-    MAXIMUM_TOKENS,
-    parse_integer,
-)
+from ..bounded_values import MAXIMUM_INTEGER, MAXIMUM_SECONDS, parse_integer
 from ..decisions.prompts import PromptPart
 from ..http.messages import HeaderFields, Request, ResponseHead, find_header, list_header_values
 from ..observability.logs import get_logger
+from . import header_names as names
+from .header_values import (
+    decode_deadline,
+    decode_idle_timeout,
+    decode_key,
+    decode_parts,
+    decode_tokens,
+)
 
 _log = get_logger(__name__)
 
-_ATTEMPT_ID = b'x-attempt-id'
 #: HTTP joins the values of a repeated field in this way.
 _ATTEMPT_SEPARATOR = b', '
-_DEADLINE_MS = b'x-deadline-ms'
-_AUTHORIZATION = b'authorization'
-_MODEL = b'x-model'
-_TOKEN_USAGE = b'x-token-usage'
-_PROMPT_PREFIX = b'x-prompt-prefix'
-_LENGTH_HINT = b'x-length-hint'
-_LAST_EVENT_ID = b'last-event-id'
-_SERVER_SIGNATURE = b'x-server-signature'
-_NOT_EXECUTED = b'x-not-executed'
-_SERVER_LOAD = b'x-server-load'
-_SERVER_LEAVING = b'server-leaving'
 _LEAVING_VALUE = b'1'
-_RETRY_AFTER = b'retry-after'
-_WARMUP_MS = b'x-warmup-ms'
-_KV_FETCH = b'kv-fetch'
 _UNAVAILABLE_STATUS = 503
-#: Upper bound on the Retry-After time of an endpoint; a longer time is assumed to be an error.
-_MAXIMUM_BACKOFF_SECONDS = 600.0
-_KEEP_ALIVE = b'keep-alive'
-_AUTHORIZATION_SCHEME = b'token '
 _MISDIRECTED_STATUS = 421
 _MILLISECONDS_PER_SECOND = 1000.0
-_KEEP_ALIVE_TIMEOUT_OPTION = b'timeout='
-_HEXADECIMAL = 16
+#: Upper bound on the Retry-After time of an endpoint; a longer time is assumed to be an error.
+_MAXIMUM_BACKOFF_SECONDS = 600.0
 _MAXIMUM_WARMUP_MILLISECONDS = int(MAXIMUM_SECONDS * _MILLISECONDS_PER_SECOND)
 
-#: Hop-by-hop and framing fields, and Expect; none of them is forwarded.
-_HOP_BY_HOP = frozenset(
-    (
-        b'connection',
-        b'keep-alive',
-        b'proxy-authenticate',
-        b'proxy-authorization',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'upgrade',
-        b'content-length',
-        b'expect',
-    )
-)
-#: Request fields that are forwarded although the Connection field lists them: they belong to the
-#: request and not to one connection.
-_END_TO_END = frozenset(
-    (
-        b'host',
-        _ATTEMPT_ID,
-        _MODEL,
-        _TOKEN_USAGE,
-        _PROMPT_PREFIX,
-        _LENGTH_HINT,
-        _LAST_EVENT_ID,
-    )
-)
-#: Response fields meant for the system; they are not forwarded to the caller.
-_ENDPOINT_FIELDS = frozenset((_SERVER_LOAD, _SERVER_LEAVING, _WARMUP_MS))
-#: Request fields that are not forwarded as the caller sent them. Authorization and X-Deadline-Ms
-#: are read here first, and the deadline is set anew; only the system may set the others.
-_SYSTEM_FIELDS = frozenset(
-    (
-        _AUTHORIZATION,
-        _DEADLINE_MS,
-        b'x-tenant',
-        b'x-expect-instance',
-        b'x-hold',
-        b'x-pin-ms',
-        b'x-kv-backup',
-        b'kv-from',
-        _KV_FETCH,
-    )
-)
-
 
 @attrs.define(frozen=True, kw_only=True)
 class RequestMetadata:
@@ -167,18 +103,18 @@
         counts, except for X-Attempt-Id.
     """
     found = {name.lower(): value for name, value in request.fields}
-    tokens = found.get(_TOKEN_USAGE, b'').split(b',')
-    output_tokens = _parse_tokens(found.get(_LENGTH_HINT, b''))
-    resume_after = parse_integer(found.get(_LAST_EVENT_ID, b''), maximum=MAXIMUM_INTEGER)
-    attempts = list_header_values(request.fields, _ATTEMPT_ID)
+    tokens = found.get(names.TOKEN_USAGE, b'').split(b',')
+    output_tokens = decode_tokens(found.get(names.LENGTH_HINT, b''))
+    resume_after = parse_integer(found.get(names.LAST_EVENT_ID, b''), maximum=MAXIMUM_INTEGER)
+    attempts = list_header_values(request.fields, names.ATTEMPT_ID)
     return RequestMetadata(
         attempt=_ATTEMPT_SEPARATOR.join(attempts),
         has_several_attempts=len(attempts) > 1,
-        deadline_seconds=_decode_deadline(found.get(_DEADLINE_MS, b'')),
-        key=_decode_key(found.get(_AUTHORIZATION, b'')),
-        prompt_tokens=_parse_tokens(tokens[0]) or 0,
-        output_tokens=(_parse_tokens(tokens[-1]) or 0) if output_tokens is None else output_tokens,
-        parts=_decode_parts(found.get(_PROMPT_PREFIX, b'')),
+        deadline_seconds=decode_deadline(found.get(names.DEADLINE_MS, b'')),
+        key=decode_key(found.get(names.AUTHORIZATION, b'')),
+        prompt_tokens=decode_tokens(tokens[0]) or 0,
+        output_tokens=(decode_tokens(tokens[-1]) or 0) if output_tokens is None else output_tokens,
+        parts=decode_parts(found.get(names.PROMPT_PREFIX, b'')),
         resume_after=-1 if resume_after is None else resume_after,
     )
 
@@ -209,7 +145,7 @@
     Returns:
         The header fields, including Content-Length if the request needs it.
     """
-    replaced = {_LAST_EVENT_ID} if resume_after >= 0 else set()
+    replaced = {names.LAST_EVENT_ID} if resume_after >= 0 else set()
     fields = _filter_request_headers(request, replaced)
     remaining = max(int(remaining_seconds * _MILLISECONDS_PER_SECOND), 1)
     fields.append((b'X-Deadline-Ms', b'%d' % remaining))
@@ -232,8 +168,8 @@
     """
     # RFC 9110: fields named by the Connection field are hop-by-hop as well.
     options = b','.join(list_header_values(request.fields, b'connection')).lower().split(b',')
-    listed = {option.strip() for option in options} - _END_TO_END
-    dropped = _HOP_BY_HOP | _SYSTEM_FIELDS | extra_dropped | listed
+    listed = {option.strip() for option in options} - names.END_TO_END
+    dropped = names.HOP_BY_HOP | names.SYSTEM_FIELDS | extra_dropped | listed
     return [field for field in request.fields if field[0].lower() not in dropped]
 
 
@@ -250,14 +186,14 @@
         X-Attempt-Id.
     """
     found = {name.lower(): value for name, value in head.fields}
-    warmup = parse_integer(found.get(_WARMUP_MS, b''), maximum=_MAXIMUM_WARMUP_MILLISECONDS)
+    warmup = parse_integer(found.get(names.WARMUP_MS, b''), maximum=_MAXIMUM_WARMUP_MILLISECONDS)
     return ResponseMetadata(
-        attempt=_ATTEMPT_SEPARATOR.join(list_header_values(head.fields, _ATTEMPT_ID)),
-        has_signature=bool(found.get(_SERVER_SIGNATURE)),
-        was_not_executed=_NOT_EXECUTED in found or head.status == _MISDIRECTED_STATUS,
-        idle_seconds=_decode_idle_timeout(found.get(_KEEP_ALIVE, b'')),
-        is_leaving=found.get(_SERVER_LEAVING, b'').strip() == _LEAVING_VALUE,
-        requested_backoff_seconds=_decode_backoff(head.status, found.get(_RETRY_AFTER, b'')),
+        attempt=_ATTEMPT_SEPARATOR.join(list_header_values(head.fields, names.ATTEMPT_ID)),
+        has_signature=bool(found.get(names.SERVER_SIGNATURE)),
+        was_not_executed=names.NOT_EXECUTED in found or head.status == _MISDIRECTED_STATUS,
+        idle_seconds=decode_idle_timeout(found.get(names.KEEP_ALIVE, b'')),
+        is_leaving=found.get(names.SERVER_LEAVING, b'').strip() == _LEAVING_VALUE,
+        requested_backoff_seconds=_decode_backoff(head.status, found.get(names.RETRY_AFTER, b'')),
         warmup_seconds=(warmup or 0) / _MILLISECONDS_PER_SECOND,
     )
 
@@ -288,7 +224,7 @@
     Returns:
         The host without its port; empty if there is none.
     """
-    return find_header(fields, _KV_FETCH).rpartition(b':')[0].decode()
+    return find_header(fields, names.KV_FETCH).rpartition(b':')[0].decode()
 
 
 def filter_response_headers(head: ResponseHead) -> HeaderFields:
@@ -303,7 +239,9 @@
         The header fields, without those that state the body length.
     """
     return [
-        field for field in head.fields if field[0].lower() not in _HOP_BY_HOP | _ENDPOINT_FIELDS
+        field
+        for field in head.fields
+        if field[0].lower() not in names.HOP_BY_HOP | names.ENDPOINT_FIELDS
     ]
 
 
@@ -325,42 +263,6 @@
     return fields
 
 
-def _decode_deadline(text: bytes) -> float:
-    try:
-        deadline = float(text) / _MILLISECONDS_PER_SECOND
-    except ValueError:
-        return float('inf')
-    return deadline if deadline > 0 else float('inf')
-
-
-def _decode_key(text: bytes) -> str:
-    if text[: len(_AUTHORIZATION_SCHEME)].lower() != _AUTHORIZATION_SCHEME:
-        return ''
-    return text[len(_AUTHORIZATION_SCHEME) :].strip().decode('latin-1')
-
-
-def _decode_parts(text: bytes) -> tuple[PromptPart, ...]:
-    # Later parts are useful only if all earlier ones are known, so parsing stops at an error.
-    parts = []
-    for entry in text.split(b','):
-        hexadecimal, _, decimal = entry.partition(b':')
-        identifier = parse_integer(hexadecimal, maximum=MAXIMUM_IDENTIFIER, base=_HEXADECIMAL)
-        tokens = _parse_tokens(decimal)
-        if identifier is None or tokens is None:
-            break
-        parts.append(PromptPart(identifier, tokens))
-    return tuple(parts)
-
-
-def _decode_idle_timeout(text: bytes) -> float | None:
-    for option in text.split(b','):
-        name = option.strip().lower()
-        if name.startswith(_KEEP_ALIVE_TIMEOUT_OPTION):
-            seconds = name[len(_KEEP_ALIVE_TIMEOUT_OPTION) :]
-            return float(parse_integer(seconds, maximum=MAXIMUM_INTEGER) or 0)
-    return None
-
-
 def _decode_backoff(status: int, text: bytes) -> float:
     """Returns the seconds of Retry-After in a 503 response, reduced to the upper bound.
 
@@ -379,7 +281,3 @@
     if stated > _MAXIMUM_BACKOFF_SECONDS:
         _log.warning('rest_bounded', stated=stated, bound=_MAXIMUM_BACKOFF_SECONDS)
     return min(stated, _MAXIMUM_BACKOFF_SECONDS)
-
-
-def _parse_tokens(text: bytes) -> int | None:
-    return parse_integer(text, maximum=MAXIMUM_TOKENS)
