Do not join a part of one head to the head of the next answer

What callers saw: 503, "not run", for a request that ran, or another status than its endpoint gave, with that endpoint's signature and body. Cause: an endpoint wrote an earlier answer once more when the next request was due, and broke it off within the reason phrase or within a value. The status line of the answer that followed was read as the rest of that phrase or value, so that the status and the first fields were those of the earlier answer, and the identifier that of the present one. A 421 read so let the request be tried elsewhere, too. A head whose reason phrase or value holds the start of a response is now unreadable.

An unreadable head now stops the parser, which went on to the bytes behind it and to those of a body that a HEAD request does not get.

--- a/emulator/repeating_backend.py
+++ b/emulator/repeating_backend.py
@@ -44,6 +44,7 @@
         pause_after: Bytes of the others that are written before a pause.
         has_id: Whether it repeats the identifier of the attempt.
         is_ended: Whether the others are written at all.
+        last_text: Text in it with which it breaks off, on an open connection; empty for none.
         further_id: Another identifier that it states behind that of the attempt; empty for none.
     """
 
@@ -52,6 +53,7 @@
     pause_after: int = 0
     has_id: bool = True
     is_ended: bool = True
+    last_text: bytes = b''
     further_id: bytes = b''
 
 
@@ -68,6 +70,9 @@
         'with two ids': CopyTiming(further_id=b'a2'),
         'begun at once': CopyTiming(bytes_at_once=9),
         'begun at once and never ended': CopyTiming(bytes_at_once=9, is_ended=False),
+        'up to its reason phrase': CopyTiming(last_text=b'HTTP/1.1 421 '),
+        'up to within its reason phrase': CopyTiming(last_text=b'HTTP/1.1 503 Serv'),
+        'up to within a field': CopyTiming(has_id=False, last_text=b'X-Not-Executed: '),
         'begun at once and without its id': CopyTiming(bytes_at_once=9, has_id=False),
     }
 )
@@ -111,6 +116,8 @@
         if self.timing.further_id:
             copy_fields = [*fields, (_ATTEMPT_ID, self.timing.further_id)]
         copy = self.timing.prefix + self._encode_first(request, copy_fields)
+        if self.timing.last_text:
+            copy = copy[: copy.index(self.timing.last_text) + len(self.timing.last_text)]
         at_once = len(copy) if self.timing.bytes_at_once is None else self.timing.bytes_at_once
         self._due[writer] = copy[at_once:] if self.timing.is_ended else b''
         await send_encoded(writer, self._encode_first(request, fields) + copy[:at_once])
--- a/features/kept_connections.feature
+++ b/features/kept_connections.feature
@@ -32,6 +32,19 @@
       | refusal 503 | with two ids          | another id        |
       | refusal 503 | with the next request | an id in capitals |
 
+  Scenario Outline: A part of a head that is written again is not joined to the head of the next answer
+    Given a "unsafe" route whose only endpoint writes its first answer, a "<first>", again "<timing>"
+    When callers send two requests one after the other, the second with "another id"
+    Then the first is told that it was not run, and the second that its outcome is unknown
+    And no request that was refused has run, and none has run twice
+
+    Examples:
+      | first       | timing                         |
+      | refusal 421 | up to its reason phrase        |
+      | refusal 503 | up to within its reason phrase |
+      | refusal 503 | up to within a field           |
+      | refusal 421 | up to within a field           |
+
   Scenario: A refusal that is written again sends no request that runs to a second endpoint
     Given a "unsafe" route whose two endpoints each write their first answer, a "refusal 503", again
     When callers send two requests one after the other, the second with "the same id"
--- a/features/steps/kept_connection_steps.py
+++ b/features/steps/kept_connection_steps.py
@@ -159,6 +159,13 @@
     _check_own_response(context, '/2')
 
 
+@then('the first is told that it was not run, and the second that its outcome is unknown')
+def check_refused_and_unknown(context):
+    assert context.result['/1'].status == 503, context.result
+    assert context.result['/2'].status == 502, context.result
+    assert 'x-server-signature' not in context.result['/2'].fields, context.result
+
+
 @then('both get their own responses')
 def check_both_served(context):
     _check_own_response(context, '/1')
--- a/src/fireflymux/http/response_parser.py
+++ b/src/fireflymux/http/response_parser.py
@@ -1,5 +1,6 @@
 """Parses the responses that arrive on a connection to a server."""
 
+import re
 from collections import deque
 
 import attrs
@@ -16,6 +17,12 @@
 
 _FIRST_FINAL_STATUS = 200
 _CHUNKED = b'chunked'
+_VERSION_START = b'HTTP/1.'
+_STATUS_LINE_START = re.compile(rb'HTTP/1\.[01] [0-9]{3}(?: |$)', re.MULTILINE)
+
+
+class _Unreadable(Exception):
+    """Stops the httptools parser, which would go on to further responses otherwise."""
 
 
 @attrs.define(eq=False)
@@ -48,7 +55,7 @@
             length of a body that does not follow. httptools cannot be told so; such a response is
             the last one that the parser can read.
         is_malformed: Whether the server sent bytes that are not valid HTTP.
-        is_ended: Whether no further response can be read.
+        is_ended: Whether no further response can be read, although all that was is valid.
         is_in_response: Whether bytes of a response were received, interim ones included, whose
             final response is not complete yet.
         keeps_alive: Whether the connection can carry another request (HTTP keep-alive).
@@ -67,6 +74,7 @@
         self.keeps_alive = True
         self.progress = 0
         self._parser = httptools.HttpResponseParser(self)
+        self._reason = b''
         self._fields: HeaderFields = []
         self._current_response: IncomingResponse | None = None
 
@@ -81,7 +89,7 @@
         try:
             self._parser.feed_data(received)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.is_malformed = True
+            self.is_malformed = not self.is_ended
 
     def feed_eof(self) -> None:
         """Records that the server closed the connection, which can complete a response."""
@@ -93,9 +101,14 @@
     def on_message_begin(self) -> None:
         """Resets the state for a new response."""
         self.is_in_response = True
+        self._reason = b''
         self._fields = []
         self._current_response = None
 
+    def on_status(self, part: bytes) -> None:
+        """Adds a part of the reason phrase."""
+        self._reason += part
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header field; one behind a chunked body is no part of the head."""
         if self._current_response is not None:
@@ -104,14 +117,14 @@
 
     def on_headers_complete(self) -> None:
         """Starts a final response and determines how its body is delimited."""
+        self._require_one_head()
         status = self._parser.get_status_code()
         if status < _FIRST_FINAL_STATUS:
             return
         codings = b','.join(list_header_values(self._fields, b'transfer-encoding')).lower()
         if codings not in {b'', _CHUNKED}:
             # With other codings, its end and its content could not be told for certain.
-            self.is_malformed = True
-            return
+            raise _Unreadable(codings)
         length = find_header(self._fields, b'content-length')
         is_chunked = codings == _CHUNKED
         self._current_response = IncomingResponse(
@@ -142,11 +155,21 @@
         self._current_response.is_complete = True
         self.keeps_alive = self.keeps_alive and self._parser.should_keep_alive()
 
+    def _require_one_head(self) -> None:
+        """Raises `_Unreadable` if the reason phrase or a value holds the start of another response.
+
+        The head before it was cut there, so that its status and first fields belong to another
+        response than those that follow.
+        """
+        texts = b'\n'.join([self._reason, *[value for _, value in self._fields]])
+        if _VERSION_START in texts and _STATUS_LINE_START.search(texts):
+            raise _Unreadable(texts)
+
     def _end_without_body(self, response: IncomingResponse) -> None:
         response.head.content_length = None
         response.ends_at_close = False
         response.is_complete = True
         self.is_ended = True
         self.keeps_alive = False
-        # What httptools takes for the body belongs to no response.
-        self._current_response = None
+        # What httptools would take for the body belongs to no response.
+        raise _Unreadable('the body does not follow')
