Pass on no encoded body that nobody asked for, and no status beyond 599

What callers saw: a success whose body an endpoint had encoded, although its caller accepts none, so that it is not the endpoint's body as the platform's pages tell; and a status that HTTP does not have. Neither was looked at: the status of a response was a number from outside without a range. Both now count as no answer (502, or another endpoint where that is allowed); a caller that accepts encodings gets them. The four rows of the scenario were red before; that of the caller that accepts gzip held.

--- a/emulator/backend.py
+++ b/emulator/backend.py
@@ -400,6 +400,8 @@
             'an event with an odd id and cut': _cut_behind(
                 b'id: 0\ndata: piece 0\n\n', b'id: x1\ndata: piece 1\n\n'
             ),
+            'an odd status': _answer_with(999, [], b'odd'),
+            'an encoded body': _answer_with(200, [(b'Content-Encoding', b'gzip')], b'odd'),
             'only comments and cut': _cut_behind(b': nothing\n\n'),
             'stream slowly': _stream_slowly,
             'stream and trickle': _stream_unfinished_event,
--- a/features/broken_streams.feature
+++ b/features/broken_streams.feature
@@ -105,6 +105,23 @@
     When a caller asks once
     Then it is answered 502
 
+  Scenario Outline: An answer that cannot be the endpoint's own is not passed on
+    Given a "<kind>" route whose only endpoint has behaviour "<behaviour>"
+    When a caller asks once
+    Then it is answered 502
+
+    Examples:
+      | kind      | behaviour       |
+      | unsafe    | an encoded body |
+      | streaming | an encoded body |
+      | unsafe    | an odd status   |
+      | streaming | an odd status   |
+
+  Scenario: An encoded body is passed on to a caller that accepts one
+    Given a "unsafe" route whose only endpoint has behaviour "an encoded body"
+    When a caller asks once and accepts gzip
+    Then it is answered 200
+
   Scenario: A caller is not told to continue behind a response that closes the connection
     Given a "streaming" route whose only endpoint has behaviour "stream"
     When an instance stops while a caller reads a stream, behind which a request waits to be told to continue
--- a/features/steps/response_state_steps.py
+++ b/features/steps/response_state_steps.py
@@ -258,6 +258,14 @@
     _run_on_fleet(context, act)
 
 
+@when('a caller asks once and accepts gzip')
+def ask_once_accepting(context):
+    async def act(fleet):
+        return await fleet.call('/a', more='Accept-Encoding: gzip')
+
+    _run_on_fleet(context, act)
+
+
 @then('it is answered {status:d}')
 def check_status(context, status):
     assert context.result.status == status and context.result.is_whole, context.result
--- a/src/fireflymux/entry/attempt.py
+++ b/src/fireflymux/entry/attempt.py
@@ -213,7 +213,7 @@
 ) -> Outcome:
     """Reads a response to its end, or relays it if the route streams and the status is a success.
 
-    A success must be signed. An error to a request that resumes a stream is not forwarded, as the
+    A success must be signed, and encoded only if the caller accepts that. An error to a request that resumes a stream is not forwarded, as the
     caller has the head of a success already. A response that is not relayed and states that the request was not
     executed counts as rejected, even if it is unsigned and no success. Any other must be signed.
     """
@@ -221,6 +221,8 @@
     is_success = _FIRST_SUCCESS_STATUS <= head.status < _FIRST_REDIRECT_STATUS
     if is_success and not metadata.has_signature:
         raise ConnectionBroken('the answer is not signed')
+    if is_success and metadata.is_encoded and not attempt.metadata.accepts_encodings:
+        raise ConnectionBroken('the answer has an encoding that its caller does not accept')
     if is_success and attempt.relay is not None:
         return await _relay_events(state, attempt, connection, response)
     states_length = head.content_length is not None
--- a/src/fireflymux/http/response_parser.py
+++ b/src/fireflymux/http/response_parser.py
@@ -16,6 +16,7 @@
 )
 
 _FIRST_FINAL_STATUS = 200
+_LAST_STATUS = 599
 _CHUNKED = b'chunked'
 _VERSION_START = b'HTTP/1.'
 _STATUS_LINE_START = re.compile(rb'HTTP/1\.[01] [0-9]{3}(?: |$)', re.MULTILINE)
@@ -121,6 +122,8 @@
         status = self._parser.get_status_code()
         if status < _FIRST_FINAL_STATUS:
             return
+        if status > _LAST_STATUS:
+            raise _Unreadable(status)
         codings = b','.join(list_header_values(self._fields, b'transfer-encoding')).lower()
         if codings not in {b'', _CHUNKED}:
             # With other codings, its end and its content could not be told for certain.
--- a/src/fireflymux/platform/call_headers.py
+++ b/src/fireflymux/platform/call_headers.py
@@ -42,6 +42,10 @@
 _UNAVAILABLE_STATUS = 503
 #: Upper bound on the Retry-After time of an endpoint; a longer time is assumed to be an error.
 _MAXIMUM_BACKOFF_SECONDS = 600.0
+_ACCEPT_ENCODING = b'accept-encoding'
+_CONTENT_ENCODING = b'content-encoding'
+#: Values of fields with content codings for a body that is not encoded.
+_NO_ENCODINGS = frozenset((b'', b'identity'))
 _KEEP_ALIVE = b'keep-alive'
 _AUTHORIZATION_SCHEME = b'token '
 _MISDIRECTED_STATUS = 421
@@ -114,6 +118,7 @@
         parts: Parts of the prompt, in order.
         resume_after: Number of the last event that the caller received; -1 if the request does
             not resume a stream.
+        accepts_encodings: Whether it states that the body of its response may be encoded.
     """
 
     attempt: bytes
@@ -124,6 +129,7 @@
     output_tokens: int
     parts: tuple[PromptPart, ...]
     resume_after: int
+    accepts_encodings: bool = False
 
 
 @attrs.define(frozen=True, kw_only=True)
@@ -142,6 +148,8 @@
         requested_backoff_seconds: Time for which the endpoint asks this instance to send it no
             requests; zero if it sent no Retry-After with status 503.
         warmup_seconds: How much longer the endpoint warms up; zero if it does not say so.
+        is_encoded: Whether the body is encoded, and thus not the endpoint's own, as endpoints do not
+            encode bodies unless asked to.
     """
 
     attempt: bytes
@@ -151,6 +159,7 @@
     is_leaving: bool
     requested_backoff_seconds: float
     warmup_seconds: float
+    is_encoded: bool = False
 
 
 def decode_request_headers(request: Request) -> RequestMetadata:
@@ -180,6 +189,7 @@
         output_tokens=(_parse_tokens(tokens[-1]) or 0) if output_tokens is None else output_tokens,
         parts=_decode_parts(found.get(_PROMPT_PREFIX, b'')),
         resume_after=-1 if resume_after is None else resume_after,
+        accepts_encodings=found.get(_ACCEPT_ENCODING, b'').lower() not in _NO_ENCODINGS,
     )
 
 
@@ -259,6 +269,7 @@
         is_leaving=found.get(_SERVER_LEAVING, b'').strip() == _LEAVING_VALUE,
         requested_backoff_seconds=_decode_backoff(head.status, found.get(_RETRY_AFTER, b'')),
         warmup_seconds=(warmup or 0) / _MILLISECONDS_PER_SECOND,
+        is_encoded=found.get(_CONTENT_ENCODING, b'').lower() not in _NO_ENCODINGS,
     )
 
 
