Take an answer without an identifier to the first request of a connection as its own

Cause: any answer without it was skipped as a late one. As the first answer to the first request of a connection it can only be that request's own; it is used, with the identifier added for the caller.

--- a/emulator/backend.py
+++ b/emulator/backend.py
@@ -236,6 +236,19 @@
     writer.abort()
 
 
+def _without_id(
+    status: int, *, signed: bool, is_refusal: bool = False
+) -> Callable[[Request, ResponseWriter, HeaderFields], Any]:
+    """Returns a behaviour that answers without the identifier of the attempt."""
+
+    async def behave(request: Request, writer: ResponseWriter, fields: HeaderFields) -> None:
+        kept = fields[1:] if signed else []
+        refusal = [(b'X-Not-Executed', b'1')] if is_refusal else []
+        await writer.answer(status, [*kept, *refusal], _response_body(fields))
+
+    return behave
+
+
 def _cut_behind(
     *events: bytes,
 ) -> Callable[[Request, ResponseWriter, HeaderFields], Any]:
@@ -400,6 +413,10 @@
             'an event with an odd id and cut': _cut_behind(
                 b'id: 0\ndata: piece 0\n\n', b'id: x1\ndata: piece 1\n\n'
             ),
+            'answer without an id': _without_id(200, signed=True),
+            'fail without an id': _without_id(500, signed=True),
+            'fail unsigned without an id': _without_id(500, signed=False),
+            'refuse without an id': _without_id(503, signed=False, is_refusal=True),
             'an odd status': _answer_with(999, [], b'odd'),
             'an encoded body': _answer_with(200, [(b'Content-Encoding', b'gzip')], b'odd'),
             'only comments and cut': _cut_behind(b': nothing\n\n'),
--- a/features/kept_connections.feature
+++ b/features/kept_connections.feature
@@ -79,6 +79,20 @@
       | POST   | X-Attempt-Id: a1\r\nConnection: x-attempt-id, host     | 200    | 1    | a1 |
       | HEAD   | X-Attempt-Id: a1                                       | 200    | 1    | a1 |
 
+  Scenario Outline: An answer without an identifier to the first request of a connection is its own
+    Given a "<kind>" route whose only endpoint has behaviour "<behaviour>"
+    When a caller sends a "POST" request with "X-Attempt-Id: a1"
+    Then it is answered <status>, within half of its time
+    And the answer has the id "a1"
+
+    Examples:
+      | kind      | behaviour                   | status |
+      | unsafe    | answer without an id        | 200    |
+      | streaming | answer without an id        | 200    |
+      | unsafe    | fail without an id          | 500    |
+      | unsafe    | fail unsigned without an id | 502    |
+      | unsafe    | refuse without an id        | 503    |
+
   Scenario Outline: An endpoint that refuses a request before it has read its body gets no other bytes for the rest
     Given a "unsafe" route whose only endpoint refuses requests with <size> bytes before it reads these
     When callers send a request with <size> bytes and then one without
--- a/features/steps/kept_connection_steps.py
+++ b/features/steps/kept_connection_steps.py
@@ -240,6 +240,12 @@
     assert seconds < 0.5, seconds
 
 
+@then('the answer has the id "{identifier}"')
+def check_answer_id(context, identifier):
+    reply, _ = context.result
+    assert reply.fields.get('x-attempt-id') == identifier, reply
+
+
 @then('the endpoint ran {count:d} requests, with the id "{identifier}"')
 @then('the endpoint ran {count:d} requests, with the id ""')
 def check_identifiers(context, count, identifier=''):
--- a/src/fireflymux/entry/attempt.py
+++ b/src/fireflymux/entry/attempt.py
@@ -192,12 +192,17 @@
 async def _read_matching_response(
     connection: UpstreamConnection, attempt_id: bytes
 ) -> tuple[IncomingResponse, ResponseMetadata]:
-    """Reads the head of the response to an attempt, and skips late responses to other requests."""
+    """Reads the head of the response to an attempt, and skips late responses to other requests.
+
+    A response without an identifier can be to any request of its connection, so that it counts only
+    as the first response to the first request.
+    """
     remaining_bytes = _MAXIMUM_SKIPPED_BYTES
-    for _ in range(_MAXIMUM_SKIPPED_RESPONSES):
+    for skipped in range(_MAXIMUM_SKIPPED_RESPONSES):
         response = await connection.next_response()
         metadata = decode_response_headers(response.head)
-        if metadata.attempt == attempt_id:
+        is_only_one = not (metadata.attempt or skipped or connection.has_earlier_requests)
+        if metadata.attempt == attempt_id or is_only_one:
             return response, metadata
         remaining_bytes -= len(await connection.read_full_body(response, remaining_bytes))
         connection.drop(response)
@@ -234,7 +239,8 @@
         raise ConnectionBroken('the answer is not signed')
     if attempt.relay is not None and attempt.relay.is_begun:
         return NotResumed('it has status {0}'.format(head.status))
-    return Whole(head.status, filter_response_headers(head), content)
+    fields = filter_response_headers(head, attempt.metadata.attempt)
+    return Whole(head.status, fields, content)
 
 
 async def _relay_events(
@@ -250,7 +256,7 @@
         raise ConnectionBroken('the answer is not a stream')
     started_at = trio.current_time()
     head: ResponseHead = response.head
-    fields = filter_response_headers(head)
+    fields = filter_response_headers(head, attempt.metadata.attempt)
     relay.begin_attempt(head.status, fields)
     while True:
         part = await connection.next_body_part(response)
--- a/src/fireflymux/experiment/engine_connections.py
+++ b/src/fireflymux/experiment/engine_connections.py
@@ -58,6 +58,11 @@
         fields = build_endpoint_response_headers(self._attempt, self._endpoint)
         return IncomingResponse(ResponseHead(status=_OK, fields=fields))
 
+    @property
+    def has_earlier_requests(self) -> bool:
+        """Whether the connection carried other requests; always False."""
+        return False
+
     async def next_body_part(self, response: IncomingResponse) -> bytes:
         """Waits for further events; returns an empty string after the last one."""
         run = self._run
--- a/src/fireflymux/http/client_connection.py
+++ b/src/fireflymux/http/client_connection.py
@@ -125,6 +125,11 @@
         # The server sent unrequested bytes or closed the connection.
         return False
 
+    @property
+    def has_earlier_requests(self) -> bool:
+        """Whether the present request is not the first one, so that others' responses can come."""
+        return len(self._identifier_hashes) > 1
+
     def can_identify(self, identifier: bytes) -> bool:
         """Tells whether the response to a request could be told from any to an earlier request.
 
--- a/src/fireflymux/http/connection_pool.py
+++ b/src/fireflymux/http/connection_pool.py
@@ -24,6 +24,10 @@
 class UpstreamConnection(Protocol):
     """Interface of a connection for one request; `ClientConnection` documents the methods."""
 
+    @property
+    def has_earlier_requests(self) -> bool:
+        """Whether the connection carried other requests before this one."""
+
     def close(self) -> None:
         """Closes the connection."""
 
--- a/src/fireflymux/platform/call_headers.py
+++ b/src/fireflymux/platform/call_headers.py
@@ -83,8 +83,8 @@
         _LAST_EVENT_ID,
     )
 )
-#: Response fields meant for the system; they are not forwarded to the caller.
-_ENDPOINT_FIELDS = frozenset((_SERVER_LOAD, _SERVER_LEAVING, _WARMUP_MS))
+#: Response fields that are not forwarded to the caller; the last three are meant for the system.
+_NOT_RETURNED = _HOP_BY_HOP | {_SERVER_LOAD, _SERVER_LEAVING, _WARMUP_MS}
 #: Request fields that are not forwarded as the caller sent them. Authorization and X-Deadline-Ms
 #: are read here first, and the deadline is set anew; only the system may set the others.
 _SYSTEM_FIELDS = frozenset(
@@ -302,20 +302,23 @@
     return find_header(fields, _KV_FETCH).rpartition(b':')[0].decode()
 
 
-def filter_response_headers(head: ResponseHead) -> HeaderFields:
+def filter_response_headers(head: ResponseHead, attempt: bytes) -> HeaderFields:
     """Selects the header fields of an endpoint's response that are forwarded to the caller.
 
     Unlike with requests, fields that the Connection field lists are forwarded.
 
     Args:
         head: Status and header fields of the response.
+        attempt: Identifier of the caller's attempt, which is added if the response has none; empty
+            if the caller sent none.
 
     Returns:
         The header fields, without those that state the body length.
     """
-    return [
-        field for field in head.fields if field[0].lower() not in _HOP_BY_HOP | _ENDPOINT_FIELDS
-    ]
+    fields = [field for field in head.fields if field[0].lower() not in _NOT_RETURNED]
+    if attempt and not find_header(fields, _ATTEMPT_ID):
+        fields.append((b'X-Attempt-Id', attempt))
+    return fields
 
 
 def build_error_headers(attempt: bytes, retry_after_seconds: float) -> HeaderFields:
