--- a/features/kept_connections.feature
+++ b/features/kept_connections.feature
@@ -32,6 +32,19 @@
       | refusal 503 | with two ids          | another id        |
       | refusal 503 | with the next request | an id in capitals |
 
+  Scenario Outline: A part of a head that is written again is not joined to the head of the next answer
+    Given a "unsafe" route whose only endpoint writes its first answer, a "<first>", again "<timing>"
+    When callers send two requests one after the other, the second with "another id"
+    Then the first is told that it was not run, and the second that its outcome is unknown
+    And no request that was refused has run, and none has run twice
+
+    Examples:
+      | first       | timing                         |
+      | refusal 421 | up to its reason phrase        |
+      | refusal 503 | up to within its reason phrase |
+      | refusal 503 | up to within a field           |
+      | refusal 421 | up to within a field           |
+
   Scenario: A refusal that is written again sends no request that runs to a second endpoint
     Given a "unsafe" route whose two endpoints each write their first answer, a "refusal 503", again
     When callers send two requests one after the other, the second with "the same id"
@@ -66,6 +79,20 @@
       | POST   | X-Attempt-Id: a1\r\nConnection: x-attempt-id, host     | 200    | 1    | a1 |
       | HEAD   | X-Attempt-Id: a1                                       | 200    | 1    | a1 |
 
+  Scenario Outline: An answer without an identifier to the first request of a connection is its own
+    Given a "<kind>" route whose only endpoint has behaviour "<behaviour>"
+    When a caller sends a "POST" request with "X-Attempt-Id: a1"
+    Then it is answered <status>, within half of its time
+    And the answer has the id "a1"
+
+    Examples:
+      | kind      | behaviour                   | status |
+      | unsafe    | answer without an id        | 200    |
+      | streaming | answer without an id        | 200    |
+      | unsafe    | fail without an id          | 500    |
+      | unsafe    | fail unsigned without an id | 502    |
+      | unsafe    | refuse without an id        | 503    |
+
   Scenario Outline: An endpoint that refuses a request before it has read its body gets no other bytes for the rest
     Given a "unsafe" route whose only endpoint refuses requests with <size> bytes before it reads these
     When callers send a request with <size> bytes and then one without
--- a/src/fireflymux/entry/attempt.py
+++ b/src/fireflymux/entry/attempt.py
@@ -192,12 +192,17 @@
 async def _read_matching_response(
     connection: UpstreamConnection, attempt_id: bytes
 ) -> tuple[IncomingResponse, ResponseMetadata]:
-    """Reads the head of the response to an attempt, and skips late responses to other requests."""
+    """Reads the head of the response to an attempt, and skips late responses to other requests.
+
+    A response without an identifier can be to any request of its connection, so that it counts only
+    as the first response to the first request.
+    """
     remaining_bytes = _MAXIMUM_SKIPPED_BYTES
-    for _ in range(_MAXIMUM_SKIPPED_RESPONSES):
+    for skipped in range(_MAXIMUM_SKIPPED_RESPONSES):
         response = await connection.next_response()
         metadata = decode_response_headers(response.head)
-        if metadata.attempt == attempt_id:
+        is_only_one = not (metadata.attempt or skipped or connection.has_earlier_requests)
+        if metadata.attempt == attempt_id or is_only_one:
             return response, metadata
         remaining_bytes -= len(await connection.read_full_body(response, remaining_bytes))
         connection.drop(response)
@@ -213,7 +218,7 @@
 ) -> Outcome:
     """Reads a response to its end, or relays it if the route streams and the status is a success.
 
-    A success must be signed. An error to a request that resumes a stream is not forwarded, as the
+    A success must be signed, and encoded only if the caller accepts that. An error to a request that resumes a stream is not forwarded, as the
     caller has the head of a success already. A response that is not relayed and states that the request was not
     executed counts as rejected, even if it is unsigned and no success. Any other must be signed.
     """
@@ -221,6 +226,8 @@
     is_success = _FIRST_SUCCESS_STATUS <= head.status < _FIRST_REDIRECT_STATUS
     if is_success and not metadata.has_signature:
         raise ConnectionBroken('the answer is not signed')
+    if is_success and metadata.is_encoded and not attempt.metadata.accepts_encodings:
+        raise ConnectionBroken('the answer has an encoding that its caller does not accept')
     if is_success and attempt.relay is not None:
         return await _relay_events(state, attempt, connection, response)
     states_length = head.content_length is not None
@@ -232,7 +239,8 @@
         raise ConnectionBroken('the answer is not signed')
     if attempt.relay is not None and attempt.relay.is_begun:
         return NotResumed('it has status {0}'.format(head.status))
-    return Whole(head.status, filter_response_headers(head), content)
+    fields = filter_response_headers(head, attempt.metadata.attempt)
+    return Whole(head.status, fields, content)
 
 
 async def _relay_events(
@@ -248,7 +256,7 @@
         raise ConnectionBroken('the answer is not a stream')
     started_at = trio.current_time()
     head: ResponseHead = response.head
-    fields = filter_response_headers(head)
+    fields = filter_response_headers(head, attempt.metadata.attempt)
     relay.begin_attempt(head.status, fields)
     while True:
         part = await connection.next_body_part(response)
--- a/src/fireflymux/platform/call_headers.py
+++ b/src/fireflymux/platform/call_headers.py
@@ -27,6 +27,8 @@
 _ATTEMPT_SEPARATOR = b', '
 _LEAVING_VALUE = b'1'
 _UNAVAILABLE_STATUS = 503
+#: Values of fields with content codings for a body that is not encoded.
+_NO_ENCODINGS = frozenset((b'', b'identity'))
 _MISDIRECTED_STATUS = 421
 _MILLISECONDS_PER_SECOND = 1000.0
 #: Upper bound on the Retry-After time of an endpoint; a longer time is assumed to be an error.
@@ -50,6 +52,7 @@
         parts: Parts of the prompt, in order.
         resume_after: Number of the last event that the caller received; -1 if the request does
             not resume a stream.
+        accepts_encodings: Whether it states that the body of its response may be encoded.
     """
 
     attempt: bytes
@@ -60,6 +63,7 @@
     output_tokens: int
     parts: tuple[PromptPart, ...]
     resume_after: int
+    accepts_encodings: bool = False
 
 
 @attrs.define(frozen=True, kw_only=True)
@@ -78,6 +82,8 @@
         requested_backoff_seconds: Time for which the endpoint asks this instance to send it no
             requests; zero if it sent no Retry-After with status 503.
         warmup_seconds: How much longer the endpoint warms up; zero if it does not say so.
+        is_encoded: Whether the body is encoded, and thus not the endpoint's own, as endpoints do not
+            encode bodies unless asked to.
     """
 
     attempt: bytes
@@ -87,6 +93,7 @@
     is_leaving: bool
     requested_backoff_seconds: float
     warmup_seconds: float
+    is_encoded: bool = False
 
 
 def decode_request_headers(request: Request) -> RequestMetadata:
@@ -116,6 +123,7 @@
         output_tokens=(decode_tokens(tokens[-1]) or 0) if output_tokens is None else output_tokens,
         parts=decode_parts(found.get(names.PROMPT_PREFIX, b'')),
         resume_after=-1 if resume_after is None else resume_after,
+        accepts_encodings=found.get(names.ACCEPT_ENCODING, b'').lower() not in _NO_ENCODINGS,
     )
 
 
@@ -195,6 +203,7 @@
         is_leaving=found.get(names.SERVER_LEAVING, b'').strip() == _LEAVING_VALUE,
         requested_backoff_seconds=_decode_backoff(head.status, found.get(names.RETRY_AFTER, b'')),
         warmup_seconds=(warmup or 0) / _MILLISECONDS_PER_SECOND,
+        is_encoded=found.get(names.CONTENT_ENCODING, b'').lower() not in _NO_ENCODINGS,
     )
 
 
@@ -227,22 +236,23 @@
     return find_header(fields, names.KV_FETCH).rpartition(b':')[0].decode()
 
 
-def filter_response_headers(head: ResponseHead) -> HeaderFields:
+def filter_response_headers(head: ResponseHead, attempt: bytes) -> HeaderFields:
     """Selects the header fields of an endpoint's response that are forwarded to the caller.
 
     Unlike with requests, fields that the Connection field lists are forwarded.
 
     Args:
         head: Status and header fields of the response.
+        attempt: Identifier of the caller's attempt, which is added if the response has none; empty
+            if the caller sent none.
 
     Returns:
         The header fields, without those that state the body length.
     """
-    return [
-        field
-        for field in head.fields
-        if field[0].lower() not in names.HOP_BY_HOP | names.ENDPOINT_FIELDS
-    ]
+    fields = [field for field in head.fields if field[0].lower() not in names.NOT_RETURNED]
+    if attempt and not find_header(fields, names.ATTEMPT_ID):
+        fields.append((b'X-Attempt-Id', attempt))
+    return fields
 
 
 def build_error_headers(attempt: bytes, retry_after_seconds: float) -> HeaderFields:
