Hold contracts that a router passes on to the bounds of those in the table

A sidecar reads its configuration from routers first, and took the contracts that they state as they are.

Seen before the fix: both examples had the odd contracts in force. They pass with it.

--- a/features/role_values.feature
+++ b/features/role_values.feature
@@ -26,3 +26,13 @@
       | version             |
       | 9007199254740991    |
       | 1                   |
+
+  Scenario Outline: A router passes on a contract that this build would not accept
+    Given a router whose <part> of the configuration has contracts of the weights 0, -1e308, 1e-320 and 2
+    When a sidecar reads the configuration from it
+    Then only the contracts of positive weights are in force, within their bounds
+
+    Examples:
+      | part     |
+      | snapshot |
+      | changes  |
--- a/features/steps/role_value_steps.py
+++ b/features/steps/role_value_steps.py
@@ -6,11 +6,15 @@
 from behave import given, then, when
 
 from emulator.fleet import Fleet
-from fireflymux._settings_generated import PlatformSettings
+from emulator.scripted_server import ScriptedServer, answer
+from fireflymux._settings_generated import FleetSettings, PlatformSettings, TlsSettings
+from fireflymux.observability.metrics import Metrics
 from fireflymux.store.config_commit import load_configuration
+from fireflymux.store.config_reader import ConfigReader
 from fireflymux.store.config_rows import CHANGE_PREFIX, HEAD_KEY, change_key, snapshot_name
 from fireflymux.store.configuration import Configuration
 from fireflymux.store.platform_client import PlatformClients
+from fireflymux.web.http_clients import FleetClients
 
 _CONTRACT = {
     'account': 'families',
@@ -140,3 +144,62 @@
 @then('it has the contract of the further change')
 def check_further_contract(context):
     assert 'account-3' in context.configuration.contracts, context.configuration.contracts
+
+
+def _build_contract(account, weight):
+    return {**_CONTRACT, 'account': account, 'weight': weight}
+
+
+def _answer_update(**members):
+    return answer(200, orjson.dumps({'version': 4, 'age_seconds': 0.0, **members}))
+
+
+@given(
+    'a router whose {part} of the configuration has contracts of the weights 0, -1e308, 1e-320 and 2'
+)
+def prepare_router(context, part):
+    weights = {'zero': 0.0, 'negative': -1e308, 'tiny': 1e-320, 'sound': 2.0}
+    contracts = [_build_contract(account, weight) for account, weight in weights.items()]
+    changes = [
+        {'version': number, 'change_id': 'change', 'operator': 'operator', 'contract': contract}
+        for number, contract in enumerate(contracts, start=1)
+    ]
+    parts = {'snapshot': {'version': 4, 'contracts': contracts}, 'changes': changes}
+    context.answers = [_answer_update(**{part: parts[part]})]
+
+
+@given('a router that states the age {age} of its configuration')
+def prepare_age(context, age):
+    context.answers = [_answer_update(age_seconds=orjson.loads(age))]
+
+
+@when('a sidecar reads the configuration from it')
+def read_from_router(context):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            server = await ScriptedServer.start(nursery, context.answers)
+            context.configuration = Configuration()
+            context.reader = ConfigReader(
+                context.configuration,
+                platform=StoredPlatform().connect(),
+                fleet_clients=FleetClients(FleetSettings(key='key'), TlsSettings()),
+                routers=lambda: [server.url],
+                metrics=Metrics(),
+            )
+            await context.reader._read_routers()
+            context.age = context.reader.age_seconds
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+@then('only the contracts of positive weights are in force, within their bounds')
+def check_weights(context):
+    found = {name: term.weight for name, term in context.configuration.contracts.items()}
+    assert found == {'tiny': 1e-9, 'sound': 2.0}, found
+    assert context.configuration.version == 4, context.configuration.version
+
+
+@then('its own configuration does not count as matching the platform')
+def check_age(context):
+    assert context.age == float('inf'), context.age
--- a/src/fireflymux/store/config_commit.py
+++ b/src/fireflymux/store/config_commit.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import attrs
 import trio
 
 from ..messages import ConfigChange, ConfigHead, ConfigSnapshot
@@ -17,7 +16,7 @@
 from ..wire import codec
 from .config_rows import CHANGE_PREFIX, HEAD_KEY, change_key, change_version, snapshot_name
 from .configuration import Configuration
-from .contract_terms import find_problems, limit_terms
+from .contract_terms import limit_change, limit_snapshot
 from .platform_client import (
     CommitResult,
     ObjectClient,
@@ -117,9 +116,7 @@
     except codec.DecodeError as error:
         _log.warning('config_snapshot_unreadable', version=version, reason=str(error))
         return
-    contracts = map(limit_terms, snapshot.contracts)
-    valid = [contract for contract in contracts if not find_problems(contract)]
-    target.replace(attrs.evolve(snapshot, contracts=valid))
+    target.replace(limit_snapshot(snapshot))
 
 
 def _decode_snapshot(content: bytes, version: int) -> ConfigSnapshot:
@@ -134,19 +131,19 @@
     """Returns the change in a row, or one without content if it cannot be read."""
     version = change_version(row.key)
     try:
-        change = codec.structure(row.value, ConfigChange)
+        change = _decode_change(row, version)
     except codec.DecodeError as error:
-        problems = [str(error)]
-    else:
-        if change.contract is not None:
-            change = attrs.evolve(change, contract=limit_terms(change.contract))
-        problems = [] if change.contract is None else find_problems(change.contract)
-        if change.version != version:
-            problems.append('the version is not that of the row')
-    if not problems:
-        return change
-    _log.warning('config_change_unreadable', version=version, reason='; '.join(problems))
-    return ConfigChange(version=version, change_id='', operator='')
+        _log.warning('config_change_unreadable', version=version, reason=str(error))
+        return ConfigChange(version=version, change_id='', operator='')
+    return limit_change(change)
+
+
+def _decode_change(row: Row, version: int) -> ConfigChange:
+    """Decodes a change; raises DecodeError if it is malformed or that of another version."""
+    change = codec.structure(row.value, ConfigChange)
+    if change.version != version:
+        raise codec.DecodeError('the version is not that of the row')
+    return change
 
 
 async def commit_change(
--- a/src/fireflymux/store/config_reader.py
+++ b/src/fireflymux/store/config_reader.py
@@ -23,6 +23,7 @@
 from ..wire import codec
 from .config_commit import load_configuration
 from .configuration import Configuration
+from .contract_terms import limit_change, limit_snapshot
 from .platform_client import PlatformClients, PlatformError
 
 _log = get_logger(__name__)
@@ -178,8 +179,8 @@
 
     def _apply(self, update: ConfigUpdate) -> None:
         if update.snapshot is not None:
-            self._configuration.replace(update.snapshot)
-        self._configuration.apply(update.changes)
+            self._configuration.replace(limit_snapshot(update.snapshot))
+        self._configuration.apply(map(limit_change, update.changes))
 
 
 def build_update(
--- a/src/fireflymux/store/contract_terms.py
+++ b/src/fireflymux/store/contract_terms.py
@@ -4,7 +4,10 @@
 
 import attrs
 
-from ..messages import Contract
+from ..messages import ConfigChange, ConfigSnapshot, Contract
+from ..observability.logs import get_logger
+
+_log = get_logger(__name__)
 
 #: Bounds of the numbers in a contract; beyond them, sums of service or rates lose all precision.
 _MINIMUM_NUMBER = 1e-9
@@ -54,3 +57,36 @@
             bounded = min(max(number, _MINIMUM_NUMBER), _MAXIMUM_NUMBER)
             limited[name] = type(number)(bounded)
     return attrs.evolve(contract, **limited)
+
+
+def limit_change(change: ConfigChange) -> ConfigChange:
+    """Brings the contract of a change within the bounds.
+
+    Args:
+        change: A change that was read, from the table or from another router.
+
+    Returns:
+        The change; without its contract if that is invalid, so that the later changes apply.
+    """
+    if change.contract is None:
+        return change
+    contract = limit_terms(change.contract)
+    problems = find_problems(contract)
+    if not problems:
+        return attrs.evolve(change, contract=contract)
+    _log.warning('config_change_unreadable', version=change.version, reason='; '.join(problems))
+    return attrs.evolve(change, contract=None)
+
+
+def limit_snapshot(snapshot: ConfigSnapshot) -> ConfigSnapshot:
+    """Brings the contracts of a snapshot within the bounds.
+
+    Args:
+        snapshot: A snapshot that was read, from the object store or from another router.
+
+    Returns:
+        The snapshot without its invalid contracts.
+    """
+    contracts = map(limit_terms, snapshot.contracts)
+    valid = [contract for contract in contracts if not find_problems(contract)]
+    return attrs.evolve(snapshot, contracts=valid)
