Do not take a configuration of a router for current that states an age below zero

A router that states a negative age of its configuration made a sidecar date its own match with the platform in the future; a router that read from it passed the age on, -inf as null, which no process can decode. An age below zero now counts as unknown.

Seen before the fix: two of three examples failed. They pass with it.

--- a/features/role_values.feature
+++ b/features/role_values.feature
@@ -36,3 +36,14 @@
       | part     |
       | snapshot |
       | changes  |
+
+  Scenario Outline: A router states an age of its configuration that cannot be
+    Given a router that states the age <age> of its configuration
+    When a sidecar reads the configuration from it
+    Then its own configuration does not count as matching the platform
+
+    Examples:
+      | age     |
+      | -1e9    |
+      | "-inf"  |
+      | "nan"   |
--- a/src/fireflymux/store/config_reader.py
+++ b/src/fireflymux/store/config_reader.py
@@ -154,7 +154,7 @@
             # Counts even if the router cannot reach the platform: its version is then the
             # newest one available.
             self._confirmed_at = requested_at
-            if update.age_seconds < _MAXIMUM_AGE_FROM_ROUTER_SECONDS:
+            if 0 <= update.age_seconds < _MAXIMUM_AGE_FROM_ROUTER_SECONDS:
                 self._matched_platform_at = max(
                     self._matched_platform_at, requested_at - update.age_seconds
                 )
