Admit requests again after a heartbeat that states a version of no configuration

One heartbeat with a version that was never committed made a sidecar refuse every request as 'a newer configuration exists' until it was started again: the newest version that it heard of never decreases. A version that the replica still lacks although it matched the platform at a later time does not exist, and is forgotten; one that was heard since then still counts.

Seen before the fix: the sidecar refused requests after it had read the platform. It admits them now, and refuses them as before while the platform was not read, or a newer version was heard since.

--- a/features/role_values.feature
+++ b/features/role_values.feature
@@ -47,3 +47,19 @@
       | -1e9    |
       | "-inf"  |
       | "nan"   |
+
+  Scenario Outline: A heartbeat states a version of the configuration that does not exist
+    Given a sidecar whose platform has the configuration version 3
+    When a heartbeat states the version 9007199254740991 and the sidecar then reads <source>
+    Then the sidecar <answer> requests
+
+    Examples:
+      | source       | answer  |
+      | the platform | admits  |
+      | nothing      | refuses |
+
+  Scenario: A newer version is heard after one that does not exist
+    Given a sidecar whose platform has the configuration version 3
+    When a heartbeat states the version 9007199254740991 and the sidecar then reads the platform
+    And a heartbeat states the version 4 and the sidecar then reads nothing
+    Then the sidecar refuses requests
--- a/features/steps/role_value_steps.py
+++ b/features/steps/role_value_steps.py
@@ -4,11 +4,22 @@
 import orjson
 import trio
 from behave import given, then, when
+from trio.testing import MockClock
 
 from emulator.fleet import Fleet
 from emulator.scripted_server import ScriptedServer, answer
-from fireflymux._settings_generated import FleetSettings, PlatformSettings, TlsSettings
+from fireflymux._settings_generated import (
+    FleetSettings,
+    InstanceSettings,
+    ObservabilitySettings,
+    PlatformSettings,
+    SidecarSettings,
+    TlsSettings,
+)
+from fireflymux.messages import Heartbeat
 from fireflymux.observability.metrics import Metrics
+from fireflymux.settings import ProcessSettings
+from fireflymux.sidecar.sidecar import Sidecar
 from fireflymux.store.config_commit import load_configuration
 from fireflymux.store.config_reader import ConfigReader
 from fireflymux.store.config_rows import CHANGE_PREFIX, HEAD_KEY, change_key, snapshot_name
@@ -203,3 +214,51 @@
 @then('its own configuration does not count as matching the platform')
 def check_age(context):
     assert context.age == float('inf'), context.age
+
+
+@given('a sidecar whose platform has the configuration version {version:d}')
+def prepare_sidecar(context, version):
+    context.platform = StoredPlatform()
+    context.platform.put(HEAD_KEY, {'version': version, 'snapshot_version': 0})
+    for number in range(1, version + 1):
+        context.platform.put(change_key(number), _build_change(number))
+    context.heartbeats = []
+
+
+@when('a heartbeat states the version {version:d} and the sidecar then reads {source}')
+def hear_version(context, version, source):
+    context.heartbeats.append((version, source == 'the platform'))
+
+
+@then('the sidecar {answer} requests')
+def check_admission(context, answer):
+    url = 'http://127.0.0.1:1'
+
+    async def run():
+        sidecar = Sidecar.from_settings(
+            ProcessSettings(
+                instance=InstanceSettings(
+                    name='sidecar', failure_domain='a', listen_host='127.0.0.1', listen_port=0
+                ),
+                fleet=FleetSettings(key='key'),
+                platform=PlatformSettings(table_url=url, object_url=url, live_url=url),
+                tls=TlsSettings(),
+                observability=ObservabilitySettings(),
+                router=None,
+                sidecar=SidecarSettings(
+                    endpoint='e', endpoint_url=url, pool='farewell', kind='engine', slots=1
+                ),
+            )
+        )
+        sidecar.config_reader._platform = context.platform.connect()
+        await sidecar.config_reader._read_platform()
+        for sequence, (version, is_read) in enumerate(context.heartbeats, start=1):
+            heartbeat = {'router': 'r', 'address': url, 'config_version': version}
+            sidecar.accept_heartbeat(Heartbeat(**heartbeat, sequence=sequence))
+            await trio.sleep(1)
+            if is_read:
+                await sidecar.config_reader._read_platform()
+        return sidecar.check_admission()
+
+    refusal = trio.run(run, clock=MockClock(autojump_threshold=0.02))
+    assert (refusal is None) == (answer == 'admits'), refusal
--- a/src/fireflymux/sidecar/sidecar.py
+++ b/src/fireflymux/sidecar/sidecar.py
@@ -278,6 +278,8 @@
         )
 
     def _record_config_version(self, heartbeat: Heartbeat) -> None:
+        if self._is_heard_version_refuted():
+            self.newest_heard_version = self.configuration.version
         if heartbeat.config_version > self.newest_heard_version:
             self.newest_heard_version = heartbeat.config_version
             self._newest_version_heard_at = trio.current_time()
@@ -288,8 +290,18 @@
         """Tells whether a newer configuration has not been loaded within the grace time."""
         if self.configuration.version >= self.newest_heard_version:
             return False
+        if self._is_heard_version_refuted():
+            return False
         return trio.current_time() - self._newest_version_heard_at > _VERSION_LAG_GRACE_SECONDS
 
+    def _is_heard_version_refuted(self) -> bool:
+        """Tells whether the replica has matched the platform since the newest version was heard.
+
+        A heard version that it still lacks is not one that was committed.
+        """
+        heard_seconds_ago = trio.current_time() - self._newest_version_heard_at
+        return self.config_reader.age_seconds < heard_seconds_ago
+
     def _desired_model(self) -> str:
         announcement = self.configuration.endpoints.get(self.sidecar_settings.endpoint)
         return announcement.model if announcement else ''
