Report an unknown outcome where a sidecar states headers of the endpoint that are no object

A response of a sidecar whose field for the endpoint's headers holds JSON that is no object raised an AttributeError in the router, which the decoder does not turn into its own error: the caller got a status 500 without a problem document. It counts as unreadable now, as other JSON that does not match.

Seen before the fix: three examples failed with that error. They pass with it.

--- a/features/role_responses.feature
+++ b/features/role_responses.feature
@@ -47,6 +47,17 @@
     When a router sends it a call
     Then the router reports that the outcome is unknown
 
+  Scenario Outline: An answer of a sidecar whose headers are no object fails only its request
+    Given a sidecar whose answers state <headers> as the headers of the endpoint
+    When a router sends it a call
+    Then the router reports that the outcome is unknown
+
+    Examples:
+      | headers |
+      | [1]     |
+      | 5       |
+      | null    |
+
   Scenario: A suspect whose router leaves while it waits does not keep its endpoint to itself
     Given the slots of a sidecar whose endpoint runs a request
     When a router sends a suspect and leaves before the endpoint is idle
--- a/features/steps/router_responses_steps.py
+++ b/features/steps/router_responses_steps.py
@@ -72,7 +72,12 @@
 
 @given('a sidecar whose answers state unreadable headers of the endpoint')
 def prepare_unreadable_headers(context):
-    stated = (headers.ENDPOINT_HEADERS_HEADER.encode(), b'{"x-note": ')
+    prepare_stated_headers(context, '{"x-note": ')
+
+
+@given('a sidecar whose answers state {text} as the headers of the endpoint')
+def prepare_stated_headers(context, text):
+    stated = (headers.ENDPOINT_HEADERS_HEADER.encode(), text.encode())
     context.answers = [answer(200, b'{}', fields=[_ECHO, stated])]
 
 
--- a/src/fireflymux/wire/codec.py
+++ b/src/fireflymux/wire/codec.py
@@ -18,6 +18,7 @@
     ValueError,
     TypeError,
     KeyError,
+    AttributeError,
     OverflowError,
     RecursionError,
 )
