Match each response of a sidecar to its own exchange with the router

A router told the response to its request by the identifier of the request alone, which all attempts of it and all transfers of its response share. On a kept connection, a refusal of the first attempt that was written once more was taken for that of the second, which may run: the request was placed again, and a caller could be told that it has not run. A transfer that was written once more was spliced into the stream at a wrong place. Each request of a router to a sidecar for a run has an identifier of its own now, which the sidecar repeats in every response, also in errors; a response with another one counts as that of another request, and the sidecar is asked for the own one on a new connection. Sidecars of earlier builds state none, and are matched as before.

--- a/emulator/scripted_server.py
+++ b/emulator/scripted_server.py
@@ -12,6 +12,8 @@
 
 _HEAD_END = b'\r\n\r\n'
 _RECEIVE_BYTES = 65536
+#: Stands in the header of an answer for the value of a field of its request.
+ECHO = b'ECHO'
 
 
 @attrs.define(frozen=True)
@@ -33,22 +35,28 @@
 
     Attributes:
         answers: Answers that are left; the last one is repeated.
+        echoed_field: Name of a header field in lower case; its value in the request replaces
+            `ECHO` in the answers. Empty to replace nothing.
         requests: Requests received so far, head and body of each.
         connection_count: Connections accepted so far.
         url: Base URL, once the server listens.
     """
 
     answers: list[ScriptedAnswer]
+    echoed_field: bytes = b''
     requests: list[bytes] = attrs.field(factory=list)
     connection_count: int = 0
     url: str = ''
 
     @classmethod
     async def start(
-        cls, nursery: trio.Nursery, answers: Sequence[ScriptedAnswer]
+        cls,
+        nursery: trio.Nursery,
+        answers: Sequence[ScriptedAnswer],
+        echoed_field: bytes = b'',
     ) -> 'ScriptedServer':
         """Starts a server that listens until the nursery is cancelled."""
-        server = cls(list(answers))
+        server = cls(list(answers), echoed_field)
         serve = partial(trio.serve_tcp, server._serve, 0, host='127.0.0.1')
         listeners = await nursery.start(serve)
         server.url = 'http://127.0.0.1:{0}'.format(listeners[0].socket.getsockname()[1])
@@ -73,12 +81,25 @@
             received += part
         self.requests.append(received)
         answer = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
-        await stream.send_all(answer.content)
+        content = answer.content
+        if self.echoed_field:
+            content = content.replace(ECHO, _find_field(received, self.echoed_field))
+        await stream.send_all(content)
         if answer.closes:
             await stream.aclose()
         return not answer.closes
 
 
+def _find_field(received: bytes, name: bytes) -> bytes:
+    """Returns the value of a header field of a request; empty if it has none."""
+    head = received.partition(_HEAD_END)[0]
+    for line in head.split(b'\r\n'):
+        field, _, value = line.partition(b':')
+        if field.lower() == name:
+            return value.strip()
+    return b''
+
+
 def _is_whole(received: bytes) -> bool:
     head, separator, body = received.partition(_HEAD_END)
     length = 0
--- a/features/role_responses.feature
+++ b/features/role_responses.feature
@@ -108,6 +108,21 @@
     When a router sends it a call
     Then the router has the answer to its own call
 
+  Scenario: A refusal of an earlier attempt that is written once more refuses no later attempt
+    Given a sidecar that writes its refusal of the first attempt of a request twice
+    When a router sends it two attempts of the request one after the other
+    Then the router has the answer to its own call
+
+  Scenario: A transfer that is written once more is not spliced into the stream
+    Given a sidecar that writes the first of two transfers of a stream twice
+    When a router reads the stream to its end
+    Then the router has the events of both transfers, each once
+
+  Scenario: A sidecar repeats the identifier of the exchange in all its responses
+    Given a sidecar without a configuration
+    When it gets a run order, one without the fleet's key, one that is unreadable and one of no route
+    Then each response has the identifier of its exchange
+
   Scenario Outline: A path reaches the endpoint as the caller sent it
     Given a <kind> that sets a cookie in its answers
     When a sidecar sends it a call of the path "<path>"
--- a/features/steps/role_value_steps.py
+++ b/features/steps/role_value_steps.py
@@ -27,6 +27,7 @@
 from fireflymux.store.platform_client import PlatformClients
 from fireflymux.web.http_clients import FleetClients
 
+_NOWHERE = 'http://127.0.0.1:1'
 _CONTRACT = {
     'account': 'families',
     'weight': 1.0,
@@ -82,6 +83,24 @@
         return httpx.Response(200, content=stored[name])
 
 
+def build_sidecar():
+    return Sidecar.from_settings(
+        ProcessSettings(
+            instance=InstanceSettings(
+                name='sidecar', failure_domain='a', listen_host='127.0.0.1', listen_port=0
+            ),
+            fleet=FleetSettings(key='key'),
+            platform=PlatformSettings(table_url=_NOWHERE, object_url=_NOWHERE, live_url=_NOWHERE),
+            tls=TlsSettings(),
+            observability=ObservabilitySettings(),
+            router=None,
+            sidecar=SidecarSettings(
+                endpoint='e', endpoint_url=_NOWHERE, pool='farewell', kind='engine', slots=1
+            ),
+        )
+    )
+
+
 def _build_change(version, **terms):
     return {
         'version': version,
@@ -232,28 +251,12 @@
 
 @then('the sidecar {answer} requests')
 def check_admission(context, answer):
-    url = 'http://127.0.0.1:1'
-
     async def run():
-        sidecar = Sidecar.from_settings(
-            ProcessSettings(
-                instance=InstanceSettings(
-                    name='sidecar', failure_domain='a', listen_host='127.0.0.1', listen_port=0
-                ),
-                fleet=FleetSettings(key='key'),
-                platform=PlatformSettings(table_url=url, object_url=url, live_url=url),
-                tls=TlsSettings(),
-                observability=ObservabilitySettings(),
-                router=None,
-                sidecar=SidecarSettings(
-                    endpoint='e', endpoint_url=url, pool='farewell', kind='engine', slots=1
-                ),
-            )
-        )
+        sidecar = build_sidecar()
         sidecar.config_reader._platform = context.platform.connect()
         await sidecar.config_reader._read_platform()
         for sequence, (version, is_read) in enumerate(context.heartbeats, start=1):
-            heartbeat = {'router': 'r', 'address': url, 'config_version': version}
+            heartbeat = {'router': 'r', 'address': _NOWHERE, 'config_version': version}
             sidecar.accept_heartbeat(Heartbeat(**heartbeat, sequence=sequence))
             await trio.sleep(1)
             if is_read:
--- a/features/steps/router_responses_steps.py
+++ b/features/steps/router_responses_steps.py
@@ -4,7 +4,7 @@
 from behave import given, then, when
 from quart_trio import QuartTrio
 
-from emulator.scripted_server import ScriptedAnswer, ScriptedServer, answer, broken_off
+from emulator.scripted_server import ECHO, ScriptedAnswer, ScriptedServer, answer, broken_off
 from fireflymux._settings_generated import FleetSettings, TlsSettings
 from fireflymux.errors import CallFailure, ErrorKind, ExecutionStatus, to_problem
 from fireflymux.messages import RunOrder
@@ -12,11 +12,13 @@
 from fireflymux.router import run_client
 from fireflymux.router.backlog import Placement
 from fireflymux.router.run_client import BufferedResponse, RunClient, StreamedResponse, is_whole
+from fireflymux.sidecar.sidecar_app import create_app
 from fireflymux.web.http_clients import FleetClients
 from fireflymux.web.responses import build_problem_response
 from fireflymux.wire import codec, headers
 
 from features.steps.role_responses_steps import _send_calls, build_order
+from features.steps.role_value_steps import build_sidecar
 
 _EVENT = b'data: {"id": 0}\n\n'
 _ECHO = (headers.REQUEST_ECHO.encode(), b'request')
@@ -33,7 +35,8 @@
 
     async def run():
         async with trio.open_nursery() as nursery:
-            context.server = await ScriptedServer.start(nursery, answers)
+            echoed = headers.EXCHANGE.lower().encode()
+            context.server = await ScriptedServer.start(nursery, answers, echoed)
             client = RunClient(
                 FleetClients(FleetSettings(key='key'), TlsSettings()), _NoPeers(), Metrics()
             )
@@ -41,8 +44,8 @@
             for order in orders or [build_order()]:
                 context.result = await client.send_order(placement, order, b'{}')
             if isinstance(context.result, StreamedResponse):
-                async for _chunk in client.read_stream(context.result):
-                    continue
+                stream = client.read_stream(context.result)
+                context.received = [chunk async for chunk in stream]
             nursery.cancel_scope.cancel()
 
     context.closers.append(_shorten_resumes())
@@ -165,3 +168,70 @@
 @then('the router has the answer to its own call')
 def check_own_answer_at_router(context):
     assert getattr(context.result, 'body', None) == b'{"own": 1}', context.result
+
+
+_EXCHANGE = (headers.EXCHANGE.encode(), ECHO)
+
+
+@given('a sidecar that writes its refusal of the first attempt of a request twice')
+def prepare_repeated_refusal(context):
+    document = codec.encode(to_problem(CallFailure(ErrorKind.sidecar_busy)))
+    echoes = [(headers.PROBLEM_ECHO.encode(), b'request'), _EXCHANGE]
+    refusal = answer(503, document, headers.PROBLEM_JSON.encode(), echoes)
+    own = answer(200, b'{"own": 1}', fields=[_ECHO, _EXCHANGE])
+    context.answers = [ScriptedAnswer(refusal.content * 2), own]
+
+
+@when('a router sends it two attempts of the request one after the other')
+def send_attempts(context):
+    _receive(context, context.answers, [build_order(attempt=1), build_order(attempt=2)])
+
+
+@given('a sidecar that writes the first of two transfers of a stream twice')
+def prepare_repeated_transfer(context):
+    fields = [_ECHO, _EXCHANGE]
+    first = broken_off(200, _EVENT, _STREAM, fields).content + b'0\r\n\r\n'
+    rest = broken_off(200, headers.STREAM_END, _STREAM, fields)
+    context.answers = [ScriptedAnswer(first * 2), rest]
+
+
+@then('the router has the events of both transfers, each once')
+def check_transfers_once(context):
+    assert b''.join(context.received) == _EVENT + headers.STREAM_END, context.received
+
+
+@given('a sidecar without a configuration')
+def prepare_unconfigured_sidecar(context):
+    context.sidecar = build_sidecar
+
+
+@when(
+    "it gets a run order, one without the fleet's key, one that is unreadable and one of no route"
+)
+def send_refused_orders(context):
+    order = {headers.RUN_ORDER: codec.encode_header(build_order())}
+    key = {'Authorization': 'Bearer key'}
+    requests = [
+        ('/v1/run', {**order, **key}),
+        ('/v1/run', order),
+        ('/v1/run', {**key, headers.RUN_ORDER: '{'}),
+        ('/v1/odd', key),
+    ]
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            client = create_app(context.sidecar(), nursery).test_client()
+            context.responses = [
+                await client.post(path, headers={**fields, headers.EXCHANGE: str(number)})
+                for number, (path, fields) in enumerate(requests)
+            ]
+
+    trio.run(run)
+
+
+@then('each response has the identifier of its exchange')
+def check_exchanges(context):
+    statuses = [response.status_code for response in context.responses]
+    assert statuses == [503, 401, 400, 404], statuses
+    exchanges = [response.headers.get(headers.EXCHANGE) for response in context.responses]
+    assert exchanges == ['0', '1', '2', '3'], exchanges
--- a/src/fireflymux/router/run_client.py
+++ b/src/fireflymux/router/run_client.py
@@ -4,6 +4,7 @@
 same sidecar for the rest of the response instead of sending the request again.
 """
 
+import uuid
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
@@ -101,6 +102,7 @@
         """
         request_headers = {
             headers.RUN_ORDER: codec.encode_header(order),
+            headers.EXCHANGE: uuid.uuid4().hex,
             'Content-Type': order.content_type,
         }
         request = self._fleet_clients.to(placement.address).build_request(
@@ -210,9 +212,10 @@
             order.attempt,
             offset,
         )
-        request_headers = {headers.RUN_ORDER: codec.encode_header(order)}
+        run_order = codec.encode_header(order)
         deadline = trio.current_time() + _RESUME_TIMEOUT_SECONDS
         while trio.current_time() < deadline:
+            request_headers = {headers.RUN_ORDER: run_order, headers.EXCHANGE: uuid.uuid4().hex}
             request = self._fleet_clients.to(placement.address).build_request(
                 'GET', url, headers=request_headers
             )
@@ -253,9 +256,7 @@
     ) -> BufferedResponse | StreamedResponse | CallFailure:
         response = await self._fleet_clients.to(placement.address).send(request, stream=True)
         content_type = response.headers.get('Content-Type', '')
-        # Errors outside of the run routes, and those of older sidecars, have no echo.
-        problem_echo = response.headers.get(headers.PROBLEM_ECHO, order.request)
-        if response.headers.get(headers.REQUEST_ECHO, problem_echo) != order.request:
+        if not _is_response_to(response, request, order):
             # The response is not read, so that its connection is closed.
             await response.aclose()
             return CallFailure(ErrorKind.outcome_unknown, 'the answer of another request arrived')
@@ -275,6 +276,16 @@
         return BufferedResponse(response.status_code, content_type, body, endpoint_headers)
 
 
+def _is_response_to(response: httpx.Response, request: httpx.Request, order: RunOrder) -> bool:
+    """Tells whether a response is for a request, and not one that its connection carried before."""
+    exchange = request.headers[headers.EXCHANGE]
+    # Older sidecars state no exchange, and no echo in their errors.
+    if response.headers.get(headers.EXCHANGE, exchange) != exchange:
+        return False
+    problem_echo = response.headers.get(headers.PROBLEM_ECHO, order.request)
+    return response.headers.get(headers.REQUEST_ECHO, problem_echo) == order.request
+
+
 def is_whole(stream: StreamedResponse) -> bool:
     """Tells whether a stream was received to its end.
 
--- a/src/fireflymux/sidecar/sidecar_app.py
+++ b/src/fireflymux/sidecar/sidecar_app.py
@@ -49,6 +49,7 @@
     app.config['BODY_TIMEOUT'] = None
 
     _add_authentication(app, sidecar)
+    _add_exchange_echo(app)
     _add_run_routes(app, sidecar, nursery)
     _add_observability_routes(app, sidecar)
 
@@ -78,6 +79,14 @@
         return build_problem_response(CallFailure(ErrorKind.unauthenticated))
 
 
+def _add_exchange_echo(app: QuartTrio) -> None:
+    @app.after_request
+    async def echo_exchange(response: Response) -> Response:
+        if headers.EXCHANGE in request.headers:
+            response.headers[headers.EXCHANGE] = request.headers[headers.EXCHANGE]
+        return response
+
+
 def _add_run_routes(app: QuartTrio, sidecar: Sidecar, nursery: trio.Nursery) -> None:
     @app.post('/v1/run')
     async def run() -> Response:
--- a/src/fireflymux/wire/headers.py
+++ b/src/fireflymux/wire/headers.py
@@ -9,6 +9,9 @@
 REQUEST_ECHO = 'X-Fireflymux-Request'
 #: Response header that repeats it in an error of a sidecar itself, which has no other echo.
 PROBLEM_ECHO = 'X-Fireflymux-Problem-Of'
+#: Header of a request to a sidecar and of its response, which repeats the value. Each request has its
+#: own: attempts of one request, and transfers of one response, share the identifiers above.
+EXCHANGE = 'X-Fireflymux-Exchange'
 JSON = 'application/json'
 PROBLEM_JSON = 'application/problem+json'
 EVENT_STREAM = 'text/event-stream'
