Count a transaction as committed only if the table's response is an object

A response with status 200 and any other JSON, such as rows of another query, null or nothing, counted as the commitment of a transaction. A sidecar then called the endpoint under a claim that the table need not hold, so that the call could run once more elsewhere. Such a response now leaves it open whether the write took effect, and the row is read back, as after a lost response.

Seen before the fix: four examples were taken for committed. They pass with it.

--- a/features/role_values.feature
+++ b/features/role_values.feature
@@ -63,3 +63,15 @@
     When a heartbeat states the version 9007199254740991 and the sidecar then reads the platform
     And a heartbeat states the version 4 and the sidecar then reads nothing
     Then the sidecar refuses requests
+
+  Scenario Outline: A response to a transaction that does not say that it was committed
+    Given a table that answers every transaction with status 200 and <content>
+    When a sidecar commits a row
+    Then it learns that the write may have taken effect, after 1 transaction
+
+    Examples:
+      | content                                         |
+      | [{"key": "other", "version": 1, "value": {}}]   |
+      | null                                            |
+      | "busy"                                          |
+      | nothing                                         |
--- a/features/steps/role_value_steps.py
+++ b/features/steps/role_value_steps.py
@@ -265,3 +265,8 @@
 
     refusal = trio.run(run, clock=MockClock(autojump_threshold=0.02))
     assert (refusal is None) == (answer == 'admits'), refusal
+
+
+@given('a table that answers every transaction with status 200 and {content}')
+def prepare_odd_commit(context, content):
+    context.platform_answer = answer(200, b'' if content == 'nothing' else content.encode())
--- a/src/fireflymux/store/platform_client.py
+++ b/src/fireflymux/store/platform_client.py
@@ -149,7 +149,8 @@
         )
         if response.status_code == _CONFLICT:
             return CommitOutcome(CommitResult.conflict, _parse_failed_keys(response, puts))
-        _decode_success(response, is_write=True)
+        if not isinstance(_decode_success(response, is_write=True), dict):
+            raise PlatformError('the response is not one to a transaction', may_have_written=True)
         return CommitOutcome(CommitResult.committed)
 
 
