Leave out rows of the table whose version no transaction can state

A row with the version, or true, was read as it is. The next write to it states the version after that, which the JSON encoder refuses, in the task that commits all claims of a sidecar: the process ended. A version has the range of integers from outside now; beyond it, the row counts as unreadable and costs its own call.

Seen before the fix: the claim with the greatest version ended the committing task with a TypeError. It is refused as unavailable now, and other rows are committed.

--- a/features/role_values.feature
+++ b/features/role_values.feature
@@ -75,3 +75,14 @@
       | null                                            |
       | "busy"                                          |
       | nothing                                         |
+
+  Scenario Outline: A row of the table whose version is <version>
+    Given a table whose row of a released claim has the version <version>
+    When a sidecar claims the call and records its outcome
+    Then the claim is <result>, and the sidecar still commits other rows
+
+    Examples:
+      | version              | result      |
+      | 5                    | held        |
+      | 18446744073709551615 | unavailable |
+      | true                 | unavailable |
--- a/features/steps/role_value_steps.py
+++ b/features/steps/role_value_steps.py
@@ -16,16 +16,22 @@
     SidecarSettings,
     TlsSettings,
 )
-from fireflymux.messages import Heartbeat
+from fireflymux.errors import ErrorKind
+from fireflymux.messages import ClaimRow, Heartbeat
 from fireflymux.observability.metrics import Metrics
 from fireflymux.settings import ProcessSettings
+from fireflymux.sidecar.claims import STATE_RELEASED, Claimed, ClaimStore, claim_key
 from fireflymux.sidecar.sidecar import Sidecar
 from fireflymux.store.config_commit import load_configuration
 from fireflymux.store.config_reader import ConfigReader
 from fireflymux.store.config_rows import CHANGE_PREFIX, HEAD_KEY, change_key, snapshot_name
 from fireflymux.store.configuration import Configuration
-from fireflymux.store.platform_client import PlatformClients
+from fireflymux.store.group_commit import GroupCommitter, PutResult
+from fireflymux.store.platform_client import PlatformClients, Put
 from fireflymux.web.http_clients import FleetClients
+from fireflymux.wire import codec
+
+from features.steps.role_responses_steps import build_order
 
 _NOWHERE = 'http://127.0.0.1:1'
 _CONTRACT = {
@@ -69,6 +75,8 @@
 
     def _answer(self, request):
         path = request.url.path
+        if path == '/transactions':
+            return self._commit(orjson.loads(request.content)['puts'])
         if path == '/rows':
             prefix, after = request.url.params['prefix'], request.url.params['after']
             keys = sorted(key for key in self.rows if key.startswith(prefix) and key > after)
@@ -77,6 +85,20 @@
             return self._answer_with(self.rows, path.removeprefix('/rows/'))
         return self._answer_with(self.objects, path.removeprefix('/objects/'))
 
+    def _commit(self, puts):
+        """Refuses writes to rows that exist with another version, as the table does."""
+        versions = {
+            put['key']: orjson.loads(self.rows.get(put['key'], b'{"version": 0}'))['version']
+            for put in puts
+        }
+        failed = [put['key'] for put in puts if versions[put['key']] != put['expected_version']]
+        if failed:
+            return httpx.Response(409, json={'failed': failed})
+        for put in puts:
+            version = b'%d' % (put['expected_version'] + 1)
+            self.put(put['key'], put['value'], version=version)
+        return httpx.Response(200, json={})
+
     def _answer_with(self, stored, name):
         if name not in stored:
             return httpx.Response(404)
@@ -270,3 +292,43 @@
 @given('a table that answers every transaction with status 200 and {content}')
 def prepare_odd_commit(context, content):
     context.platform_answer = answer(200, b'' if content == 'nothing' else content.encode())
+
+
+@given('a table whose row of a released claim has the version {version}')
+def prepare_released_claim(context, version):
+    context.order = build_order(idempotency_key='key')
+    released = ClaimRow(
+        fingerprint=context.order.fingerprint,
+        writer='another',
+        request='earlier',
+        attempt=1,
+        state=STATE_RELEASED,
+    )
+    context.platform = StoredPlatform()
+    row = codec.to_builtins(released)
+    context.platform.put(claim_key(context.order), row, version=version.encode())
+
+
+@when('a sidecar claims the call and records its outcome')
+def claim_and_record(context):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            platform = context.platform.connect()
+            committer = GroupCommitter(platform.table, Metrics())
+            nursery.start_soon(committer.run)
+            store = ClaimStore('sidecar', platform, committer, Metrics())
+            context.claim = await store.claim(context.order)
+            if isinstance(context.claim, Claimed):
+                await store.record_unknown(context.claim)
+            context.other = await committer.submit(Put('calls/other', 0, {}))
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+@then('the claim is {result}, and the sidecar still commits other rows')
+def check_claim(context, result):
+    kind = getattr(context.claim, 'kind', None)
+    expected = {'held': None, 'unavailable': ErrorKind.claims_unavailable}[result]
+    assert kind is expected, context.claim
+    assert context.other is PutResult.committed, context.other
--- a/src/fireflymux/store/platform_client.py
+++ b/src/fireflymux/store/platform_client.py
@@ -10,6 +10,7 @@
 import orjson
 
 from .._settings_generated import PlatformSettings
+from ..bounded_values import OutOfBounds, check_integer, check_text
 from ..messages import LiveInstance
 from ..observability.logs import get_logger
 from ..web.http_clients import is_process_url
@@ -320,11 +321,10 @@
 def _parse_row(raw: Any) -> Row | None:
     """Returns a row as the table service states it, or None if it cannot be read."""
     try:
-        row = Row(raw['key'], raw['version'], raw['value'])
-    except (TypeError, KeyError):
+        version = check_integer(raw['version'], minimum=1)
+        return Row(check_text(raw['key']), version, raw['value'])
+    except (OutOfBounds, TypeError, KeyError):
         return None
-    is_valid = isinstance(row.key, str) and isinstance(row.version, int) and row.version > 0
-    return row if is_valid else None
 
 
 def _parse_failed_keys(response: httpx.Response, puts: Sequence[Put]) -> tuple[str, ...]:
