Tell no caller that its call has not run where its claim exists and was not read

A claim that the table refuses with a conflict exists, so that an earlier call with the same key may have run. Where the row could then not be read, the caller was told 503, not run; where it could be read but not decoded, 504 with an unknown outcome. Both are told 504 now.

Seen before the fix: the scenario's failure said that the call had not run. It passes with it.

--- a/features/role_values.feature
+++ b/features/role_values.feature
@@ -86,3 +86,8 @@
       | 5                    | held        |
       | 18446744073709551615 | unavailable |
       | true                 | unavailable |
+
+  Scenario: A caller is not told that its call has not run where its claim exists and cannot be read
+    Given a table whose row of a released claim has the version 18446744073709551615
+    When a sidecar claims the call and records its outcome
+    Then whether the call ran is unknown
--- a/features/steps/role_value_steps.py
+++ b/features/steps/role_value_steps.py
@@ -16,7 +16,7 @@
     SidecarSettings,
     TlsSettings,
 )
-from fireflymux.errors import ErrorKind
+from fireflymux.errors import ErrorKind, ExecutionStatus
 from fireflymux.messages import ClaimRow, Heartbeat
 from fireflymux.observability.metrics import Metrics
 from fireflymux.settings import ProcessSettings
@@ -332,3 +332,9 @@
     expected = {'held': None, 'unavailable': ErrorKind.claims_unavailable}[result]
     assert kind is expected, context.claim
     assert context.other is PutResult.committed, context.other
+
+
+@then('whether the call ran is unknown')
+def check_unknown_execution(context):
+    assert context.claim.outcome is ExecutionStatus.unknown, context.claim
+    assert context.claim.status == 504, context.claim.status
--- a/src/fireflymux/sidecar/claims.py
+++ b/src/fireflymux/sidecar/claims.py
@@ -199,7 +199,9 @@
                 row = await self._table.read(key)
             except PlatformError as error:
                 self._unconfirmed[key] = own_row
-                return CallFailure(ErrorKind.claims_unavailable, str(error))
+                # After a conflict there is a claim: an earlier call with the key may have run.
+                ran = ExecutionStatus.unknown if result is PutResult.conflict else None
+                return CallFailure(ErrorKind.claims_unavailable, str(error), ran)
             claim_result = await self._evaluate_existing(row, own_row)
             if claim_result is not None:
                 return claim_result
