End the connection in order behind an error to an HTTP/1.0 caller

A stream to an HTTP/1.0 caller sets its connection to be reset on close before its head is sent. If that write was cancelled before its first byte, as a stall can do, and an error was written in place of the stream, the close behind the error reset the connection: the caller saw a reset behind a whole response, and bytes that were not yet sent are discarded with it. A response of a known length sets the connection back now.

Evidence: the row 'sends an error in place of it' was red before (502 and 'is reset') and passes now.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -22,6 +22,16 @@
       | fails    |
       | returns  |
 
+  Scenario Outline: A stream whose process is killed does not look complete to an HTTP/1.0 caller
+    When a process writes a stream to an HTTP/1.0 caller and <ending>
+    Then the caller gets what was written, and its connection <end>
+
+    Examples:
+      | ending                        | end      |
+      | is killed within it           | is reset |
+      | completes it                  | ends     |
+      | sends an error in place of it | ends     |
+
   Scenario: An HTTP/1.0 caller is not told to continue
     Given a "safe" route whose only endpoint has behaviour "answer"
     When an HTTP/1.0 caller sends a request with a body and an expectation to be told to continue
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -1,6 +1,9 @@
 """Steps for callers that speak HTTP/1.0, ask by HEAD, or read slowly or not at all."""
 
+import os
 import re
+import signal
+import socket
 
 import trio
 from behave import given, then, when
@@ -102,6 +105,58 @@
     assert received.endswith(b'\r\n\r\n' + _PART) and is_reset, context.result
 
 
+async def _write_in_child(sock, ending):
+    writer = _open_stalling_writer(sock, 1, accepts_chunks=False)
+    if ending == 'sends an error in place of it':
+        with trio.CancelScope() as scope:
+            scope.cancel()
+            await writer.start(200, [], b'event')
+        await writer.answer(502, [], b'event')
+        return
+    await writer.start(200, [], b'event')
+    if ending == 'is killed within it':
+        os.kill(os.getpid(), signal.SIGKILL)
+    if ending == 'completes it':
+        await writer.end()
+
+
+def _connect_pair():
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        caller = socket.create_connection(listener.getsockname(), timeout=5)
+        accepted = listener.accept()[0]
+    accepted.setblocking(False)
+    return accepted, caller
+
+
+@when('a process writes a stream to an HTTP/1.0 caller and {ending}')
+def write_in_process(context, ending):
+    accepted, caller = _connect_pair()
+    child = os.fork()
+    if not child:
+        try:
+            trio.run(_write_in_child, accepted, ending)
+            accepted.close()
+        finally:
+            os._exit(0)
+    accepted.close()
+    os.waitpid(child, 0)
+    context.received, context.end = b'', 'ends'
+    with caller:
+        try:
+            while part := caller.recv(_SLOW_READ_BYTES):
+                context.received += part
+        except ConnectionResetError:
+            context.end = 'is reset'
+
+
+@then('the caller gets what was written, and its connection {end}')
+def check_end(context, end):
+    assert context.received.endswith(b'event') and context.end == end, (
+        context.received,
+        context.end,
+    )
+
+
 @when('an HTTP/1.0 caller sends a request with a body and an expectation to be told to continue')
 def send_old_expectation(context):
     async def act(fleet):
@@ -155,11 +210,11 @@
     assert stated and len(content) == (stated if body == 'a body' else 0), context.result
 
 
-def _open_stalling_writer(sock, stall_seconds):
+def _open_stalling_writer(sock, stall_seconds, **terms):
     writer = ResponseWriter(
         trio.socket.from_stdlib_socket(sock), sock, is_stopping=bool, stall_seconds=stall_seconds
     )
-    writer.begin(method=b'POST', keeps_alive=True)
+    writer.begin(method=b'POST', keeps_alive=True, **terms)
     return writer
 
 
--- a/src/fireflymux/http/response_writer.py
+++ b/src/fireflymux/http/response_writer.py
@@ -146,6 +146,9 @@
             OSError: The connection failed, or the response was cut.
         """
         self._require(ResponsePhase.pending)
+        if not self._accepts_chunks:
+            # A response whose start was cancelled before its first byte may have set the opposite.
+            self._set_linger(_END_ON_CLOSE)
         framing = (b'Content-Length', b'%d' % len(content))
         head = self._encode_head(status, fields, framing)
         await self._send(head + self._select_body(content), ResponsePhase.complete)
