Write the settings of the emulator's processes aside and rename them

'Operators make conflicting changes at the same time' failed now and then: one of six commands ended with "[platform]: found no such section". Cause: the fleet opened the operator's settings file for writing once for each command, so that a command could read it while the next one had just emptied it. The fleet writes a file of its own and renames it now; who opened the earlier one reads that. The new scenario opens the file, writes it again and reads: red before (it read the later settings), green since.

--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -320,9 +320,12 @@
         for section, items in sections.items():
             parser[section] = {key: str(item) for key, item in items.items()}
         path = self.folder / name
-        with path.open('w', encoding='utf-8') as stream:
+        # Written aside and renamed, since a process that started earlier may be reading the file.
+        with tempfile.NamedTemporaryFile(
+            'w', encoding='utf-8', dir=self.folder, delete=False
+        ) as stream:
             parser.write(stream)
-        return path
+        return Path(stream.name).replace(path)
 
     def _start_role(
         self,
--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -15,6 +15,11 @@
     When 6 operators change the contract of vets from the same version
     Then one change is accepted and the others get a conflict that names its version
 
+  Scenario: A command that reads its settings while other commands start gets all of them
+    Given the open settings file of an operator's command
+    When another command writes the settings
+    Then the first command reads what was written for it
+
   Scenario: The table's response to an accepted change is lost
     Given a small fleet
     And the table's next response is lost
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies
 
 from emulator.callers import chat
+from emulator.fleet import Fleet
 from emulator.process import wait_until
 from fireflymux.messages import ConfigChange, Contract
 from fireflymux.store.configuration import Configuration
@@ -106,6 +107,26 @@
         assert completed.returncode == 0 or 'is at version 3' in completed.stderr, completed
 
 
+@given("the open settings file of an operator's command")
+def open_settings(context):
+    context.fleet = Fleet()
+    context.closers.append(context.fleet.close)
+    path = context.fleet._write_settings('operator', {'platform': {'credential': 'first'}})
+    context.settings_stream = path.open()
+    context.closers.append(context.settings_stream.close)
+
+
+@when('another command writes the settings')
+def write_settings_again(context):
+    context.fleet._write_settings('operator', {'platform': {'credential': 'second'}})
+
+
+@then('the first command reads what was written for it')
+def check_settings_read(context):
+    text = context.settings_stream.read()
+    assert text == '[platform]\ncredential = first\n\n', text
+
+
 @then('the configuration holds exactly one change for {account}')
 def check_one_change(context, account):
     status = orjson.loads(context.fleet.run_operator_command('status', 'show', '--json').stdout)
