Hold the stream of the crash scenario until its engine has crashed

'An engine crashes after the caller of a stream received its first tokens' failed where the machine was busy: the stream had no error event. Its 100 tokens last 1 s, and the step asked four engines with a new HTTP client each before it crashed the one that runs. Engines can hold their streams at a number of tokens now: the step holds them at the tenth of the 100, waits until an engine reports that it runs, crashes it, and lets streams go on for the second request.

--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -85,6 +85,8 @@
         unavailable_until: Time until which requests are rejected after a crash.
         crashes: Number of crashes.
         sends_wrong_response_next: Whether the next streamed response is that of another request.
+        hold_at_tokens: Tokens at which requests stop to advance and stay in the batch; zero lets
+            them end.
         first_token_seconds: Time to the first token of each request that ran.
         load: Load that is reported, from a few steps ago.
         load_reports: Load after each of the latest steps, the oldest one first.
@@ -107,6 +109,7 @@
     unavailable_until: float = 0.0
     crashes: int = 0
     sends_wrong_response_next: bool = False
+    hold_at_tokens: int = 0
     first_token_seconds: list[float] = attrs.field(factory=list)
     load: dict[str, int] = attrs.field(factory=dict)
     load_reports: deque[dict[str, int]] = attrs.field(
@@ -152,6 +155,8 @@
         if generation.prefill_steps > 0:
             generation.prefill_steps -= 1
             return
+        if 0 < self.hold_at_tokens <= generation.produced:
+            return
         if generation.produced == 0:
             self.first_token_seconds.append(trio.current_time() - generation.submitted_at)
         account = generation.nonce.partition('-')[0]
@@ -298,6 +303,11 @@
         engine.sends_wrong_response_next = True
         return jsonify({})
 
+    @app.post('/hold')
+    async def hold() -> Response:
+        engine.hold_at_tokens = request.args.get('tokens', 0, type=int)
+        return jsonify({})
+
     @app.post('/crash')
     async def crash() -> Response:
         engine.crash()
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies
 
 from emulator.callers import CHAT, Answer, authorization, chat, run_concurrently, send
+from emulator.process import wait_until
 from emulator.small_fleet import start_small_fleet
 from fireflymux.decisions.crash_registry import GUILTY, CrashRegistry
 
@@ -74,6 +75,22 @@
         assert answer.is_whole and answer.received == answer.expected, answer
 
 
+def _hold_streams(engines, client, tokens):
+    """Holds the streams of all engines at a number of tokens; zero lets them end."""
+    for engine in engines:
+        client.post(engine + '/hold', params={'tokens': tokens}).raise_for_status()
+
+
+def _crash_running_engine(engines, client):
+    def find_running():
+        return [
+            engine for engine in engines if client.get(engine + '/v1/load').json().get('running')
+        ]
+
+    (engine,) = wait_until(find_running, seconds=5, what='no engine reports that it runs')
+    client.post(engine + '/crash').raise_for_status()
+
+
 @when('an engine crashes while it streams and the caller sends the same request again')
 def crash_stream(context):
     body = {
@@ -84,14 +101,16 @@
     }
     url = context.fleet.processes['router-0'].address + CHAT
     headers = authorization('families')
+    engines = context.fleet.processes['engines'].addresses
+    client = context.fleet.client
+    _hold_streams(engines, client, 10)
     with httpx.stream('POST', url, headers=headers, content=orjson.dumps(body)) as response:
         parts = response.iter_bytes()
         next(parts)
-        for engine in context.fleet.processes['engines'].addresses:
-            if httpx.get(engine + '/v1/load').json().get('running'):
-                httpx.post(engine + '/crash')
+        _crash_running_engine(engines, client)
         text = b''.join(parts).decode()
     assert 'event: error' in text
+    _hold_streams(engines, client, 0)
     answer = Answer('again', tokens=100, is_stream=True)
     context.answer = send(answer, 'POST', url, headers, body, 60)
 
