Let the emulator's operator commands wait 20 s for a call to the platform

With the settings file written aside, 'Operators make conflicting changes at the same time' failed once in 12 runs beside load 54 to 60: one command ended with "request to the platform failed: ReadTimeout('')", exit code 1, after its timeout of 1 s; the step took 29 s. The stand-in of the platform was slow to answer six commands, as a trial with a table that takes 1.5 s for each call shows: all six commands end with code 1, and with the longer timeout one succeeds and five get the conflict. No scenario measures that timeout.

--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -26,6 +26,8 @@
 PLATFORM_CREDENTIAL = 'development-platform-credential'
 _START_TIMEOUT_SECONDS = 30.0
 _STOP_TIMEOUT_SECONDS = 10.0
+#: Timeout of one call of an operator's command to the platform.
+_OPERATOR_PLATFORM_TIMEOUT_SECONDS = 20.0
 
 
 class Fleet:
@@ -149,7 +151,11 @@
 
     def run_operator_command(self, *arguments: str) -> subprocess.CompletedProcess[str]:
         """Runs a command of the operators' command line and returns the completed process."""
-        settings = self._write_settings('operator', {'platform': self._platform_section()})
+        section = {
+            **self._platform_section(),
+            'timeout_seconds': _OPERATOR_PLATFORM_TIMEOUT_SECONDS,
+        }
+        settings = self._write_settings('operator', {'platform': section})
         command = [sys.executable, '-m', 'fireflymux', *arguments, '--settings', str(settings)]
         return subprocess.run(
             command,
