Give the callers of the idle connections scenario 12 s for answers due after 1.5 s

'Idle connections to an endpoint stay within half of its maximum' kept 4 connections where 25 were expected. Callers and route allowed 2 s, the endpoint answers after 1.5 s: a process held up for 0.5 s in between tells callers 504 and closes their connections, as it should. The scenario also slept 0.3 s for the new number of slots, in place of waiting until the instance knows it. The number of connections asked for is the same.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -190,8 +190,8 @@
     Then that one is refused as not run, and the endpoint gets the next one without a pause
 
   Scenario: Idle connections to an endpoint stay within half of its maximum
-    Given a "unsafe" route with 1 endpoints of behaviour "answer slowly"
-    When 40 callers send requests at once
+    Given a "unsafe" route with a timeout of 12000 ms whose only endpoint has behaviour "answer slowly"
+    When 40 callers who wait 12 seconds send requests at once
     Then the instance keeps 25 connections to the endpoint open
 
   Scenario: A request that is answered between broken attempts does not count as crashing endpoints
--- a/features/steps/entry_connection_steps.py
+++ b/features/steps/entry_connection_steps.py
@@ -1,6 +1,7 @@
 """Steps for connections to and from an entry instance: callers that leave, descriptors, pools."""
 
 import errno
+from functools import partial
 
 import trio
 from behave import given, then, when
@@ -128,14 +129,16 @@
     assert second.status == 200 and not is_backing_off, second
 
 
-@when('{count:d} callers send requests at once')
-def send_at_once(context, count):
+@when('{count:d} callers who wait {seconds:d} seconds send requests at once')
+def send_at_once(context, count, seconds):
     async def act(fleet):
         fleet.change_endpoint('e0', batch_slots=count)
-        await trio.sleep(0.3)
+        (live,) = fleet.instances[0]._state._endpoints.values()
+        while live.endpoint.slots != count:
+            await trio.sleep(0.02)
         async with trio.open_nursery() as nursery:
             for _ in range(count):
-                nursery.start_soon(fleet.call, '/a')
+                nursery.start_soon(partial(fleet.call, '/a', deadline_ms=seconds * 1000))
         return len(_find_only_pool(fleet)._idle)
 
     _run_on_fleet(context, act)
