Let endpoints of the warm-up scenarios warm up for longer than their load lasts

'A failure domain whose endpoints come back cold under load' and 'An endpoint that says in a response that it is warming up is spared by all instances' send load for 2.2 s to endpoints that warm up for 3 s, after 0.3 and 0.4 s of sleep in which both instances are to hear of it. Where the process is held up, the warm-up ends within the load, and the bound with it. A probe shows the same each time: the instances' warm-up ended 1.9 to 2.1 s after the load had begun, 4 requests at most were sent in any second before that, and the others all after it. The endpoints warm up for 30 s now, and the scenarios wait until both instances know it in place of sleeping.

--- a/emulator/backend.py
+++ b/emulator/backend.py
@@ -95,7 +95,7 @@
 async def _answer_and_warm_up(
     request: Request, writer: ResponseWriter, fields: HeaderFields
 ) -> None:
-    await writer.answer(200, [*fields, (b'X-Warmup-Ms', b'3000')], _response_body(fields))
+    await writer.answer(200, [*fields, (b'X-Warmup-Ms', b'30000')], _response_body(fields))
 
 
 async def _fail(request: Request, writer: ResponseWriter, fields: HeaderFields) -> None:
--- a/features/steps/warmup_steps.py
+++ b/features/steps/warmup_steps.py
@@ -18,6 +18,8 @@
 _COLD_ENDPOINTS = ('cold-1', 'cold-2')
 #: Requests in any second that the endpoints of these scenarios may get: 4 x 1.5 + 2.
 _BOUND = 8
+#: Time for which endpoints warm up, longer than a scenario lasts: the bound holds in all of it.
+_WARMUP_SECONDS = 30
 _SETTINGS = {'warmup_overrun': 1.5, 'warmup_tolerance': 2}
 
 
@@ -138,12 +140,12 @@
 
 @given('two instances and a failure domain of two endpoints beside one that answers')
 def cold_domain(context):
-    context.build = _build_fleet(warmup_s=3.0, warmup_per_s=4.0)
+    context.build = _build_fleet(warmup_s=_WARMUP_SECONDS, warmup_per_s=4.0)
 
 
 @given('two instances and endpoints that state no rate for warming up')
 def no_rate(context):
-    context.build = _build_fleet(warmup_s=3.0, warmup_per_s=0.0)
+    context.build = _build_fleet(warmup_s=_WARMUP_SECONDS, warmup_per_s=0.0)
 
 
 async def _send_load(fleet, seconds):
@@ -182,6 +184,14 @@
     return record
 
 
+async def _wait_until_warming(fleet, names):
+    """Waits until both instances know that some endpoints warm up."""
+    for name in names:
+        for number in range(2):
+            while not _find_live_endpoint(fleet, name, number).is_warming(trio.current_time()):
+                await trio.sleep(0.02)
+
+
 async def _load_and_measure(fleet, names):
     """Sends load; returns the statuses, and by endpoint when requests were sent and how many came."""
     sends = {name: _record_sends(fleet, name) for name in names}
@@ -196,8 +206,8 @@
 def return_cold(context):
     async def act(fleet):
         for name in _COLD_ENDPOINTS:
-            fleet.change_endpoint(name, born=1800000000000, warmup_left_ms=3000)
-        await trio.sleep(0.4)
+            fleet.change_endpoint(name, born=1800000000000, warmup_left_ms=_WARMUP_SECONDS * 1000)
+        await _wait_until_warming(fleet, _COLD_ENDPOINTS)
         return await _load_and_measure(fleet, _COLD_ENDPOINTS)
 
     _run_on_fleet(context, act)
@@ -213,7 +223,7 @@
         while not fleet.backends[name].requests:
             await fleet.call('/a', number=1)
         fleet.backends[name].behaviour = 'answer'
-        await trio.sleep(0.3)
+        await _wait_until_warming(fleet, [name])
         return await _load_and_measure(fleet, [name])
 
     _run_on_fleet(context, act)
