--- a/src/fireflymux/experiment/plan.py
+++ b/src/fireflymux/experiment/plan.py
@@ -2,7 +2,6 @@
 
 import configparser
 from collections.abc import Mapping
-from pathlib import Path
 from typing import Any, TypeVar
 
 import attrs
@@ -10,7 +9,7 @@
 
 from ..decisions.placing_policy import PlacingPolicy
 from ..decisions.prefix_transfer import TransferRate
-from ..settings import SettingsError, Violation
+from ..settings import SettingsError, Violation, read_ini
 
 _Section = TypeVar('_Section')
 _CONVERTER = cattrs.Converter(forbid_extra_keys=True)
@@ -172,13 +171,7 @@
         Raises:
             SettingsError: The file can't be read or is invalid.
         """
-        parser = configparser.ConfigParser(interpolation=None)
-        try:
-            parser.read_string(Path(path).read_text(encoding='utf-8'))
-        except (OSError, UnicodeDecodeError, configparser.Error) as error:
-            problem = Violation(path, '', '', str(error).replace('\n', ' '), 'a readable INI file')
-            raise SettingsError([problem]) from error
-        return _SectionReader(path, parser).read_plan()
+        return _SectionReader(path, read_ini(path)).read_plan()
 
 
 class _SectionReader:
--- a/src/fireflymux/settings.py
+++ b/src/fireflymux/settings.py
@@ -183,19 +183,24 @@
     Raises:
         SettingsError: The file can't be read or contains a value that is not allowed.
     """
-    if _read_ini(path).has_section('entry'):
+    if read_ini(path).has_section('entry'):
         EntryProcessSettings.from_file(path)
         return
     ProcessSettings.from_file(path)
 
 
-def _read_fields(settings_type: type, path: str, *, required: frozenset[str]) -> dict[str, Any]:
-    """Returns the section for each field of a settings class; None for a missing optional one."""
-    sections = _check_sections(_read_ini(path), path, required)
-    return {name: sections[name] for name in attrs.fields_dict(settings_type)}
+def read_ini(path: str) -> configparser.ConfigParser:
+    """Reads an INI file without checking its sections.
 
+    Args:
+        path: Path of the file.
+
+    Returns:
+        The parsed file.
 
-def _read_ini(path: str) -> configparser.ConfigParser:
+    Raises:
+        SettingsError: The file can't be read or is no INI file.
+    """
     parser = configparser.ConfigParser(interpolation=None)
     try:
         parser.read_string(Path(path).read_text(encoding='utf-8'))
@@ -205,6 +210,12 @@
     return parser
 
 
+def _read_fields(settings_type: type, path: str, *, required: frozenset[str]) -> dict[str, Any]:
+    """Returns the section for each field of a settings class; None for a missing optional one."""
+    sections = _check_sections(read_ini(path), path, required)
+    return {name: sections[name] for name in attrs.fields_dict(settings_type)}
+
+
 def _check_sections(
     parser: configparser.ConfigParser,
     path: str,
