--- a/src/fireflymux/router/router.py
+++ b/src/fireflymux/router/router.py
@@ -128,11 +128,6 @@
             raise ValueError('the settings have no section [router]')
         return cls(settings, settings.router)
 
-    @property
-    def is_ready(self) -> bool:
-        """Whether the load balancer may send requests to this router."""
-        return self.configuration.version > 0 and not self.is_stopping
-
     async def start_tasks(self, nursery: trio.Nursery, address: str) -> None:
         """Starts the background tasks.
 
@@ -144,6 +139,18 @@
         nursery.start_soon(self.peers.run, address)
         nursery.start_soon(self._poll_totals)
 
+    def check_readiness(self) -> CallFailure | None:
+        """Checks whether the load balancer may send requests to this router.
+
+        Returns:
+            Why it may not, or None if it may.
+        """
+        if self.is_stopping:
+            return CallFailure(ErrorKind.shutting_down)
+        if self.configuration.version == 0:
+            return CallFailure(ErrorKind.configuration_unavailable)
+        return None
+
     def admit(self, caller_request: CallerRequest) -> CallFailure | None:
         """Applies the limits of the contract to a new request.
 
--- a/src/fireflymux/router/router_app.py
+++ b/src/fireflymux/router/router_app.py
@@ -20,6 +20,7 @@
 from ..settings import ProcessSettings
 from ..store.config_reader import build_update
 from ..web.credentials import has_fleet_key
+from ..web.observability_routes import add_observability_routes
 from ..web.responses import (
     build_message_response,
     build_problem_response,
@@ -71,7 +72,12 @@
         return _build_failure_response(router, CallFailure(ErrorKind.body_too_large))
 
     _add_fleet_routes(app, router)
-    _add_observability_routes(app, router)
+    add_observability_routes(
+        app,
+        router.metrics,
+        update_gauges=lambda: router.metrics.waiting.set({}, router.backlog.size),
+        check_readiness=router.check_readiness,
+    )
     return app
 
 
@@ -112,34 +118,10 @@
         return build_message_response(router.totals.to_snapshot())
 
 
-def _add_observability_routes(app: QuartTrio, router: Router) -> None:
-    @app.get('/metrics')
-    async def metrics() -> Response:
-        router.metrics.waiting.set({}, router.backlog.size)
-        body, headers = router.metrics.render(request.headers.getlist('Accept'))
-        return Response(body, headers=headers)
-
-    @app.get('/live')
-    async def live() -> Response:
-        return Response(b'live\n')
-
-    @app.get('/ready')
-    async def ready() -> Response:
-        if router.is_ready:
-            return Response(b'ready\n')
-        kind = (
-            ErrorKind.shutting_down
-            if router.is_stopping
-            else (ErrorKind.configuration_unavailable)
-        )
-        return build_problem_response(CallFailure(kind))
-
-
 async def _handle_request(router: Router) -> Response:
-    if router.is_stopping:
-        return _build_failure_response(router, CallFailure(ErrorKind.shutting_down))
-    if not router.is_ready:
-        return _build_failure_response(router, CallFailure(ErrorKind.configuration_unavailable))
+    failure = router.check_readiness()
+    if failure is not None:
+        return _build_failure_response(router, failure)
     router.active_requests += 1
     try:
         return await _validate_and_send(router)
--- a/src/fireflymux/sidecar/sidecar_app.py
+++ b/src/fireflymux/sidecar/sidecar_app.py
@@ -17,6 +17,7 @@
 from ..observability.tracing import start_span, to_traceparent
 from ..settings import ProcessSettings
 from ..web.credentials import has_fleet_key
+from ..web.observability_routes import OBSERVABILITY_PATHS, add_observability_routes
 from ..web.responses import (
     build_message_response,
     build_problem_response,
@@ -50,7 +51,12 @@
 
     _add_authentication(app, sidecar)
     _add_run_routes(app, sidecar, nursery)
-    _add_observability_routes(app, sidecar)
+    add_observability_routes(
+        app,
+        sidecar.metrics,
+        update_gauges=lambda: sidecar.metrics.window.set({}, sidecar.window.limit),
+        check_readiness=sidecar.check_admission,
+    )
 
     @app.post('/v1/heartbeat')
     async def heartbeat() -> Response:
@@ -70,7 +76,7 @@
 def _add_authentication(app: QuartTrio, sidecar: Sidecar) -> None:
     @app.before_request
     async def check_credential() -> Response | None:
-        if request.path in {'/metrics', '/live', '/ready'}:
+        if request.path in OBSERVABILITY_PATHS:
             return None
         key = sidecar.settings.fleet.key
         if has_fleet_key(request.headers.get('Authorization', ''), key):
@@ -109,23 +115,6 @@
         return Response(b'', status=204)
 
 
-def _add_observability_routes(app: QuartTrio, sidecar: Sidecar) -> None:
-    @app.get('/metrics')
-    async def metrics() -> Response:
-        sidecar.metrics.window.set({}, sidecar.window.limit)
-        body, response_headers = sidecar.metrics.render(request.headers.getlist('Accept'))
-        return Response(body, headers=response_headers)
-
-    @app.get('/live')
-    async def live() -> Response:
-        return Response(b'live\n')
-
-    @app.get('/ready')
-    async def ready() -> Response:
-        refused = sidecar.check_admission()
-        return Response(b'ready\n') if refused is None else build_problem_response(refused)
-
-
 def _echo_in_problem(response: Response, request_id: str) -> Response:
     """Adds the request identifier to a response that is an error of the sidecar itself."""
     if headers.REQUEST_ECHO not in response.headers:
