--- a/src/fireflymux/router/peers.py
+++ b/src/fireflymux/router/peers.py
@@ -21,7 +21,7 @@
 from ..web.http_clients import FLEET_REQUEST_TIMEOUT_SECONDS, FleetClients
 from ..wire import codec, headers
 from ..wire.totals_table import pack_totals, unpack_totals
-from ..wire.wire_size import request_size, response_size
+from ..wire.control_bytes import count_control_bytes
 from .backlog import Backlog
 from .sidecar_peer import SidecarPeer
 from .sidecar_selection import select_sidecars
@@ -225,8 +225,7 @@
             self._record_miss(peer, repr(error))
             return
         self._context.metrics.heartbeats.inc({'result': 'answered'})
-        self._context.metrics.control_bytes.add({'direction': 'sent'}, request_size(response))
-        self._context.metrics.control_bytes.add({'direction': 'received'}, response_size(response))
+        count_control_bytes(self._context.metrics, response)
         if heartbeat.totals is not None:
             # Due after 80 to 100 percent of the interval, to spread the exchanges.
             interval = self._context.totals_interval_seconds
--- a/src/fireflymux/router/router.py
+++ b/src/fireflymux/router/router.py
@@ -23,7 +23,7 @@
 from ..store.platform_client import PlatformClients
 from ..web.http_clients import FleetClients, create_platform_client
 from ..wire import codec
-from ..wire.wire_size import request_size, response_size
+from ..wire.control_bytes import count_control_bytes
 from .backlog import Backlog
 from .caller_requests import CallerRequest
 from .dispatch import DispatchContext, Dispatcher
@@ -216,7 +216,6 @@
             snapshot = codec.decode(response.content, TotalsSnapshot)
         except (httpx.HTTPError, codec.DecodeError):
             return False
-        self.metrics.control_bytes.add({'direction': 'sent'}, request_size(response))
-        self.metrics.control_bytes.add({'direction': 'received'}, response_size(response))
+        count_control_bytes(self.metrics, response)
         self.totals.merge_snapshot(snapshot)
         return True
