--- a/src/fireflymux/sidecar/endpoint_call.py
+++ b/src/fireflymux/sidecar/endpoint_call.py
@@ -128,11 +128,7 @@
             elapsed = trio.current_time() - sent_at
             call.meter(elapsed * self._cost_per_second)
         call.observe_first_token(elapsed)
-        call.buffer.publish_head(
-            ResponseHead(
-                response.status_code, _content_type(response), _forwarded_headers(response)
-            )
-        )
+        call.buffer.publish_head(_build_head(response))
         call.buffer.append(response.content)
         call.buffer.finish()
 
@@ -238,9 +234,7 @@
         that is as not run, and the endpoint backs off. Any other status from 500 on counts as a
         crash.
         """
-        head = ResponseHead(
-            response.status_code, _content_type(response), _forwarded_headers(response)
-        )
+        head = _build_head(response)
         is_rest = head.status == httpx.codes.OK and head.is_stream
         if sent_at is None and not is_rest:
             return CallFailure(ErrorKind.answer_expired, 'the engine holds no such stream')
@@ -312,12 +306,12 @@
     return CallFailure(kind, repr(error), ExecutionStatus.unknown)
 
 
-def _content_type(response: httpx.Response) -> str:
-    return response.headers.get('Content-Type', 'application/octet-stream')
-
-
-def _forwarded_headers(response: httpx.Response) -> dict[str, str]:
-    return filter_forwarded_headers(dict(response.headers), _NOT_FORWARDED_HEADERS)
+def _build_head(response: httpx.Response) -> ResponseHead:
+    return ResponseHead(
+        response.status_code,
+        response.headers.get('Content-Type', 'application/octet-stream'),
+        filter_forwarded_headers(dict(response.headers), _NOT_FORWARDED_HEADERS),
+    )
 
 
 def _count_completion_tokens(body: bytes) -> float:
