--- a/src/fireflymux/router/router.py
+++ b/src/fireflymux/router/router.py
@@ -182,8 +182,7 @@
         return divide_limit(contract.concurrency, self.settings.fleet.maximum_routers)
 
     def _list_routers(self) -> list[str]:
-        configured = [url for url in self.settings.fleet.peer_routers.split(',') if url]
-        return list({*configured, *self.peers.router_addresses})
+        return list({*self.settings.peer_routers, *self.peers.router_addresses})
 
     async def _read_configuration(self) -> None:
         await self.config_reader.run(
--- a/src/fireflymux/settings.py
+++ b/src/fireflymux/settings.py
@@ -111,6 +111,11 @@
     router: RouterSettings | None
     sidecar: SidecarSettings | None
 
+    @property
+    def peer_routers(self) -> list[str]:
+        """URLs in the key `peer_routers` of section [fleet]."""
+        return [url for url in self.fleet.peer_routers.split(',') if url]
+
     @classmethod
     def from_file(cls, path: str) -> 'ProcessSettings':
         """Reads and checks a settings file.
--- a/src/fireflymux/sidecar/sidecar.py
+++ b/src/fireflymux/sidecar/sidecar.py
@@ -139,8 +139,7 @@
             URLs of the routers that send heartbeats and of those in the settings, in random
             order to spread the load.
         """
-        configured = [url for url in self.settings.fleet.peer_routers.split(',') if url]
-        addresses = list({*self.reservations.addresses(), *configured})
+        addresses = list({*self.reservations.addresses(), *self.settings.peer_routers})
         random.shuffle(addresses)
         return addresses
 
