--- a/features/steps/outside_decoder_steps.py
+++ b/features/steps/outside_decoder_steps.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies
 
 from emulator.entry_fleet import configuration, route
-from features.steps.outside_values_steps import _NOTICE, _REPORT
+from features.steps.outside_peer_steps import _NOTICE, _REPORT
 from fireflymux.entry.peer_notices import decode_notice
 from fireflymux.entry.report_datagrams import decode_report, encode_report
 from fireflymux.http.messages import Request, ResponseHead
