--- a/src/fireflymux/platform/store.py
+++ b/src/fireflymux/platform/store.py
@@ -7,7 +7,6 @@
 
 import base64
 from dataclasses import dataclass
-from functools import partial
 from typing import Any
 from urllib.parse import urlencode
 
@@ -17,9 +16,9 @@
 from ..bounded_values import MAXIMUM_INTEGER, OutOfBounds, check_integer, parse_integer
 from ..decisions.store_version import StoreVersion
 from ..http.client_connection import ConnectFailed, ConnectionBroken
-from ..http.connection_pool import ConnectionPool
-from ..http.messages import HeaderFields, ResponseHead, find_header
+from ..http.messages import ResponseHead, find_header
 from ..observability.logs import get_logger
+from .store_connections import StoreConnections
 
 _log = get_logger(__name__)
 
@@ -28,7 +27,6 @@
 _CALL_TIMEOUT_SECONDS = 1.5
 #: Added to the wait time of a long poll to get the timeout of its call.
 _FOLLOW_SLACK_SECONDS = 0.6
-_MAXIMUM_RESPONSE_BYTES = 8388608
 _ROWS_PER_PAGE = 500
 #: Bytes of a malformed header field that are logged.
 _LOGGED_BYTES = 100
@@ -113,10 +111,6 @@
 class StoreClient:
     """Client of the store for one process.
 
-    A response repeats nothing of its request, so that only the connection tells which call it
-    belongs to. A connection therefore carries either one call, or the long polls of one table: if
-    an earlier response is sent again there, it only tells what is known already.
-
     Attributes:
         era: Newest known era of the store, from its responses or from other instances.
     """
@@ -127,13 +121,10 @@
         Args:
             address: IP address and port of the store.
         """
-        host, _, port = address.rpartition(':')
         self.era = 0
-        self._address = address
-        self._open_pool = partial(
-            ConnectionPool, host, int(port), connect_timeout_seconds=_CALL_TIMEOUT_SECONDS
+        self._connections = StoreConnections(
+            address, connect_timeout_seconds=_CALL_TIMEOUT_SECONDS
         )
-        self._follow_pools: dict[str, ConnectionPool] = {}
         self._follow_scopes: set[trio.CancelScope] = set()
         self._era_changed = trio.Event()
 
@@ -295,37 +286,15 @@
         return reply
 
     async def _exchange(self, start_line: str, content: bytes, followed_table: str) -> _Reply:
-        """Makes a call, on a connection of its own unless it follows a table."""
-        pool = self._get_pool(followed_table)
-        connection = await pool.take_any()
-        fields: HeaderFields = [(b'Host', self._address.encode())]
-        if content:
-            fields.append((b'Content-Type', b'application/json'))
-            fields.append((b'Content-Length', b'%d' % len(content)))
-        is_kept = False
-        try:
-            await connection.send(start_line.encode(), fields, content)
-            response = await connection.next_response()
-            body = await connection.read_full_body(response, _MAXIMUM_RESPONSE_BYTES)
-            connection.drop(response)
-            if followed_table:
-                pool.release_connection(connection, None)
-                is_kept = True
-        finally:
-            if not is_kept:
-                connection.close()
+        response = await self._connections.exchange(
+            start_line, content, followed_table=followed_table
+        )
         status = response.head.status
-        json_body = orjson.loads(body) if body and status == _OK else None
+        json_body = orjson.loads(response.body) if response.body and status == _OK else None
         era = self._read_era(response.head)
         self.update_era(era)
         return _Reply(status, era, json_body)
 
-    def _get_pool(self, followed_table: str) -> ConnectionPool:
-        """Returns the connections for following a table; an empty pool for any other call."""
-        if not followed_table:
-            return self._open_pool()
-        return self._follow_pools.setdefault(followed_table, self._open_pool())
-
     def _read_era(self, head: ResponseHead) -> int:
         """Returns the era stated in a response, or the known one if it states no valid one."""
         stated = find_header(head.fields, _ERA_FIELD)
