Drain input behind the last response of a connection

What callers saw: a response that was cut, where the instance closed the connection behind it (it was stopping, or the request asked for that) and its caller sent a further request while it was still reading. Cause: the socket was closed at once, and input that arrives at a closed socket resets the connection and drops what the kernel had not sent. Only errors to invalid input were followed by a drain.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -66,3 +66,14 @@
     Given a listener that takes 0 s for each response and waits 0.4 s for the rest of a head
     When a caller sends two heads, each in two parts 0.3 s apart, the second part of one with the first of the next
     Then it gets 2 responses with status 200
+
+  Scenario Outline: The last response of a connection is not lost because its caller sends more meanwhile
+    Given a listener that is stopping and answers with 1 megabyte
+    When a caller sends a request, and <more> before it reads the response
+    Then the whole response arrives
+
+    Examples:
+      | more                      |
+      | another one               |
+      | six others                |
+      | another one a moment later |
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -1,6 +1,7 @@
 """Steps for callers that speak HTTP/1.0, ask by HEAD, or read slowly or not at all."""
 
 import re
+import socket
 
 import trio
 from behave import given, then, when
@@ -15,6 +16,13 @@
 _MEGABYTE = 1000000
 _PART = b'data: a part\n\n'
 _PAUSE_SECONDS = 0.2
+_SMALL_BUFFER_BYTES = 16384
+#: Number of further requests, and the time after the first one until they are sent, in seconds.
+_FURTHER_REQUESTS = {
+    'another one': (1, 0),
+    'six others': (6, 0),
+    'another one a moment later': (1, 0.2),
+}
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 #: Limits of a listener by the part of a request whose rest they wait for.
 _TIMEOUTS = {'head': 'header_seconds', 'body': 'idle_seconds'}
@@ -306,3 +314,49 @@
 def check_responses(context, count, status):
     heads = re.findall(b'HTTP/1.1 ([0-9]{3}) ', context.result)
     assert heads == [b'%d' % status] * count, context.result
+
+
+@given('a listener that is stopping and answers with {size:d} megabyte')
+def stopping_listener(context, size):
+    async def handle(request, writer):
+        await writer.answer(200, [], b'x' * size * _MEGABYTE)
+
+    context.size = size * _MEGABYTE
+    context.listener_address = '127.0.0.1:{0}'.format(free_port())
+    context.listener = Listener(
+        context.listener_address, handle, limits=HttpLimits, is_stopping=lambda: True
+    )
+
+
+@when('a caller sends a request, and {more} before it reads the response')
+def send_more_before_reading(context, more):
+    count, pause = _FURTHER_REQUESTS[more]
+
+    async def act():
+        host, _, port = context.listener_address.rpartition(':')
+        sock = trio.socket.socket()
+        with sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _SMALL_BUFFER_BYTES)
+            await sock.connect((host, int(port)))
+            await sock.send(encode_call('/a') + encode_call('/b') * (0 if pause else count))
+            await trio.sleep(_PAUSE_SECONDS)
+            if pause:
+                await sock.send(encode_call('/b'))
+                await trio.sleep(pause)
+            return await _count_received(sock)
+
+    _run_with_listener(context, act)
+    context.received, context.is_complete = context.result
+
+
+async def _count_received(sock):
+    """Reads slowly to the end; returns the number of bytes, and whether the end is a usual one."""
+    received = 0
+    with trio.fail_after(10):
+        try:
+            while part := await sock.recv(_SLOW_READ_BYTES):
+                received += len(part)
+                await trio.sleep(_SLOW_READ_PAUSE_SECONDS / 4)
+        except ConnectionError:
+            return received, False
+    return received, True
--- a/src/fireflymux/http/server_connection.py
+++ b/src/fireflymux/http/server_connection.py
@@ -21,7 +21,7 @@
 #: as one read can contain several requests.
 _MAXIMUM_PIPELINED_REQUESTS = 4
 _REQUEST_TIMEOUT_STATUS = 408
-#: Maximum time to drain input of the caller after an error response.
+#: Maximum time to drain input of the caller after the last response.
 _LINGER_SECONDS = 1.0
 
 #: Handles one request and writes its response.
@@ -235,15 +235,17 @@
         self._notify()
 
     async def _close_lingering(self) -> None:
-        """Shuts down sending and, after invalid or slow input, drains further input for a while.
+        """Shuts down sending and drains further input until the caller closes, or for a while.
 
-        Closing the socket with unread input would reset the connection, and the caller could
-        lose the error response.
+        Closing the socket with unread input, or input that arrives later, would reset the
+        connection, and the caller could lose what it has not read of the last response.
         """
         self._socket.shutdown(socket.SHUT_WR)
-        if self._parser.violation is None:
-            return
         with trio.move_on_after(_LINGER_SECONDS):
-            is_open = True
+            while not self._is_reading_done:
+                self._requests.clear()
+                self._notify()
+                await self._state_changed.wait()
+            is_open = self._parser.violation is not None
             while is_open:
                 is_open = bool(await self._socket.recv(_RECEIVE_BYTES))
