Skip a late copy of any size that an answer may have

Cause: copies were collected in memory to be skipped, and so had a bound of their own. They are read and dropped, up to the 8 MB of the largest answer in all. The two rows with 3 MB were red before, with 502. A copy whose body never comes still costs the request behind it: that the endpoint is silent does not tell that the answer will not come.

--- a/emulator/repeating_backend.py
+++ b/emulator/repeating_backend.py
@@ -45,6 +45,7 @@
         has_id: Whether it repeats the identifier of the attempt.
         is_ended: Whether the others are written at all.
         last_text: Text in it with which it breaks off, on an open connection; empty for none.
+        content: Body of it in place of that of the answer; empty for the same.
         further_id: Another identifier that it states behind that of the attempt; empty for none.
     """
 
@@ -54,6 +55,7 @@
     has_id: bool = True
     is_ended: bool = True
     last_text: bytes = b''
+    content: bytes = b''
     further_id: bytes = b''
 
 
@@ -70,6 +72,7 @@
         'with two ids': CopyTiming(further_id=b'a2'),
         'begun at once': CopyTiming(bytes_at_once=9),
         'begun at once and never ended': CopyTiming(bytes_at_once=9, is_ended=False),
+        'with a body of 3 MB': CopyTiming(content=b'x' * 3000000),
         'up to its reason phrase': CopyTiming(last_text=b'HTTP/1.1 421 '),
         'up to within its reason phrase': CopyTiming(last_text=b'HTTP/1.1 503 Serv'),
         'up to within a field': CopyTiming(has_id=False, last_text=b'X-Not-Executed: '),
@@ -116,6 +119,8 @@
         if self.timing.further_id:
             copy_fields = [*fields, (_ATTEMPT_ID, self.timing.further_id)]
         copy = self.timing.prefix + self._encode_first(request, copy_fields)
+        if self.timing.content:
+            copy = encode_answer(200, copy_fields, self.timing.content)
         if self.timing.last_text:
             copy = copy[: copy.index(self.timing.last_text) + len(self.timing.last_text)]
         at_once = len(copy) if self.timing.bytes_at_once is None else self.timing.bytes_at_once
--- a/features/kept_connections.feature
+++ b/features/kept_connections.feature
@@ -135,6 +135,8 @@
       | unsafe    | success | with the next request | no id       |
       | unsafe    | success | with the next request | another id  |
       | unsafe    | success | at once               | the same id |
+      | unsafe    | success | with a body of 3 MB   | another id  |
+      | streaming | stream  | with a body of 3 MB   | another id  |
       | streaming | stream  | with the next request | the same id |
       | streaming | stream  | in two reads          | the same id |
       | streaming | stream  | with the next request | no id       |
--- a/src/fireflymux/entry/attempt.py
+++ b/src/fireflymux/entry/attempt.py
@@ -43,9 +43,10 @@
 _MAXIMUM_RESPONSE_BYTES = 8388608
 #: Largest body without a stated length, which might never end.
 _MAXIMUM_UNSIZED_RESPONSE_BYTES = 1048576
-#: Limits on late responses to other requests that are skipped: their number and body bytes.
+#: Limits on late responses to other requests that are skipped: their number, and the bytes of all
+#: their bodies, which are as many as one response may have.
 _MAXIMUM_SKIPPED_RESPONSES = 16
-_MAXIMUM_SKIPPED_BYTES = 1048576
+_MAXIMUM_SKIPPED_BYTES = _MAXIMUM_RESPONSE_BYTES
 _FIRST_SUCCESS_STATUS = 200
 _FIRST_REDIRECT_STATUS = 300
 #: Status by which another endpoint at the same address rejects a request. Whether that response
@@ -204,11 +205,23 @@
         is_only_one = not (metadata.attempt or skipped or connection.has_earlier_requests)
         if metadata.attempt == attempt_id or is_only_one:
             return response, metadata
-        remaining_bytes -= len(await connection.read_full_body(response, remaining_bytes))
+        remaining_bytes -= await _skip_body(connection, response, remaining_bytes)
         connection.drop(response)
     raise ConnectionBroken('{0} answers to other requests'.format(_MAXIMUM_SKIPPED_RESPONSES))
 
 
+async def _skip_body(
+    connection: UpstreamConnection, response: IncomingResponse, maximum_bytes: int
+) -> int:
+    """Reads a response body to its end without keeping it, and returns its size."""
+    size = 0
+    while part := await connection.next_body_part(response):
+        size += len(part)
+        if size > maximum_bytes:
+            raise ConnectionBroken('the answers to other requests are too large')
+    return size
+
+
 async def _read_response_body(
     state: EntryState,
     attempt: Attempt,
