Try to place an arriving request although the process was held up on the way

Callers were told 503 queue_timeout, not run, while endpoints were free. An instance computes until when a request may wait, a quarter of its target time, and tries to place it a moment later; where the process did not run for longer than that in between, even the first try was refused as too late. A request whose own time is over is still not placed (a scenario pins it).

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -219,6 +219,14 @@
     When a third instance that knows only the first one starts during the outage of the store
     Then it is ready with the newest configuration and uses neither the removed key nor the drained endpoint
 
+  Scenario: A request that arrives as the instance is paused is placed where an endpoint is free
+    When an instance is paused for 5 s as a request with 8 s left arrives, and an endpoint is free
+    Then the request is placed
+
+  Scenario: A request whose time ends as the instance is paused is not placed
+    When an instance is paused for 5 s as a request with 4 s left arrives, and an endpoint is free
+    Then the request is not placed, and the endpoint carries no load of it
+
   Scenario: A request that times out while the instance is paused is not sent
     When an instance is paused while a request waits, and an endpoint is free when it resumes
     Then the request is not placed, and the endpoint carries no load of it
--- a/features/steps/entry_restart_steps.py
+++ b/features/steps/entry_restart_steps.py
@@ -80,7 +80,7 @@
     assert not context.entry_fleet.backends['e0'].requests
 
 
-def _build_waiting_request():
+def _build_waiting_request(**changes):
     return WaitingRequest(
         account='mothers',
         parts=(),
@@ -90,11 +90,11 @@
         target_seconds=1.0,
         is_caller_retry=False,
         excluded=set(),
+        **changes,
     )
 
 
-@when('an instance is paused while a request waits, and an endpoint is free when it resumes')
-def pause_while_waiting(context):
+def _build_state():
     settings = EntrySettings(
         name='entry-1',
         failure_domain='a',
@@ -104,10 +104,40 @@
         peer_port=1,
         store_address=_ADDRESS,
     )
+    return EntryState(settings, random.Random(1))
+
+
+@when(
+    'an instance is paused for {pause:d} s as a request with {left:d} s left arrives,'
+    ' and an endpoint is free'
+)
+def pause_at_arrival(context, pause, left):
+    clock = trio.testing.MockClock()
+
+    async def run():
+        state = _build_state()
+        queue = ServiceQueue(state, lambda _waiting: Placement(7, 100))
+        now = trio.current_time()
+        waiting = _build_waiting_request(placement_deadline=now + left)
+        clock.jump(pause)
+        return [await queue.place(waiting, until=now + 0.25)], state.loads.total(7)
+
+    context.after_pause = trio.run(run, clock=clock)
+
+
+@then('the request is placed')
+def check_placed(context):
+    placed, load = context.after_pause
+    assert placed == [True], placed
+    assert (load.pending_tokens, load.running) == (100, 1), load
+
+
+@when('an instance is paused while a request waits, and an endpoint is free when it resumes')
+def pause_while_waiting(context):
     clock = trio.testing.MockClock()
 
     async def run():
-        state = EntryState(settings, random.Random(1))
+        state = _build_state()
         placements = []
         queue = ServiceQueue(state, lambda _waiting: placements[0] if placements else None)
         placed = []
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -207,6 +207,7 @@
             is_caller_retry=self._is_caller_retry(call),
             excluded=call.tried_endpoints,
             regions=call.regions,
+            placement_deadline=call.deadline,
         )
         patience = self._state.policy.patience_part * call.route.target_seconds
         until = min(trio.current_time() + patience, call.deadline)
--- a/src/fireflymux/entry/service_queue.py
+++ b/src/fireflymux/entry/service_queue.py
@@ -47,6 +47,9 @@
     async def place(self, waiting: WaitingRequest, *, until: float) -> bool:
         """Places a request, after waiting for an endpoint that has room if necessary.
 
+        The first attempt does not depend on `until`, which can be over already if the process was
+        held up on the way here, while an endpoint has room.
+
         Args:
             waiting: The request; its `placement` is set, and its load counted, once it is placed.
             until: Time at which it stops waiting, in seconds.
@@ -54,7 +57,6 @@
         Returns:
             Whether it was placed.
         """
-        waiting.placement_deadline = until
         now = trio.current_time()
         self._waiting.record_priority(waiting, now)
         # The requests that wait already are not tried again here: no endpoint had room for them a
@@ -63,6 +65,7 @@
             waiting.placement = self._try_place(waiting)
         if waiting.placement is not None:
             return True
+        waiting.placement_deadline = min(waiting.placement_deadline, until)
         placed = trio.Event()
         waiting.on_placed = placed.set
         self._waiting.add(waiting)
