Await the log lines of reloads, and the request in progress, in the process scenarios

'Changed settings are reloaded while the process runs' slept 0.5 s after each SIGHUP: a process that is held up for longer reads the second file at once and never logs what it took of the first. The scenario of SIGTERM during a slow request slept 0.3 s for the request to arrive and for the signal to be handled; it waits for both now, and still asks for readiness 503 before the response. What is checked is the same.

--- a/features/steps/entry_process_steps.py
+++ b/features/steps/entry_process_steps.py
@@ -37,17 +37,23 @@
 """
 
 
-def _start_process(path):
+def _start_process(path, *, stdout=subprocess.PIPE):
     return subprocess.Popen(
         [sys.executable, '-m', 'fireflymux', 'entry', str(path)],
         cwd=_ROOT,
         env=os.environ | {'PYTHONPATH': str(_ROOT / 'src')},
-        stdout=subprocess.PIPE,
+        stdout=stdout,
         stderr=subprocess.PIPE,
         text=True,
     )
 
 
+async def _wait_for_line(log_path, text):
+    """Waits until the log of a process contains a text."""
+    while text not in log_path.read_text():
+        await trio.sleep(0.05)
+
+
 async def _ask_readiness(address):
     """Returns the status of a readiness check, or 0 if the process does not answer."""
     try:
@@ -77,10 +83,13 @@
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(call)
-            await trio.sleep(0.3)
+            while not fleet.backends['e0'].requests:
+                await trio.sleep(0.02)
             process.send_signal(signal.SIGTERM)
-            await trio.sleep(0.3)
             status_meanwhile = await _ask_readiness(readiness)
+            while status_meanwhile == 200 and not replies:
+                await trio.sleep(0.05)
+                status_meanwhile = await _ask_readiness(readiness)
         code = await trio.to_thread.run_sync(process.wait)
         return replies[0], status_meanwhile, code
 
@@ -144,21 +153,23 @@
         path = folder / 'entry.ini'
         text = _SETTINGS_TEMPLATE.format(store=await fleet.start_store(), **ports)
         path.write_text(text)
-        process = _start_process(path)
+        log_path = folder / 'entry.log'
+        with log_path.open('w') as stream:
+            process = _start_process(path, stdout=stream)
         context.closers.append(process.kill)
         readiness = '127.0.0.1:{0}'.format(ports['readiness'])
         while await _ask_readiness(readiness) != 200:
             await trio.sleep(0.05)
         path.write_text('{0}seeds = 127.0.0.9:1\nretry_ratio = 0.1\n'.format(text))
         process.send_signal(signal.SIGHUP)
-        await trio.sleep(0.5)
+        await _wait_for_line(log_path, '"event":"settings_reloaded"')
         path.write_text('{0}seeds = 127.0.0.9:1\nretry_ratio = 9\n'.format(text))
         process.send_signal(signal.SIGHUP)
-        await trio.sleep(0.5)
+        await _wait_for_line(log_path, '"event":"settings_invalid"')
         status = await _ask_readiness(readiness)
         process.send_signal(signal.SIGTERM)
-        lines, _ = await trio.to_thread.run_sync(process.communicate)
-        return status, lines
+        await trio.to_thread.run_sync(process.wait)
+        return status, log_path.read_text()
 
     _run_on_fleet(context, act)
 
