Let a resuming sidecar learn of no announcement in the scenario of the waiting order

The row of make red that leaves out the confirmation was green at times: the order was refused as sidecar_leaving, which shows nothing of the confirmation. Cause: as the sidecar resumes, the order in its socket races with its next read of the configuration, from a router or the table, and the heartbeats of routers ask for one at once. Before it resumes, the table is taken down and both routers are frozen now, so that only the age of its last confirmation tells that it may not start the order.

--- a/features/steps/draining_steps.py
+++ b/features/steps/draining_steps.py
@@ -166,6 +166,13 @@
     assert set(context.codes) == {code}, context.codes
 
 
+def _hide_announcement(fleet):
+    """Makes every source of the configuration fail, so that none tells who is leaving."""
+    fleet.set_fault('table', 'down')
+    for name in ('router-0', 'router-1'):
+        fleet.processes[name].freeze()
+
+
 @when(
     'a run order is sent to frozen engine-0, which is announced as leaving'
     ' and resumes {seconds:d} seconds later'
@@ -194,6 +201,7 @@
     thread.start()
     _announce(context, 'leaving')
     time.sleep(seconds)
+    _hide_announcement(context.fleet)
     process.thaw()
     thread.join()
 
