Wait for the reports before the calls that show whom the second instance uses

The row of make red that ignores what endpoints say of leaving was green at times for 'The other instances are told that an endpoint is leaving': the second instance sent its ten calls to the other endpoint without having been told. It does so while the first one's last report counts a request on the endpoint in use, as in the evacuation scenario. The wait is a step of its own, which the evacuation scenario uses in place of a fixed sleep: until no instance has counted a request for five report intervals.

--- a/features/steps/endpoint_wishes_steps.py
+++ b/features/steps/endpoint_wishes_steps.py
@@ -3,7 +3,7 @@
 import trio
 from behave import then, when
 
-from features.steps.entry_steps import _run_on_fleet, _send_calls
+from features.steps.entry_steps import _run_on_fleet, _send_calls, _wait_for_reports
 from features.steps.store_copy_steps import _find_used_endpoint
 
 
@@ -24,7 +24,9 @@
         for backend in fleet.backends.values():
             backend.behaviour = 'answer'
         await trio.sleep(0.5)
-        return used, reply, await _send_calls(fleet), await _send_calls(fleet, number=last)
+        replies = await _send_calls(fleet)
+        await _wait_for_reports(fleet)
+        return used, reply, replies, await _send_calls(fleet, number=last)
 
     _run_on_fleet(context, act)
 
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -10,6 +10,10 @@
 
 from emulator.entry_fleet import configuration, open_fleet, route
 
+_REPORT_INTERVAL_SECONDS = 0.02
+#: Report intervals without requests after which none is on its way in a report any more.
+_SETTLED_INTERVALS = 5
+
 
 def _run_on_fleet(context, act):
     """Opens and builds a fleet, and sets `context.result` to what `act` returns for it."""
@@ -130,6 +134,24 @@
     return [reply.status for reply in replies], runs
 
 
+def _counts_requests(fleet):
+    """Tells whether an instance counts requests on an endpoint, its own or reported ones."""
+    for instance in fleet.instances:
+        state = instance._state
+        for live in state._endpoints.values():
+            if state.loads.total(live.number).running:
+                return True
+    return False
+
+
+async def _wait_for_reports(fleet):
+    """Waits until no instance has counted requests for several report intervals in a row."""
+    intervals = 0
+    while intervals < _SETTLED_INTERVALS:
+        await trio.sleep(_REPORT_INTERVAL_SECONDS)
+        intervals = 0 if _counts_requests(fleet) else intervals + 1
+
+
 def _count_runs(context):
     return sum(len(backend.requests) for backend in context.entry_fleet.backends.values())
 
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -11,7 +11,12 @@
 from hypothesis import strategies
 
 from emulator.entry_fleet import KEY, exchange, route
-from features.steps.entry_steps import _put_configuration, _run_on_fleet, _send_calls
+from features.steps.entry_steps import (
+    _put_configuration,
+    _run_on_fleet,
+    _send_calls,
+    _wait_for_reports,
+)
 from fireflymux._messages_generated import PeerNotice
 from fireflymux.decisions.evacuations import EvacuationList, Evacuations
 from fireflymux.decisions.store_version import StoreVersion
@@ -19,8 +24,6 @@
 
 #: Statuses of calls by outcome; a failure is that of an endpoint, or of the retry after it.
 _STATUSES = {'answered': {200}, 'failed': {500, 502}, 'refused': {503}}
-#: Several report intervals: after it no instance counts requests of another that have ended.
-_REPORTS_SECONDS = 0.1
 
 
 @given(
@@ -48,7 +51,7 @@
     """Sends calls to one instance after the other, each time with no requests in the reports."""
     results = []
     for number in range(2):
-        await trio.sleep(_REPORTS_SECONDS)
+        await _wait_for_reports(fleet)
         results.append(await _send_calls(fleet, number=number))
     return results
 
