Forward datagrams in the soak without a task switch for each

The proxies of the datagrams between instances took over 150 microseconds of processor time for each and lost most of a burst (359 of 10000 arrived); now 12 microseconds, sending included, and all arrive. They were what a soak of many instances spent most of its time on.

--- a/emulator/proxies.py
+++ b/emulator/proxies.py
@@ -9,6 +9,8 @@
 
 _RECEIVE_BYTES = 65536
 _BACKLOG = 256
+#: Datagrams forwarded in a row before other tasks may run.
+_DATAGRAMS_PER_TURN = 32
 #: Value of SO_LINGER with which closing a socket sends a TCP reset.
 _LINGER_RESET = struct.pack('ii', 1, 0)
 
@@ -125,20 +127,31 @@
         """
         self.drops_datagrams = Overlap(initial=False)
         self._target = (target, port)
-        self._socket = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
         self._address = (host, port)
 
     async def run(self) -> None:
         """Listens and forwards datagrams until cancelled."""
-        await self._socket.bind(self._address)
+        self._socket.bind(self._address)
         while True:
-            try:
-                content, _ = await self._socket.recvfrom(_RECEIVE_BYTES)
-                if not self.drops_datagrams.current:
-                    await self._socket.sendto(content, self._target)
-            except OSError:
-                # The instance is down: an earlier datagram was answered with "port unreachable".
-                await trio.lowlevel.checkpoint()
+            await trio.lowlevel.wait_readable(self._socket)
+            for _ in range(_DATAGRAMS_PER_TURN):
+                if not self._forward_one():
+                    break
+
+    def _forward_one(self) -> bool:
+        """Forwards one datagram; returns whether there may be more."""
+        try:
+            content = self._socket.recv(_RECEIVE_BYTES)
+            if not self.drops_datagrams.current:
+                self._socket.sendto(content, self._target)
+        except BlockingIOError:
+            return False
+        except OSError:
+            # The instance is down: an earlier datagram was answered with "port unreachable".
+            return True
+        return True
 
 
 def _reset(sock: socket.socket) -> None:
