--- a/emulator/entry_fleet.py
+++ b/emulator/entry_fleet.py
@@ -272,6 +272,7 @@
     content: bytes = b'',
     host: str = HOST,
     more: str = '',
+    version: str = '1.1',
 ) -> bytes:
     """Encodes a caller's request.
 
@@ -284,10 +285,11 @@
         content: Body of the request.
         host: Value of the Host header.
         more: Further header lines; empty for none.
+        version: HTTP version.
     """
     attempt = attempt or '{0:016x}'.format(random.getrandbits(64))
     lines = [
-        '{0} {1} HTTP/1.1'.format(method, path),
+        '{0} {1} HTTP/{2}'.format(method, path, version),
         'Host: {0}'.format(host),
         'X-Attempt-Id: {0}'.format(attempt),
         'X-Deadline-Ms: {0}'.format(deadline_ms),
--- a/emulator/entry_variants.py
+++ b/emulator/entry_variants.py
@@ -20,6 +20,7 @@
     attempt,
     event_relay,
     exchange,
+    instance,
     outcomes,
     peer_link,
     report_datagrams,
@@ -39,6 +40,8 @@
         return history.sends + history.unsent < 3
 
     exchange.may_retry = may_retry
+    # The second barrier, beside what the route allows.
+    event_relay.EventRelay.can_begin_attempt = True
 
 
 def forget_leaving() -> None:
@@ -145,6 +148,62 @@
     ServerConnection._process = process
 
 
+def chunks_for_all() -> None:
+    """Sends chunks to HTTP/1.0 callers as well."""
+    original = response_writer.ResponseWriter.begin
+
+    def begin(writer: response_writer.ResponseWriter, **terms: object) -> None:
+        original(writer, **(terms | {'accepts_chunks': True}))
+
+    response_writer.ResponseWriter.begin = begin
+
+
+def head_bodies() -> None:
+    """Sends bodies with the responses to HEAD requests."""
+    response_writer.ResponseWriter._select_body = lambda _writer, encoded: encoded
+
+
+def short_writes() -> None:
+    """Takes bytes for sent that a connection whose caller reads slowly did not accept."""
+    original = response_writer.ResponseWriter._send_some
+
+    async def send_some(writer: response_writer.ResponseWriter, content: memoryview) -> int:
+        await original(writer, content)
+        return len(content)
+
+    response_writer.ResponseWriter._send_some = send_some
+
+
+def open_after_close() -> None:
+    """Serves requests behind a response that states that its connection closes."""
+    original = ServerConnection._handle_next
+
+    async def handle_next(connection: ServerConnection, handler: object) -> None:
+        await original(connection, handler)
+        connection._writer.must_close = connection._writer.is_broken
+
+    ServerConnection._handle_next = handle_next
+
+
+def no_grace() -> None:
+    """Stops without waiting for the requests in progress."""
+
+    async def stop(stopped: instance.EntryInstance) -> None:
+        stopped._state.is_stopping = True
+
+    instance.EntryInstance._stop = stop
+
+
+def any_answer() -> None:
+    """Takes whatever a connection to an endpoint brings next for the response to its request."""
+
+    async def read(connection: connection_pool.UpstreamConnection, _attempt: bytes) -> object:
+        response = await connection.next_response()
+        return response, attempt.decode_response_headers(response.head)
+
+    attempt._read_matching_response = read
+
+
 def any_connection() -> None:
     """Uses connections again whose earlier requests had the identifier of the present one."""
     client_connection.ClientConnection.can_identify = lambda _connection, _identifier: True
@@ -232,6 +291,12 @@
     windowed_shares,
     no_bounds,
     early_continue,
+    chunks_for_all,
+    head_bodies,
+    short_writes,
+    open_after_close,
+    no_grace,
+    any_answer,
     any_connection,
     second_head,
     any_rest,
--- a/emulator/faulty_answers.py
+++ b/emulator/faulty_answers.py
@@ -7,6 +7,8 @@
 
 import random
 import weakref
+from collections.abc import Mapping
+from types import MappingProxyType
 
 import trio
 
@@ -17,13 +19,14 @@
 
 #: Answers that refuse the request.
 REFUSALS = ('refused', 'limited', 'refused twice')
+_GARBAGE_IN_STREAM = 'garbage in a stream'
 #: Answers to requests of any kind.
 _FAILURES = (
     'failed',
     'not found',
     'unsigned',
     'garbage',
-    'garbage in a stream',
+    _GARBAGE_IN_STREAM,
     'nothing',
     'nothing for long',
     'of another',
@@ -35,16 +38,22 @@
 #: Answers to requests that resume a stream, beside those to any.
 _FAILURES_OF_RESUMED = ('failed', 'not found', _NO_EVENTS_KIND, _NO_EVENTS_KIND)
 #: Faults beside an answer that is sound.
-EXTRAS = ('another before', 'twice at once', 'twice a little later', 'twice at the next request')
+EXTRAS = ('another before', 'twice at once', 'twice', 'twice')
 _SOUND_PROBABILITY = 0.7
 _SOUND_PROBABILITY_OF_RESUMED = 0.2
 #: Probability that a stream that breaks off ends with the head of another answer.
 _SECOND_HEAD_PROBABILITY = 0.3
-#: Probability that an answer is repeated when the next one on the connection is due.
-_OWED_PROBABILITY = 0.5
+#: Probability that an endpoint that only stutters sends a further answer beside a sound one.
+_EXTRA_PROBABILITY = 0.5
+#: Probability that an answer that is not sound is repeated.
+_REPEAT_PROBABILITY = 0.4
+#: When an answer is repeated: soon, or with the next answer on the connection.
+_REPEAT_WAYS = ('soon', 'before the next', 'within the next')
 _OK = 200
 _FAILED = 500
 _NOT_FOUND = 404
+#: Statuses of the errors with which an endpoint answers.
+_STATUSES: Mapping[str, int] = MappingProxyType({'failed': _FAILED, 'not found': _NOT_FOUND})
 _REFUSED = 503
 _LIMITED = 429
 #: Range of the time until an extra answer arrives on a connection that may be idle by then.
@@ -63,8 +72,11 @@
             rng: Draws the faults.
         """
         self._rng = rng
-        # Extra answers by the connection on which they precede the next answer.
+        # Extra answers by the connection on which they precede the next answer, or fall into it.
         self._owed: weakref.WeakKeyDictionary[ResponseWriter, bytes] = weakref.WeakKeyDictionary()
+        self._owed_within: weakref.WeakKeyDictionary[ResponseWriter, bytes] = (
+            weakref.WeakKeyDictionary()
+        )
 
     def draw(self, *, is_resumed: bool) -> str:
         """Draws the fault of an answer; empty for none.
@@ -78,12 +90,22 @@
         failures = (*_FAILURES, *_FAILURES_OF_RESUMED) if is_resumed else _FAILURES
         return self._rng.choice((*REFUSALS, *EXTRAS, *failures))
 
+    def draw_extra(self) -> str:
+        """Draws a fault beside a sound answer; empty for none."""
+        return self._rng.choice(EXTRAS) if self._rng.random() < _EXTRA_PROBABILITY else ''
+
     async def send_owed(self, writer: ResponseWriter) -> None:
         """Sends the extra answer to an earlier request that is owed on a connection, if any."""
         content = self._owed.pop(writer, b'')
         if content:
             await send_raw(writer, content)
 
+    async def send_owed_within(self, writer: ResponseWriter) -> None:
+        """Sends the extra answer that falls between two events of a later stream, if any."""
+        content = self._owed_within.pop(writer, b'')
+        if content:
+            await send_raw(writer, content)
+
     async def refuse(self, kind: str, writer: ResponseWriter, attempt: bytes) -> None:
         """Refuses a request, and perhaps once more when the next one on the connection is due.
 
@@ -108,37 +130,47 @@
         if kind not in EXTRAS or kind == 'another before':
             return
         second = encode_answer(_OK, fields, b'the second answer')
-        if kind == 'twice at the next request':
-            self._owed[writer] = second
-            return
-        if kind == 'twice a little later':
-            await trio.sleep(self._rng.uniform(*_LATE_SECONDS))
-        await send_raw(writer, second)
+        if kind == 'twice':
+            await self._repeat(writer, second)
+        else:
+            await send_raw(writer, second)
+
+    def find_status(self, kind: str, method: bytes) -> int:
+        """Returns the status of a faulty answer if it is one of the endpoint's own; zero if not.
+
+        Args:
+            kind: What `draw` returned.
+            method: HTTP method of the request; an answer to HEAD is whole without its body.
+        """
+        if kind == _GARBAGE_IN_STREAM and method == b'HEAD':
+            return _OK
+        return _STATUSES.get(kind, 0)
 
-    async def fail(self, kind: str, writer: ResponseWriter, fields: HeaderFields) -> int:
+    async def fail(self, kind: str, writer: ResponseWriter, fields: HeaderFields) -> None:
         """Writes the answer to a request that was run and is not answered well.
 
         Args:
             kind: What `draw` returned.
             writer: Writes the answer.
             fields: Identifier of the request and signature of the endpoint.
-
-        Returns:
-            Status of the answer if it is one of the endpoint's own; zero if not.
         """
-        statuses = {'failed': _FAILED, 'not found': _NOT_FOUND}
-        if kind in statuses:
-            await writer.answer(statuses[kind], fields, kind.encode())
-            return statuses[kind]
-        if kind == _NO_EVENTS_KIND:
-            await writer.answer(_OK, fields, self._rng.choice(_NO_EVENTS))
-            return 0
-        if kind == 'unsigned':
-            await writer.answer(_OK, fields[:1], b'id: 0\ndata: unsigned\n\n')
-            return 0
-        await self._break(kind, writer, fields)
-        writer.abort()
-        return 0
+        if kind in _STATUSES:
+            await self._answer(writer, _STATUSES[kind], fields, kind.encode())
+        elif kind == _NO_EVENTS_KIND:
+            await self._answer(writer, _OK, fields, self._rng.choice(_NO_EVENTS))
+        elif kind == 'unsigned':
+            await self._answer(writer, _OK, fields[:1], b'id: 0\ndata: unsigned\n\n')
+        else:
+            await self._break(kind, writer, fields)
+            writer.abort()
+
+    async def _answer(
+        self, writer: ResponseWriter, status: int, fields: HeaderFields, content: bytes
+    ) -> None:
+        """Answers a request, and perhaps once more."""
+        await writer.answer(status, fields, content)
+        if self._rng.random() < _REPEAT_PROBABILITY:
+            await self._repeat(writer, encode_answer(status, fields, content))
 
     async def break_stream(self, writer: ResponseWriter, event: bytes) -> None:
         """Breaks a stream off before an event, within it, or with bytes that are no chunk."""
@@ -152,13 +184,13 @@
     async def _break(self, kind: str, writer: ResponseWriter, fields: HeaderFields) -> None:
         if kind == 'nothing for long':
             await trio.sleep(self._rng.uniform(*_SILENCE_SECONDS))
-        if kind == 'garbage in a stream':
+        if kind == _GARBAGE_IN_STREAM:
             await writer.start(_OK, fields, b'')
         if kind == 'of another':
             await self._send_another(writer)
         raw = {
             'garbage': b'\x15\x03\x01garbage\r\n\r\n',
-            'garbage in a stream': b'zz\r\ngarbage\r\n',
+            _GARBAGE_IN_STREAM: b'zz\r\ngarbage\r\n',
             'cut head': encode_answer(_OK, fields, b'')[:-2],
         }
         await send_raw(writer, raw.get(kind, b''))
@@ -168,9 +200,12 @@
         await send_extra_answer(writer, _OK, fields, b'id: 0\ndata: of-another 0\n\n')
 
     async def _repeat(self, writer: ResponseWriter, content: bytes) -> None:
-        """Sends an answer once more, soon or when the next one on the connection is due."""
-        if self._rng.random() < _OWED_PROBABILITY:
+        """Sends an answer once more, soon, or before or within the next one on the connection."""
+        way = self._rng.choice(_REPEAT_WAYS)
+        if way == 'before the next':
             self._owed[writer] = content
-            return
-        await trio.sleep(self._rng.uniform(*_LATE_SECONDS))
-        await send_raw(writer, content)
+        elif way == 'within the next':
+            self._owed_within[writer] = content
+        else:
+            await trio.sleep(self._rng.uniform(*_LATE_SECONDS))
+            await send_raw(writer, content)
--- a/emulator/faulty_endpoint.py
+++ b/emulator/faulty_endpoint.py
@@ -25,7 +25,7 @@
 _FAILED = 500
 #: End of the identifiers of requests whose events are large, and the bytes added to each of these.
 BIG_SUFFIX = '-big'
-_BIG_EVENT_BYTES = 20000
+_BIG_EVENT_BYTES = 30000
 
 
 def expected_content(attempt: str, event_count: int) -> bytes:
@@ -75,9 +75,9 @@
 
     Attributes:
         name: Identifier of the endpoint.
-        modes: How it fails: '' not at all; 'grey' answers part of the requests with an error;
+        modes: How it fails, in all ways that are set: 'grey' answers part of the requests with an error;
             'breaks' aborts the connection before or within the answer; 'faulty' draws one of many
-            faults for each request.
+            faults for each request; 'stutter' sends further answers beside sound ones.
         service: Name of the service that it belongs to.
     """
 
@@ -100,18 +100,23 @@
         self._faults = FaultyAnswers(rng)
         self._running = 0
         self._scope = trio.CancelScope()
+        self._closed = trio.Event()
 
     async def run(
         self, address: str, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serves requests until it is cancelled or `crash` is called."""
         listener = Listener(address, self._respond, limits=HttpLimits, is_stopping=bool)
-        with self._scope:
-            await listener.run(task_status=task_status)
+        try:
+            with self._scope:
+                await listener.run(task_status=task_status)
+        finally:
+            self._closed.set()
 
-    def crash(self) -> None:
-        """Stops at once and closes all connections."""
+    async def crash(self) -> None:
+        """Stops at once, and waits until its address and all connections are closed."""
         self._scope.cancel()
+        await self._closed.wait()
 
     async def _respond(self, request: Request, writer: ResponseWriter) -> None:
         await self._faults.send_owed(writer)
@@ -149,9 +154,11 @@
             arrival.ended_at = trio.current_time()
 
     def _draw_fault(self, request: Request) -> str:
-        if self.modes.current != 'faulty':
-            return ''
-        return self._faults.draw(is_resumed=bool(find_header(request.fields, b'last-event-id')))
+        if self.modes.is_held('faulty'):
+            return self._faults.draw(
+                is_resumed=bool(find_header(request.fields, b'last-event-id'))
+            )
+        return self._faults.draw_extra() if self.modes.is_held('stutter') else ''
 
     async def _run_request(
         self,
@@ -163,9 +170,10 @@
     ) -> None:
         await trio.sleep(self._rng.uniform(*_WORK_SECONDS))
         if fault and fault not in EXTRAS:
-            arrival.status = await self._faults.fail(fault, writer, fields)
+            arrival.status = self._faults.find_status(fault, request.method)
+            await self._faults.fail(fault, writer, fields)
             return
-        if self.modes.current == 'grey' and self._rng.random() < _ERROR_PROBABILITY:
+        if self.modes.is_held('grey') and self._rng.random() < _ERROR_PROBABILITY:
             arrival.status = _FAILED
             await writer.answer(_FAILED, fields, b'failed')
             return
@@ -184,9 +192,9 @@
         self, request: Request, writer: ResponseWriter, fields: HeaderFields
     ) -> None:
         event_count = int(request.content or b'0')
-        if event_count:
+        if event_count and request.method != b'HEAD':
             await self._stream(request, writer, fields, event_count)
-        elif self.modes.current == 'breaks':
+        elif self.modes.is_held('breaks'):
             writer.abort()
         else:
             await writer.answer(_OK, fields, expected_content(fields[0][1].decode(), 0))
@@ -205,14 +213,18 @@
                 await self._faults.break_stream(writer, event)
                 return
             await writer.send_chunk(event)
-            await trio.sleep(_EVENT_INTERVAL_SECONDS)
+            await self._pause_stream(writer)
         await writer.end()
 
+    async def _pause_stream(self, writer: ResponseWriter) -> None:
+        await self._faults.send_owed_within(writer)
+        await trio.sleep(_EVENT_INTERVAL_SECONDS)
+
     def _draw_break(self, first: int, event_count: int) -> int:
         """Draws the event at which a stream breaks off; -1 if it does not."""
-        mode = self.modes.current
-        if mode == 'breaks':
+        if self.modes.is_held('breaks'):
             return first + 1
-        if mode == 'faulty' and first < event_count and self._rng.random() < _BREAK_PROBABILITY:
+        is_faulty = self.modes.is_held('faulty') and first < event_count
+        if is_faulty and self._rng.random() < _BREAK_PROBABILITY:
             return self._rng.randrange(first, event_count)
         return -1
--- a/emulator/instance_process.py
+++ b/emulator/instance_process.py
@@ -19,6 +19,7 @@
 _READINESS_REQUEST = b'GET /api/readyz HTTP/1.1\r\nHost: x\r\n\r\n'
 _READINESS_TIMEOUT_SECONDS = 0.5
 _OK = 200
+_NANOSECONDS_PER_SECOND = 1e9
 _SETTINGS = """[entry]
 name = {name}
 failure_domain = {failure_domain}
@@ -92,6 +93,17 @@
         """File that receives the output of all its processes."""
         return self.folder / '{0}.log'.format(self.name)
 
+    @property
+    def run_delay_seconds(self) -> float:
+        """Time for which its process has waited for a processor in all; zero if it has ended."""
+        if self.process is None:
+            return 0.0
+        path = Path('/proc/{0}/schedstat'.format(self.process.pid))
+        try:
+            return int(path.read_text().split()[1]) / _NANOSECONDS_PER_SECOND
+        except (OSError, IndexError):
+            return 0.0
+
     def start(self) -> None:
         """Writes the settings file and starts a new process."""
         path = self.folder / '{0}.ini'.format(self.name)
--- a/emulator/overlaps.py
+++ b/emulator/overlaps.py
@@ -24,6 +24,10 @@
         """The value that applies now."""
         return self._active[-1][1] if self._active else self._initial
 
+    def is_held(self, value: _ValueT) -> bool:
+        """Tells whether any fault that has not ended sets a value."""
+        return any(active == value for _, active in self._active)
+
     @contextmanager
     def hold(self, value: _ValueT) -> Iterator[None]:
         """Applies a value until the end of the context, and then what other faults still set.
--- a/emulator/strict_reader.py
+++ b/emulator/strict_reader.py
@@ -27,6 +27,7 @@
 
     head = 'a head'
     body = 'a body'
+    body_to_end = 'a body that ends with the connection'
     chunk_size = 'a chunk size'
     chunk = 'a chunk'
     last_chunk = 'the last chunk'
@@ -61,6 +62,8 @@
     Attributes:
         answers: Responses, in the order of the requests; the last one may be incomplete.
         answers_due: Number of responses that all requests so far are to get.
+        head_answers: Numbers of the responses to HEAD requests, counted from zero; they have no body.
+        is_http10: Whether the caller speaks HTTP/1.0: it knows no chunks and no interim responses.
         continues_before: Number of the response that an interim response 100 may precede, counted
             from zero; -1 if no request waits for one.
         violation: What was received that is part of no response, and the bytes around it; empty
@@ -69,6 +72,8 @@
 
     answers: list[StrictAnswer] = attrs.field(factory=list)
     answers_due: int = 0
+    head_answers: set[int] = attrs.field(factory=set)
+    is_http10: bool = False
     continues_before: int = -1
     violation: str = ''
     _state: _State = _State.head
@@ -83,6 +88,11 @@
         while is_read and self._buffer and not self.violation:
             is_read = self._read_next()
 
+    def end(self) -> None:
+        """Tells that the connection ended in order, and with it a body that states no length."""
+        if self._state is _State.body_to_end:
+            self._end_answer()
+
     def find_leftover(self) -> str:
         """Returns what the connection ended with if that is no start of a response; else empty."""
         is_head = _HEAD_START.startswith(self._buffer[: len(_HEAD_START)])
@@ -96,6 +106,8 @@
             return self._read_head()
         if self._state is _State.chunk_size:
             return self._read_chunk_size()
+        if self._state is _State.body_to_end:
+            return self._read_to_end()
         return self._read_content()
 
     def _read_head(self) -> bool:
@@ -104,6 +116,8 @@
             return self._fail('bytes where a head is due')
         if self.answers_due <= len(self.answers):
             return self._fail('bytes although no request waits for a response')
+        if self.answers and self.answers[-1].closes:
+            return self._fail('bytes behind a response that ends the connection')
         head, end, _ = self._buffer.partition(_HEAD_END)
         if not end:
             return False
@@ -128,14 +142,17 @@
         return True
 
     def _begin_body(self, answer: StrictAnswer, names: list[str]) -> bool:
-        if answer.status in _BODYLESS_STATUSES:
+        if answer.status in _BODYLESS_STATUSES or len(self.answers) - 1 in self.head_answers:
             answer.is_complete = True
             return True
         framing = [name for name in names if name in {'content-length', 'transfer-encoding'}]
+        if self.is_http10 and not framing:
+            self._state = _State.body_to_end
+            return True
         if len(framing) != 1:
             return self._fail('a head with {0} fields that state the length'.format(len(framing)))
         stated = answer.fields[framing[0]]
-        if stated == 'chunked':
+        if stated == 'chunked' and not self.is_http10:
             self._state = _State.chunk_size
             return True
         if not stated.isdigit():
@@ -158,6 +175,11 @@
         self._consume(len(line) + len(end))
         return True
 
+    def _read_to_end(self) -> bool:
+        self.answers[-1].content += self._buffer
+        self._consume(len(self._buffer))
+        return True
+
     def _read_content(self) -> bool:
         answer = self.answers[-1]
         part = self._buffer[: self._missing_bytes]
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -18,6 +18,8 @@
 _TIMEOUT_SECONDS = 180
 #: Soaks that run at a time.
 _MAXIMUM_RUNS = 3
+#: Seeds that one mechanism is tried with.
+_MAXIMUM_SEEDS = 4
 
 
 def _run_soak(*options):
@@ -45,10 +47,25 @@
     assert context.completed.returncode == 0, context.completed.stdout
 
 
-@when('the soak runs instances with one mechanism disabled')
+def _has_found(row, done):
+    return done.returncode == 1 and '  {0}: '.format(row['check']) in done.stdout
+
+
+@when('the soak runs instances with one mechanism disabled, on further seeds until it is found')
 def run_mutants(context):
     def run(row):
-        return _run_soak('--one={0}'.format(row['seed']), '--mutant={0}'.format(row['mutant']))
+        # How often a request meets what shows the mechanism is drawn in each run, and seldom enough
+        # on a busy machine, where there are fewer requests, that one run may have none.
+        for further in range(_MAXIMUM_SEEDS):
+            done = _run_soak(
+                '--one={0}'.format(int(row['seed']) + further),
+                '--mutant={0}'.format(row['mutant']),
+                '--kinds={0}'.format(row['kinds']),
+            )
+            assert done.stdout.startswith('seed '), done.stdout
+            if _has_found(row, done):
+                break
+        return done
 
     rows = list(context.table)
     with ThreadPoolExecutor(max_workers=_MAXIMUM_RUNS) as pool:
@@ -58,8 +75,7 @@
 @then('the named check of each run finds a violation')
 def assert_mutants_found(context):
     for row, done in context.mutant_runs:
-        assert done.returncode == 1, done.stdout
-        assert '  {0}: '.format(row['check']) in done.stdout, done.stdout
+        assert _has_found(row, done), (row, done.stdout)
 
 
 def _build_exchange(**changes):
@@ -198,9 +214,45 @@
         assert found == {name}, (name, found)
 
 
+_FAILED = {'status': 504, 'content': b'', 'endpoint': ''}
+
+
+@when('10 requests and probes to an instance are sent after the fault phase, and {happening}')
+def build_calm_phase(context, happening):
+    requests = _build_exchanges(10, kind='safe', sent_at=25.0, ended_at=25.1)
+    probes = [
+        _build_probe('p{0}'.format(number), 2, sent_at=25.0, ended_at=25.1) for number in range(10)
+    ]
+    for failing in {'requests': requests, 'probes': probes}.get(happening.split()[1], ())[:2]:
+        for name, text in _FAILED.items():
+            setattr(failing, name, text)
+    starved = Disturbance(kind='starved', target='entry-1', start=25.04, end=25.4)
+    if happening.endswith('while another is'):
+        starved.target = 'entry-2'
+    context.history = _build_history(
+        [*requests, *([] if happening.startswith('no probe') else probes)],
+        config_accepted_at={1: 1.0, 2: 9.0},
+        waits=[starved] if 'while' in happening else [],
+        faults_ended_at=20.0,
+    )
+
+
+@then('the check of recovery finds {found}')
+def check_recovery_found(context, found):
+    violations = list(checks.check_recovery(context.history))
+    if found == 'nothing':
+        assert not violations, violations
+    else:
+        assert len(violations) == 1 and found in violations[0], violations
+
+
 @when('plans are generated twice from many seeds')
 def generate_plans(context):
     context.plans = [(Plan.from_seed(seed), Plan.from_seed(seed)) for seed in range(200)]
+    kinds = ('stutter', 'term', 'drain', 'configure')
+    context.plans += [
+        (Plan.from_kinds(seed, kinds), Plan.from_kinds(seed, kinds)) for seed in range(20)
+    ]
 
 
 @then('both plans of a seed are equal, and all their faults end within the fault phase')
--- a/features/steps/strict_reader_steps.py
+++ b/features/steps/strict_reader_steps.py
@@ -21,6 +21,12 @@
     'a head with a malformed field': _ANSWER.replace(b'Content-', b'Content '),
     'a stream that breaks off within a chunk': _STREAM + b'5\r\nev',
     'two responses': _STREAM + _END + _ANSWER,
+    'a response that ends with the connection': b'HTTP/1.1 200 OK\r\n\r\nevent',
+    'a head alone': _ANSWER[:-4],
+    'a response behind one that closes': _ANSWER.replace(
+        b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n'
+    )
+    + _ANSWER,
 }
 
 
@@ -45,6 +51,25 @@
         assert bool(found) == (violation != 'nothing'), found
 
 
+@when('a caller that {asks} reads {name}, and the connection ends')
+def read_as(context, asks, name):
+    context.violations, context.counts = [], set()
+    for size in (1, 7, len(_RECEIVED[name])):
+        reader = StrictReader(answers_due=2, is_http10=asks == 'speaks HTTP/1.0')
+        reader.head_answers = {0} if asks == 'asks by HEAD' else set()
+        for start in range(0, len(_RECEIVED[name]), size):
+            reader.feed(_RECEIVED[name][start : start + size])
+        reader.end()
+        context.violations.append(reader.find_leftover())
+        context.counts.add(sum(answer.is_complete for answer in reader.answers))
+
+
+@then('{count:d} of its responses are complete, and it reports {violation}')
+def assert_reported_and_complete(context, violation, count):
+    assert_reported(context, violation)
+    assert context.counts == {count}, context.counts
+
+
 @when('two faults overlap, and the one that began first ends first')
 def overlap_faults(context):
     value = Overlap('')
--- a/features/strict_reader.feature
+++ b/features/strict_reader.feature
@@ -19,6 +19,18 @@
       | a stream that breaks off within a chunk    | nothing                                 |
       | two responses                              | nothing                                 |
 
+  Scenario Outline: Callers of HTTP/1.0 and of HEAD accept what they asked for
+    When a caller that <asks> reads <bytes>, and the connection ends
+    Then <count> of its responses are complete, and it reports <violation>
+
+    Examples:
+      | asks            | bytes                                      | violation                      | count |
+      | speaks HTTP/1.0 | a response that ends with the connection   | nothing                        | 1     |
+      | speaks HTTP/1.0 | two responses                              | a head with a malformed length | 0     |
+      | asks by HEAD    | a head alone                               | nothing                        | 1     |
+      | asks by HEAD    | a response that is longer than its length  | bytes where a head is due      | 1     |
+      | asks by POST    | a response behind one that closes          | bytes behind a response that   | 1     |
+
   Scenario: A fault does not end another one that overlaps it
     When two faults overlap, and the one that began first ends first
     Then the other one lasts until its own end
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -63,7 +63,7 @@
         caller_tasks.cancel_scope.cancel()
 
 
-def run_seed(seed: int, *, scale: int = 1, mutant: str = '') -> list[str]:
+def run_seed(seed: int, *, scale: int = 1, mutant: str = '', kinds: str = '') -> list[str]:
     """Runs the plan of one seed and prints the result.
 
     Args:
@@ -71,26 +71,30 @@
         scale: Factor for the number of instances and faults.
         mutant: Variant of the program with one mechanism disabled; empty for the unchanged
             program.
+        kinds: Kinds of the only faults, separated by plus signs; empty for what the seed draws.
 
     Returns:
         The violations. If there are any, the folder of the logs is kept, gets all of them, and is
         printed.
     """
     plan = Plan.from_seed(seed, scale)
+    if kinds:
+        plan = Plan.from_kinds(seed, tuple(kinds.split('+')))
     folder = Path(tempfile.mkdtemp(prefix='soak-'))
     history = trio.run(run_plan, plan, folder, mutant)
     violations = find_violations(history)
     served = sum(item.status == 200 and item.is_complete for item in history.exchanges)
-    starved = sum(item.kind == 'starved' for item in history.disturbances)
+    starved = [bool(item.target) for item in history.disturbances if item.kind == 'starved']
     print(
         'seed {0}: {1} requests, {2} served, {3} events, {4} stops, starved {5} times, '
-        '{6} violations'.format(
+        'its instances {6} times, {7} violations'.format(
             seed,
             len(history.exchanges),
             served,
             len(plan.events),
             len(history.stops),
-            starved,
+            starved.count(False),
+            starved.count(True),
             len(violations),
         )
     )
@@ -128,6 +132,7 @@
     scale: int = 1,
     one: int = 0,
     mutant: str = '',
+    kinds: str = '',
 ) -> None:
     """Runs the plans of several seeds, in parallel and each in its own process.
 
@@ -138,9 +143,10 @@
         scale: Factor for the number of instances and faults.
         one: Runs only this seed, in this process.
         mutant: Variant of the program with one mechanism disabled, from `emulator.variants`.
+        kinds: Kinds of the only faults of this seed, separated by plus signs.
     """
     if one:
-        sys.exit(1 if run_seed(one, scale=scale, mutant=mutant) else 0)
+        sys.exit(1 if run_seed(one, scale=scale, mutant=mutant, kinds=kinds) else 0)
     options = ['--scale={0}'.format(scale), '--mutant={0}'.format(mutant)]
     all_seeds = [*read_regression_seeds(), *range(first, first + seeds)]
     with ThreadPoolExecutor(max_workers=jobs) as pool:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,7 +1,8 @@
 """Simulated callers that reuse their connections and record each answer, read strictly.
 
-Some pipeline requests, wait to be told to continue before they send a body, or read slowly. They
-use an open connection until it ends or an answer states that it closes.
+Some pipeline requests, wait to be told to continue before they send a body, read slowly, ask by
+HEAD or speak HTTP/1.0. They use an open connection until it ends or an answer states that it closes,
+and some of them beyond that answer.
 """
 
 import trio
@@ -17,6 +18,9 @@
 _REQUEST_TIMEOUT_SECONDS = 4.0
 #: Range of the pause before each request.
 _REQUEST_PAUSE_SECONDS = (0.01, 0.06)
+#: Probability that a caller leaves its connection idle before its next request, and for how long.
+_IDLE_PROBABILITY = 0.03
+_IDLE_SECONDS = (0.3, 2.4)
 #: Time between two probes of the configuration.
 _PROBE_INTERVAL_SECONDS = 0.1
 _CONNECT_TIMEOUT_SECONDS = 1.0
@@ -26,6 +30,12 @@
 #: Probability that a caller sends further requests before it reads the answer to the first.
 _PIPELINE_PROBABILITY = 0.2
 _MAXIMUM_PIPELINED = 3
+#: Probability that the last of several requests is sent after the answer to the one before it, even
+#: if that states that the connection closes.
+_BEHIND_PROBABILITY = 0.5
+#: Probabilities that a request is a HEAD request, and that a connection is one of HTTP/1.0.
+_HEAD_PROBABILITY = 0.05
+_HTTP10_PROBABILITY = 0.08
 #: Probability that the last request of a caller's turn waits to be told to continue.
 _EXPECT_PROBABILITY = 0.2
 #: Time after the preceding answer until a caller sends its body without being told to.
@@ -36,16 +46,8 @@
 #: Time that a caller waits for a connection to end after an answer that states it.
 _CLOSE_SECONDS = 0.1
 #: Kinds of requests; a kind that is listed twice is sent twice as often.
-_REQUEST_KINDS = (
-    'unsafe',
-    'unsafe',
-    'safe',
-    'once',
-    'resumable',
-    'resumable',
-    'resumable_thrice',
-    'resumable_thrice',
-)
+_RESUMABLE_KINDS = ('resumable', 'resumable', 'resumable_thrice', 'resumable_thrice')
+_REQUEST_KINDS = ('unsafe', 'unsafe', 'safe', 'once', *_RESUMABLE_KINDS)
 _STREAM_KINDS = frozenset(('once', 'resumable', 'resumable_thrice'))
 
 
@@ -76,12 +78,16 @@
         """Sends requests of all kinds until cancelled."""
         rng = self._testbed.rng
         while True:
-            await trio.sleep(rng.uniform(*_REQUEST_PAUSE_SECONDS))
-            connection = await self._take_connection(is_slow=rng.random() < _SLOW_PROBABILITY)
+            is_idle = rng.random() < _IDLE_PROBABILITY
+            await trio.sleep(rng.uniform(*(_IDLE_SECONDS if is_idle else _REQUEST_PAUSE_SECONDS)))
+            connection = await self._take_connection(
+                is_slow=rng.random() < _SLOW_PROBABILITY,
+                is_http10=rng.random() < _HTTP10_PROBABILITY,
+            )
             if connection is None:
                 continue
             count = 1
-            if rng.random() < _PIPELINE_PROBABILITY:
+            if rng.random() < _PIPELINE_PROBABILITY and not connection.reader.is_http10:
                 count = rng.randint(2, _MAXIMUM_PIPELINED)
             exchanges = [self._draw_exchange(is_slow=connection.is_slow) for _ in range(count)]
             timeout_seconds = _REQUEST_TIMEOUT_SECONDS
@@ -93,6 +99,7 @@
                 exchanges,
                 timeout_seconds=timeout_seconds,
                 expects_continue=rng.random() < _EXPECT_PROBABILITY,
+                is_behind=count > 1 and rng.random() < _BEHIND_PROBABILITY,
             )
 
     async def probe_configuration(self) -> None:
@@ -105,7 +112,7 @@
         while True:
             await trio.sleep(_PROBE_INTERVAL_SECONDS)
             for version in sorted(config_accepted_at)[-2:]:
-                connection = await self._take_connection(is_slow=False)
+                connection = await self._take_connection()
                 if connection is not None:
                     probe = self._build_exchange('safe', PROBE_ACCOUNT, key_version=version)
                     await self._send_requests(connection, [probe])
@@ -121,6 +128,7 @@
             rng.choice(list(API_KEYS)),
             event_count=event_count,
             suffix=BIG_SUFFIX if is_slow else '',
+            method='HEAD' if rng.random() < _HEAD_PROBABILITY else 'POST',
         )
 
     def _build_exchange(
@@ -131,6 +139,7 @@
         event_count: int = 0,
         key_version: int = 0,
         suffix: str = '',
+        method: str = 'POST',
     ) -> Exchange:
         self._requests_sent += 1
         return Exchange(
@@ -142,6 +151,7 @@
             incarnation=self._incarnation,
             sent_at=trio.current_time(),
             event_count=event_count,
+            method=method,
         )
 
     async def _send_requests(
@@ -151,18 +161,28 @@
         *,
         timeout_seconds: float = _REQUEST_TIMEOUT_SECONDS,
         expects_continue: bool = False,
+        is_behind: bool = False,
     ) -> None:
         """Sends requests in a row and records their answers; keeps the connection if it may."""
+        exchanges[0].is_kept = connection.reader.answers_due > 0
         self._testbed.history.exchanges.extend(exchanges)
         self._connection = None
         is_kept = False
+        paused_before = connection.paused_seconds
         scope = trio.move_on_after(timeout_seconds)
         try:
             with scope:
-                is_kept = await _exchange(connection, exchanges, expects_continue=expects_continue)
+                is_kept = await _exchange(
+                    connection,
+                    exchanges,
+                    expects_continue=expects_continue and not is_behind,
+                    is_behind=is_behind,
+                )
         finally:
             if not is_kept:
                 connection.close()
+            for exchange in exchanges:
+                exchange.paused_seconds = connection.paused_seconds - paused_before
         self._last_exchange = exchanges[-1]
         if is_kept:
             self._connection = connection
@@ -172,8 +192,10 @@
         for exchange in exchanges:
             if exchange.ended_at == float('inf') and timeout_seconds < _REQUEST_TIMEOUT_SECONDS:
                 exchange.abandoned_at = trio.current_time()
+            elif exchange.ended_at == float('inf'):
+                exchange.ended_at = trio.current_time()
 
-    async def _take_connection(self, *, is_slow: bool) -> StrictConnection | None:
+    async def _take_connection(self, **style: bool) -> StrictConnection | None:
         """Returns the open connection, or a new one if it has ended; None if none can be made."""
         connection = self._connection
         if connection is not None:
@@ -183,9 +205,9 @@
                 self._last_exchange.violation = connection.reader.violation
             connection.close()
             self._connection = None
-        return await self._connect(is_slow=is_slow)
+        return await self._connect(**style)
 
-    async def _connect(self, *, is_slow: bool) -> StrictConnection | None:
+    async def _connect(self, **style: bool) -> StrictConnection | None:
         instance = self._fixed_instance or self._choose_instance()
         if instance is None:
             return None
@@ -194,7 +216,7 @@
         incarnation = instance.incarnation
         try:
             connection = await StrictConnection.open(
-                host, int(port), timeout_seconds=_CONNECT_TIMEOUT_SECONDS, is_slow=is_slow
+                host, int(port), timeout_seconds=_CONNECT_TIMEOUT_SECONDS, **style
             )
         except (OSError, trio.TooSlowError):
             return None
@@ -209,14 +231,22 @@
 
 
 async def _exchange(
-    connection: StrictConnection, exchanges: list[Exchange], *, expects_continue: bool
+    connection: StrictConnection,
+    exchanges: list[Exchange],
+    *,
+    expects_continue: bool,
+    is_behind: bool,
 ) -> bool:
     """Sends requests and records their answers; returns whether the connection can be reused."""
     reader = connection.reader
     first = len(reader.answers)
     last = exchanges[-1]
-    expects_continue = expects_continue and last.event_count > 0
-    heads = [_encode_request(exchange) for exchange in exchanges]
+    version = '1.0' if reader.is_http10 else '1.1'
+    expects_continue = expects_continue and last.event_count > 0 and not reader.is_http10
+    heads = [_encode_request(exchange, version=version) for exchange in exchanges]
+    reader.head_answers.update(
+        number for number, item in enumerate(exchanges, first) if item.method == 'HEAD'
+    )
     body = b''
     if expects_continue:
         heads[-1] = _encode_request(last, more='Expect: 100-continue')
@@ -224,16 +254,20 @@
         heads[-1] = heads[-1].removesuffix(body)
         reader.continues_before = first + len(exchanges) - 1
     reader.answers_due += len(exchanges)
+    behind = heads.pop() if is_behind else b''
     try:
         await connection.send(b''.join(heads))
         for number, exchange in enumerate(exchanges, first):
             if exchange is last and body:
-                await _await_continue(connection)
+                await connection.send_when_told(body, timeout_seconds=_CONTINUE_SECONDS)
                 last.sent_at = trio.current_time()
-                await connection.send(body)
             await _read_answer(connection, exchange, number)
+            if behind and number + 1 == first + len(heads):
+                last.sent_at = trio.current_time()
+                await connection.send(behind)
             if reader.answers[number].closes:
-                await _await_end(connection, exchange)
+                await connection.await_end(timeout_seconds=_CLOSE_SECONDS)
+                exchange.violation = reader.violation
                 break
     except ConnectionEnded:
         _mark_unanswered(connection, exchanges)
@@ -243,7 +277,7 @@
     return last.is_complete and not reader.answers[-1].closes
 
 
-def _encode_request(exchange: Exchange, more: str = '') -> bytes:
+def _encode_request(exchange: Exchange, **changes: str) -> bytes:
     key = probe_key(exchange.key_version) if exchange.key_version else API_KEYS[exchange.account]
     return encode_call(
         ROUTES[exchange.kind] + exchange.attempt,
@@ -251,17 +285,11 @@
         attempt=exchange.attempt,
         deadline_ms=_DEADLINE_MS,
         content=str(exchange.event_count).encode() if exchange.event_count else b'',
-        more=more,
+        method=exchange.method,
+        **changes,
     )
 
 
-async def _await_continue(connection: StrictConnection) -> None:
-    """Waits until the caller is told to send its body, for as long as a caller should."""
-    with trio.move_on_after(_CONTINUE_SECONDS):
-        while connection.reader.continues_before >= 0:
-            await connection.receive()
-
-
 async def _read_answer(connection: StrictConnection, exchange: Exchange, number: int) -> None:
     reader = connection.reader
     try:
@@ -290,12 +318,3 @@
             exchange.ended_at = now
             exchange.is_dropped = exchange is not exchanges[0]
         exchange.is_dropped = exchange.is_dropped and not connection.reader.violation
-
-
-async def _await_end(connection: StrictConnection, exchange: Exchange) -> None:
-    """Waits until the connection ends; bytes before that violate the request before them."""
-    with trio.move_on_after(_CLOSE_SECONDS):
-        try:
-            await connection.receive()
-        except ConnectionEnded:
-            exchange.violation = connection.reader.violation
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -29,12 +29,16 @@
 ANSWER_GRACE_SECONDS = 0.5
 #: Time from the disconnect of a caller until the endpoint stops running its request.
 RELEASE_SECONDS = 0.5
+#: Time in which a connection may end without an answer to a request that did not run.
+LOSS_SLACK_SECONDS = 0.2
 #: Shutdown timeout in the settings of the instances.
 SHUTDOWN_TIMEOUT_SECONDS = 8.0
 #: Time from the end of the fault phase until requests are served again.
 RECOVERY_SECONDS = 3.0
 #: Part of the requests after that time that must be served.
 _MINIMUM_SERVED_PART = 0.9
+#: Part of a request's time for which the soak and its instance may have waited for a processor.
+_MAXIMUM_WAITED_PART = 0.5
 #: Time from the start of a process until it handles signals.
 _START_SECONDS = 1.0
 #: Retry budget in the settings of the instances, beside its constant part: a part of the requests
@@ -78,7 +82,9 @@
             yield 'answer states another request: {0}'.format(exchange)
         if exchange.status != _OK:
             continue
-        expected = expected_content(exchange.attempt, exchange.event_count)
+        expected = b''
+        if exchange.method != 'HEAD':
+            expected = expected_content(exchange.attempt, exchange.event_count)
         if not exchange.echoed_attempt or not exchange.endpoint:
             yield 'answer does not state its request and endpoint: {0}'.format(exchange)
         elif exchange.is_complete and exchange.content != expected:
@@ -188,6 +194,7 @@
         if exchange.abandoned_at < float('inf'):
             continue
         last = exchange.sent_at + ROUTE_TIMEOUT_SECONDS + ANSWER_GRACE_SECONDS
+        last += exchange.paused_seconds
         ended_at = min(exchange.ended_at, history.ended_at)
         if ended_at > last and history.is_undisturbed({exchange.instance}, exchange.sent_at, last):
             yield 'no answer after {0:.2f} s: {1}'.format(ended_at - exchange.sent_at, exchange)
@@ -209,6 +216,7 @@
 
 def check_stops(history: History) -> Iterator[str]:
     """A planned stop ends in time and with exit code 0, and cuts off no request."""
+    arrivals = history.arrivals_by_attempt()
     for stop in history.stops:
         own_faults = [
             fault
@@ -232,7 +240,15 @@
                 <= stop.signalled_at + DRAIN_NOTICE_SECONDS
             )
             is_excused = exchange.abandoned_at < float('inf') or exchange.is_dropped
-            if is_same_start and is_around_stop and not is_excused and not exchange.is_complete:
+            # A request can cross the close of an idle connection, which the process does not read.
+            is_crossing = (
+                exchange.is_kept
+                and not exchange.status
+                and exchange.attempt not in arrivals
+                and exchange.ended_at <= exchange.sent_at + LOSS_SLACK_SECONDS
+            )
+            is_excused = is_excused or is_crossing or exchange.is_complete
+            if is_same_start and is_around_stop and not is_excused:
                 yield 'request was cut off by a planned stop: {0}'.format(exchange)
 
 
@@ -253,26 +269,40 @@
 
 
 def check_recovery(history: History) -> Iterator[str]:
-    """Each instance serves requests again soon after the fault phase."""
+    """Each instance serves requests again soon after the fault phase, and its probes at all."""
     first = history.faults_ended_at + RECOVERY_SECONDS
     last = history.ended_at - ROUTE_TIMEOUT_SECONDS
+    newest = max(history.config_accepted_at, default=0)
     for instance in sorted({exchange.instance for exchange in history.exchanges}):
-        requests = [
+        sent = [
             exchange
             for exchange in history.exchanges
             if exchange.instance == instance and first <= exchange.sent_at <= last
         ]
-        requests = [
-            exchange
-            for exchange in requests
-            if exchange.abandoned_at == float('inf')
-            and not (exchange.key_version or exchange.is_dropped)
-        ]
-        served = sum(exchange.status == _OK and exchange.is_complete for exchange in requests)
-        if served < _MINIMUM_SERVED_PART * len(requests):
-            yield '{0} served only {1} of {2} requests after the fault phase'.format(
-                instance, served, len(requests)
-            )
+        groups = [('requests', [item for item in sent if not item.key_version])]
+        if newest and first < last and history.is_undisturbed({instance}, first, last):
+            groups.append(('probes', [item for item in sent if item.key_version == newest]))
+        for name, requests in groups:
+            owed = [exchange for exchange in requests if _is_owed(history, exchange)]
+            served = sum(exchange.status == _OK and exchange.is_complete for exchange in owed)
+            is_missing = name == 'probes' and not requests
+            if is_missing or served < _MINIMUM_SERVED_PART * len(owed):
+                yield '{0} served only {1} of {2} {3} after the fault phase'.format(
+                    instance, served, len(owed), name
+                )
+
+
+def _is_owed(history: History, exchange: Exchange) -> bool:
+    """Tells whether a caller waited for its answer, and the machine ran all processes meanwhile."""
+    if exchange.abandoned_at < float('inf') or exchange.is_dropped:
+        return False
+    ended_at = max(exchange.sent_at, min(exchange.ended_at, history.ended_at))
+    waited_seconds = sum(
+        max(0.0, min(wait.end, ended_at) - max(wait.start, exchange.sent_at))
+        for wait in history.waits
+        if wait.target in {'', exchange.instance}
+    )
+    return waited_seconds <= _MAXIMUM_WAITED_PART * (ended_at - exchange.sent_at)
 
 
 def check_repeats(history: History) -> Iterator[str]:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -30,6 +30,8 @@
 _ODD_ROW_COUNT = 14
 _ODD_ROW_KEY = 'odd'
 _ODD_ROW_REMOVAL_PROBABILITY = 0.5
+#: Kinds whose target is a service.
+_SERVICE_FAULTS = frozenset(('faulty', 'stutter'))
 
 
 async def inject_fault(testbed: Testbed, event: Event) -> None:
@@ -39,7 +41,7 @@
         testbed: Testbed of the run.
         event: Event of its plan.
     """
-    await _INJECTORS.get(event.kind, _disturb_endpoint)(testbed, event)
+    await _INJECTORS.get(event.kind, _disturb_endpoints)(testbed, event)
 
 
 async def _publish_configuration(testbed: Testbed, event: Event) -> None:
@@ -58,7 +60,7 @@
     testbed.record_disturbance(event.kind, '', RESTORE_OUTAGE_SECONDS)
     with testbed.interrupt_store(testbed.instances, 'reset'):
         await trio.sleep(RESTORE_OUTAGE_SECONDS)
-        testbed.store.restore_backup(testbed.find_backup(event.backup_age_seconds))
+        testbed.backups.restore(event.backup_age_seconds)
     await trio.sleep(REWRITE_DELAY_SECONDS)
     testbed.rewrite_rows()
 
@@ -170,7 +172,7 @@
     await trio.sleep(_ENTRY_REMOVAL_SECONDS)
     testbed.remove_entry(endpoint)
     await trio.sleep(_LINGER_SECONDS)
-    _stop_endpoint(testbed, endpoint_host, endpoint, event.kind)
+    await _stop_endpoint(testbed, endpoint_host, endpoint, event.kind)
     await _start_replacement(testbed, endpoint_host)
 
 
@@ -181,18 +183,18 @@
     if endpoint is None:
         return
     endpoint_host.endpoint = None
-    _stop_endpoint(testbed, endpoint_host, endpoint, event.kind)
+    await _stop_endpoint(testbed, endpoint_host, endpoint, event.kind)
     await trio.sleep(_ENTRY_EXPIRY_SECONDS)
     testbed.remove_entry(endpoint)
     await _start_replacement(testbed, endpoint_host)
 
 
-def _stop_endpoint(
+async def _stop_endpoint(
     testbed: Testbed, endpoint_host: EndpointHost, endpoint: FaultyEndpoint, kind: str
 ) -> None:
     for target in (endpoint_host.name, endpoint.name):
         testbed.record_disturbance(kind, target, 1)
-    endpoint.crash()
+    await endpoint.crash()
 
 
 async def _start_replacement(testbed: Testbed, endpoint_host: EndpointHost) -> None:
@@ -204,22 +206,16 @@
     await testbed.add_endpoint(endpoint_host, scarcest)
 
 
-async def _disturb_endpoint(testbed: Testbed, event: Event) -> None:
-    """Makes an endpoint, or its proxy, fail in the way of the event for its duration."""
-    await _disturb_hosts(testbed, event, [testbed.endpoint_hosts[event.target]])
-
-
-async def _disturb_service(testbed: Testbed, event: Event) -> None:
-    """Makes all endpoints of one service answer with faults at once."""
-    hosts = [
-        endpoint_host
-        for endpoint_host in testbed.endpoint_hosts
-        if endpoint_host.endpoint and endpoint_host.endpoint.service == SERVICES[event.target]
-    ]
-    await _disturb_hosts(testbed, event, hosts)
-
-
-async def _disturb_hosts(testbed: Testbed, event: Event, hosts: list[EndpointHost]) -> None:
+async def _disturb_endpoints(testbed: Testbed, event: Event) -> None:
+    """Makes an endpoint, its proxy or a service fail in the way of the event for its duration."""
+    hosts = [testbed.endpoint_hosts[event.target]]
+    if event.kind in _SERVICE_FAULTS:
+        service = SERVICES[event.target]
+        hosts = [
+            endpoint_host
+            for endpoint_host in testbed.endpoint_hosts
+            if endpoint_host.endpoint and endpoint_host.endpoint.service == service
+        ]
     with ExitStack() as faults:
         for endpoint_host in hosts:
             endpoint = endpoint_host.endpoint
@@ -237,7 +233,7 @@
         proxy.reset()
     elif kind == 'delay':
         faults.enter_context(proxy.delay_seconds.hold(_PROXY_DELAY_SECONDS))
-    elif kind in {'grey', 'breaks', 'faulty'}:
+    elif kind in {'grey', 'breaks', 'faulty', 'stutter'}:
         faults.enter_context(endpoint.modes.hold(kind))
     if kind in {'silent', 'silent_up'}:
         faults.enter_context(proxy.holds_upstream.hold(value=True))
@@ -245,7 +241,7 @@
         faults.enter_context(proxy.holds_downstream.hold(value=True))
 
 
-#: Functions by kind of event; the other kinds are those of `_disturb_endpoint`.
+#: Functions by kind of event; the other kinds are those of `_disturb_endpoints`.
 _INJECTORS = {
     'configure': _publish_configuration,
     'forget_history': _forget_history,
@@ -261,6 +257,5 @@
     'peers_deaf': _drop_peer_traffic,
     'drain': _drain,
     'crash': _crash,
-    'faulty': _disturb_service,
     'odd_rows': _write_odd_rows,
 }
--- a/soak/history.py
+++ b/soak/history.py
@@ -22,9 +22,12 @@
         instance: Name of the instance that the request was sent to.
         incarnation: Incarnation of that instance when the connection was opened.
         sent_at: Time at which the caller began to send it.
+        paused_seconds: Time for which the caller did not read on purpose.
         event_count: Number of events asked for; zero for an answer without events.
-        ended_at: Time at which the answer or the connection ended; infinite if the caller gave
-            up first.
+        method: HTTP method.
+        is_kept: Whether its connection had carried a request before.
+        ended_at: Time at which the answer or the connection ended, or the caller had waited for too
+            long; infinite if it gave up on purpose.
         status: Status code; zero if no response head was received.
         is_complete: Whether the answer was received up to its end.
         content: Body as far as it was received.
@@ -46,6 +49,9 @@
     incarnation: int
     sent_at: float
     event_count: int = 0
+    method: str = 'POST'
+    is_kept: bool = False
+    paused_seconds: float = 0.0
     ended_at: float = float('inf')
     status: int = 0
     is_complete: bool = False
@@ -126,6 +132,7 @@
         arrivals: Requests that endpoints began to run.
         exchanges: Requests of callers with their answers.
         disturbances: Periods of faults.
+        waits: Periods in which the soak or an instance waited for a processor, however short.
         stops: Planned stops of instances.
         own_ends: Processes that ended by themselves.
         config_accepted_at: Time at which the store accepted each version of the configuration.
@@ -140,6 +147,7 @@
     arrivals: list[Arrival] = attrs.field(factory=list)
     exchanges: list[Exchange] = attrs.field(factory=list)
     disturbances: list[Disturbance] = attrs.field(factory=list)
+    waits: list[Disturbance] = attrs.field(factory=list)
     stops: list[Stop] = attrs.field(factory=list)
     own_ends: list[OwnEnd] = attrs.field(factory=list)
     config_accepted_at: dict[int, float] = attrs.field(factory=dict)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -21,49 +21,29 @@
 #: Range of the age of the restored backup.
 _BACKUP_AGE_SECONDS = (0.5, 3.0)
 
+#: Outages of the store, for all instances or for one.
+_OUTAGE_KINDS = ('store_busy', 'store_reset', 'store_silent')
 #: Kinds of events that affect one instance: signals, outages of the store for this instance, and
 #: loss of the traffic between instances. A kind that is listed twice is drawn twice as often.
-INSTANCE_KINDS = (
-    'pause',
-    'pause',
-    'kill',
-    'term',
-    'term',
-    'hup',
-    'store_busy',
-    'store_reset',
-    'store_silent',
-    'peers_cut',
-    'peers_deaf',
-)
+_SIGNAL_KINDS = ('pause', 'pause', 'kill', 'term', 'term', 'hup')
+INSTANCE_KINDS = (*_SIGNAL_KINDS, *_OUTAGE_KINDS, 'peers_cut', 'peers_deaf')
 #: Kinds of events that affect one endpoint. `silent_up`, `silent_down` and `silent` hold back
 #: bytes to the endpoint, from it, or both; `grey` and `breaks` are modes of `FaultyEndpoint`;
 #: `drain` is an announced stop.
-ENDPOINT_KINDS = (
-    'delay',
-    'reset',
-    'silent_up',
-    'silent_down',
-    'silent',
-    'crash',
-    'grey',
-    'breaks',
-    'drain',
-    'drain',
-)
+_LINK_KINDS = ('delay', 'reset', 'silent_up', 'silent_down', 'silent')
+ENDPOINT_KINDS = (*_LINK_KINDS, 'crash', 'grey', 'breaks', 'drain', 'drain')
 #: Kinds of events that affect all endpoints of one service at once.
 SERVICE_KINDS = ('faulty',)
 #: Kinds of events that affect the store for all instances. After `forget_history` they must read
 #: whole tables again, since the store no longer has the changes; `odd_rows` writes rows that
 #: name no endpoint among those of the endpoints.
-STORE_KINDS = (
-    'store_busy',
-    'store_reset',
-    'store_silent',
-    'forget_history',
-    'odd_rows',
-    'odd_rows',
-)
+STORE_KINDS = (*_OUTAGE_KINDS, 'forget_history', 'odd_rows', 'odd_rows')
+#: Kinds of which each plan has some in a row for one instance, their number, start, gaps and length.
+_STORM_KINDS = ('hup', 'hup', 'term', 'term', 'pause', 'kill', 'configure', 'configure')
+_STORM_COUNT = 5
+_STORM_STARTS_SECONDS = (1.0, 4.0)
+_STORM_GAP_SECONDS = (0.02, 0.5)
+_STORM_DURATION_SECONDS = 0.3
 _SERVICES = 2
 #: Probability that an event is repeated, the number of repetitions, and the time between them.
 _SERIES_PROBABILITY = 0.25
@@ -73,6 +53,8 @@
 #: the first service, whose streams may be resumed, and odd rows.
 _ALWAYS_DRAWN = (('faulty', 0), ('odd_rows', -1))
 _ALWAYS_DRAWN_SECONDS = (4.0, 6.0)
+#: Length of each event of a plan that has some kinds only.
+_THROUGHOUT_SECONDS = 2.0
 #: With few retries their bound is reached, and with many most streams that broke are resumed.
 _RETRY_CONSTANTS = (10, 1000, 1000)
 
@@ -150,6 +132,8 @@
         # Drawn late, so that the other events of a seed do not depend on the restore.
         if rng.random() < _RESTORE_PROBABILITY:
             events.append(_draw_restore(rng))
+        events.extend(_draw_storm(rng, rng.randrange(instances)))
+        events.append(_draw_long_event(rng, 'stutter', rng.randrange(_SERVICES)))
         return cls(
             seed=seed,
             instances=instances,
@@ -159,6 +143,29 @@
             events=tuple(sorted(events, key=lambda event: event.start_seconds)),
         )
 
+    @classmethod
+    def from_kinds(cls, seed: int, kinds: tuple[str, ...]) -> 'Plan':
+        """Generates a plan that has faults of some kinds only, but these throughout.
+
+        Args:
+            seed: Seed of the random generator.
+            kinds: Kinds of events; each begins once a second, at one target after the other.
+        """
+        plan = cls.from_seed(seed)
+        targets = {kind: plan.instances for kind in INSTANCE_KINDS}
+        targets |= {kind: 2 * plan.endpoints_per_service for kind in ENDPOINT_KINDS}
+        events = [
+            Event(
+                start_seconds=float(start),
+                kind=kind,
+                target=start % targets.get(kind, _SERVICES),
+                duration_seconds=_THROUGHOUT_SECONDS,
+            )
+            for start in range(int(FAULT_PHASE_SECONDS - _THROUGHOUT_SECONDS) + 1)
+            for kind in kinds
+        ]
+        return attrs.evolve(plan, retry_constant=max(_RETRY_CONSTANTS), events=tuple(events))
+
 
 def _draw_event(rng: random.Random, instances: int, endpoints: int) -> Event:
     start_seconds = rng.uniform(0, FAULT_PHASE_SECONDS - 0.5)
@@ -201,6 +208,23 @@
     )
 
 
+def _draw_storm(rng: random.Random, target: int) -> list[Event]:
+    """Draws signals, restarts and configurations that follow each other closely and overlap."""
+    start_seconds = rng.uniform(*_STORM_STARTS_SECONDS)
+    events = []
+    for kind in rng.sample(_STORM_KINDS, _STORM_COUNT):
+        start_seconds += rng.uniform(*_STORM_GAP_SECONDS)
+        events.append(
+            Event(
+                start_seconds=start_seconds,
+                kind=kind,
+                target=target,
+                duration_seconds=_STORM_DURATION_SECONDS,
+            )
+        )
+    return events
+
+
 def _draw_series(rng: random.Random, event: Event) -> list[Event]:
     """Draws the repetitions of an event, which may overlap it and each other."""
     repetitions: list[Event] = []
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -1,14 +1,12 @@
 """Testbed of a soak run: store, endpoints, proxies and entry instances on loopback."""
 
 import random
-from collections import deque
 from collections.abc import Iterator, Mapping
 from contextlib import ExitStack, contextmanager
 from pathlib import Path
 from types import MappingProxyType
 from typing import Any
 
-import attrs
 import trio
 
 from emulator.addresses import (
@@ -26,6 +24,7 @@
 from emulator.overlaps import Overlap
 from emulator.proxies import TcpProxy, UdpProxy
 from emulator.row_store import RowStore
+from emulator.store_backups import StoreBackups
 from fireflymux.entry.listeners import Listener
 from fireflymux.http.messages import HttpLimits, Request
 from fireflymux.http.response_writer import ResponseWriter
@@ -51,12 +50,9 @@
     }
 )
 #: Time allowed for up to 10 instances to become ready; it grows with their number.
-_READY_SECONDS = 20.0
+_READY_SECONDS = 60.0
 #: Interval of the readiness checks.
 _POLL_SECONDS = 0.25
-#: Time between two backups of the store, and number of backups kept.
-_BACKUP_INTERVAL_SECONDS = 0.25
-_MAXIMUM_BACKUPS = 20
 #: Purposes of addresses, for `AddressBlock.host`.
 _INSTANCE_ADDRESSES = 1
 _ADVERTISED_ADDRESSES = 2
@@ -83,19 +79,6 @@
     return configuration(version, routes, tenants=accounts)
 
 
-@attrs.define(frozen=True)
-class _Backup:
-    """A backup of the store.
-
-    Attributes:
-        taken_at: Time at which it was taken, in seconds of trio's clock.
-        content: Argument for `RowStore.restore_backup`.
-    """
-
-    taken_at: float
-    content: tuple[int, dict]
-
-
 class Testbed:
     """Instance processes of one run, with simulated endpoints, store and network.
 
@@ -104,6 +87,7 @@
         history: Record of what is observed.
         rng: Random generator for choices that are not part of the plan.
         store: Simulated store.
+        backups: Backups of the store.
         instances: Entry instances.
         endpoint_hosts: Hosts of the endpoints.
         peer_proxies: Proxies for datagrams to each instance, by index of the instance.
@@ -134,6 +118,7 @@
         self.history = History(retry_constant=plan.retry_constant)
         self.rng = random.Random(plan.seed + 1)
         self.store = RowStore()
+        self.backups = StoreBackups(self.store)
         self.instances: list[InstanceProcess] = []
         self.endpoint_hosts: list[EndpointHost] = []
         self.peer_proxies: list[UdpProxy] = []
@@ -146,7 +131,6 @@
         self._address_block = AddressBlock()
         self._outages: dict[str, Overlap[str]] = {}
         self._endpoint_entries: dict[str, dict[str, Any]] = {}
-        self._backups: deque[_Backup] = deque(maxlen=_MAXIMUM_BACKUPS)
         self._endpoints_started = 0
         self._version = 10
 
@@ -157,7 +141,7 @@
         for endpoint_host in self.endpoint_hosts:
             await self.add_endpoint(endpoint_host, SERVICES[endpoint_host.number % len(SERVICES)])
         self.publish_configuration()
-        self._nursery.start_soon(self._back_up_store)
+        self._nursery.start_soon(self.backups.run)
         await self._add_instances()
         for instance in self.instances:
             instance.start()
@@ -200,12 +184,6 @@
         self._endpoint_entries.pop(endpoint.name, None)
         self.store.remove('servers', endpoint.name)
 
-    def find_backup(self, age_seconds: float) -> tuple[int, dict]:
-        """Returns the newest backup that is at least so old, or the oldest one if none is."""
-        latest = trio.current_time() - age_seconds
-        old_enough = [backup for backup in self._backups if backup.taken_at <= latest]
-        return (old_enough[-1] if old_enough else self._backups[0]).content
-
     def rewrite_rows(self) -> None:
         """Repeats the writes of the operator and the endpoints that a restore has undone."""
         self.store.put('op', 'config', _configuration(self._version))
@@ -296,11 +274,6 @@
                 )
             )
 
-    async def _back_up_store(self) -> None:
-        while True:
-            self._backups.append(_Backup(trio.current_time(), self.store.take_backup()))
-            await trio.sleep(_BACKUP_INTERVAL_SECONDS)
-
     async def _start_store_listener(self, address: str) -> None:
         outage = Overlap('')
         self._outages[address] = outage
