--- a/src/fireflymux/platform/header_names.py
+++ b/src/fireflymux/platform/header_names.py
@@ -16,6 +16,8 @@
 WARMUP_MS = b'x-warmup-ms'
 KV_FETCH = b'kv-fetch'
 KEEP_ALIVE = b'keep-alive'
+ACCEPT_ENCODING = b'accept-encoding'
+CONTENT_ENCODING = b'content-encoding'
 
 #: Hop-by-hop and framing fields, and Expect; none of them is forwarded.
 HOP_BY_HOP = frozenset(
@@ -46,8 +48,8 @@
         LAST_EVENT_ID,
     )
 )
-#: Response fields meant for the system; they are not forwarded to the caller.
-ENDPOINT_FIELDS = frozenset((SERVER_LOAD, SERVER_LEAVING, WARMUP_MS))
+#: Response fields that are not forwarded to the caller; the last three are meant for the system.
+NOT_RETURNED = HOP_BY_HOP | {SERVER_LOAD, SERVER_LEAVING, WARMUP_MS}
 #: Request fields that are not forwarded as the caller sent them. Authorization and X-Deadline-Ms
 #: are read here first, and the deadline is set anew; only the system may set the others.
 SYSTEM_FIELDS = frozenset(
--- a/src/fireflymux/router/router.py
+++ b/src/fireflymux/router/router.py
@@ -23,7 +23,7 @@
 from ..store.platform_client import PlatformClients
 from ..web.http_clients import FleetClients, create_platform_client
 from ..wire import codec
-from ..wire.wire_size import request_size, response_size
+from ..wire.control_bytes import count_control_bytes
 from .backlog import Backlog
 from .caller_requests import CallerRequest
 from .dispatch import DispatchContext, Dispatcher
@@ -128,11 +128,6 @@
             raise ValueError('the settings have no section [router]')
         return cls(settings, settings.router)
 
-    @property
-    def is_ready(self) -> bool:
-        """Whether the load balancer may send requests to this router."""
-        return self.configuration.version > 0 and not self.is_stopping
-
     async def start_tasks(self, nursery: trio.Nursery, address: str) -> None:
         """Starts the background tasks.
 
@@ -144,6 +139,18 @@
         nursery.start_soon(self.peers.run, address)
         nursery.start_soon(self._poll_totals)
 
+    def check_readiness(self) -> CallFailure | None:
+        """Checks whether the load balancer may send requests to this router.
+
+        Returns:
+            Why it may not, or None if it may.
+        """
+        if self.is_stopping:
+            return CallFailure(ErrorKind.shutting_down)
+        if self.configuration.version == 0:
+            return CallFailure(ErrorKind.configuration_unavailable)
+        return None
+
     def admit(self, caller_request: CallerRequest) -> CallFailure | None:
         """Applies the limits of the contract to a new request.
 
@@ -175,8 +182,7 @@
         return divide_limit(contract.concurrency, self.settings.fleet.maximum_routers)
 
     def _list_routers(self) -> list[str]:
-        configured = [url for url in self.settings.fleet.peer_routers.split(',') if url]
-        return list({*configured, *self.peers.router_addresses})
+        return list({*self.settings.peer_routers, *self.peers.router_addresses})
 
     async def _read_configuration(self) -> None:
         await self.config_reader.run(
@@ -209,7 +215,6 @@
             snapshot = codec.decode(response.content, TotalsSnapshot)
         except (httpx.HTTPError, codec.DecodeError):
             return False
-        self.metrics.control_bytes.add({'direction': 'sent'}, request_size(response))
-        self.metrics.control_bytes.add({'direction': 'received'}, response_size(response))
+        count_control_bytes(self.metrics, response)
         self.totals.merge_snapshot(snapshot)
         return True
--- a/src/fireflymux/store/config_reader.py
+++ b/src/fireflymux/store/config_reader.py
@@ -23,6 +23,7 @@
 from ..wire import codec
 from .config_commit import load_configuration
 from .configuration import Configuration
+from .contract_terms import limit_change, limit_snapshot
 from .platform_client import PlatformClients, PlatformError
 
 _log = get_logger(__name__)
@@ -153,7 +154,7 @@
             # Counts even if the router cannot reach the platform: its version is then the
             # newest one available.
             self._confirmed_at = requested_at
-            if update.age_seconds < _MAXIMUM_AGE_FROM_ROUTER_SECONDS:
+            if 0 <= update.age_seconds < _MAXIMUM_AGE_FROM_ROUTER_SECONDS:
                 self._matched_platform_at = max(
                     self._matched_platform_at, requested_at - update.age_seconds
                 )
@@ -178,8 +179,8 @@
 
     def _apply(self, update: ConfigUpdate) -> None:
         if update.snapshot is not None:
-            self._configuration.replace(update.snapshot)
-        self._configuration.apply(update.changes)
+            self._configuration.replace(limit_snapshot(update.snapshot))
+        self._configuration.apply(map(limit_change, update.changes))
 
 
 def build_update(
