--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -35,13 +35,8 @@
 )
 from .placement_log import log_not_placed, log_placed
 from .retry_allowances import RetryAllowances
-from .service_queue import (
-    ServiceQueue,
-    make_engine_chooser,
-    make_slot_chooser,
-    refund_placement,
-    release_placement,
-)
+from .service_queue import refund_placement, release_placement
+from .service_queues import ServiceQueues
 from .state import EntryState
 
 _log = get_logger(__name__)
@@ -56,6 +51,7 @@
 
     Attributes:
         running: Number of requests that are being handled, waiting ones included.
+        queues: Queues that the requests wait in.
     """
 
     def __init__(self, state: EntryState, metrics: EntryMetrics) -> None:
@@ -66,20 +62,10 @@
             metrics: Metrics of the instance.
         """
         self.running = 0
+        self.queues = ServiceQueues(state)
         self._state = state
         self._metrics = metrics
-        self._queues: dict[str, ServiceQueue] = {}
         self._retry_allowances = RetryAllowances(state)
-        state.subscribe(self.dispatch)
-
-    def dispatch(self) -> None:
-        """Places the waiting requests that endpoints have room for now."""
-        for queue in self._queues.values():
-            queue.dispatch()
-
-    def count_waiting(self) -> int:
-        """Counts the requests that wait for an endpoint."""
-        return sum(queue.count_waiting() for queue in self._queues.values())
 
     async def handle_request(self, request: Request, writer: ResponseWriter) -> None:
         """Decodes the header fields of a request and handles it.
@@ -218,12 +204,12 @@
         if not call.history.sends:
             self._state.shares.asked.charge(call.account, waiting.cost_tokens, trio.current_time())
             self._metrics.count_tokens(call.account, TokenState.asked, waiting.cost_tokens)
-        if await self._get_queue(call.service).place(waiting, until=until):
+        if await self.queues.get(call.service).place(waiting, until=until):
             return waiting
         if call.metadata.parts:
             self._state.refused_requests.record(call.checksum(), trio.current_time())
         self._metrics.count_tokens(call.account, TokenState.refused, waiting.cost_tokens)
-        log_not_placed(self._state, call, waiting, queued=self.count_waiting())
+        log_not_placed(self._state, call, waiting, queued=self.queues.count_waiting())
         return build_placing_failure(call)
 
     def _is_caller_retry(self, call: Call) -> bool:
@@ -307,26 +293,6 @@
             self._metrics.retries.inc({'ending': ending.value})
         return is_retried
 
-    def _get_queue(self, name: str) -> ServiceQueue:
-        """Returns the queue of a service.
-
-        It is created at its first use. Whether it places by engine load or by free slots, and the
-        capacity of an engine, come from the configuration that is active then. A later
-        configuration does not change them.
-        """
-        queue = self._queues.get(name)
-        if queue is not None:
-            return queue
-        configuration = self._state.configuration
-        service = None if configuration is None else configuration.services.get(name)
-        if service is not None and service.engine is not None:
-            choose = make_engine_chooser(self._state, name, service.engine)
-        else:
-            choose = make_slot_chooser(self._state, name)
-        queue = ServiceQueue(self._state, choose)
-        self._queues[name] = queue
-        return queue
-
     def _log_failure(self, call: Call, failure: CallFailure) -> None:
         """Counts and logs the failure of an admitted request."""
         self._metrics.refusals.inc({'kind': failure.kind.value})
--- a/src/fireflymux/entry/instance.py
+++ b/src/fireflymux/entry/instance.py
@@ -173,7 +173,7 @@
                 update_evacuations(state, 'restored copy')
             state.loads.expire(now)
             self._peers.forget_silent()
-            self._handler.dispatch()
+            self._handler.queues.dispatch()
 
     async def _close_stale_connections(self) -> None:
         """Closes idle connections to endpoints that cannot carry another request, regularly."""
@@ -204,7 +204,7 @@
         metrics.instances_heard.set({}, self._peers.count_heard())
         metrics.connections.set({}, self._callers.count_open())
         metrics.running.set({}, self._handler.running)
-        metrics.waiting.set({}, self._handler.count_waiting())
+        metrics.waiting.set({}, self._handler.queues.count_waiting())
         content, fields = metrics.render(('text/plain',))
         lines = [(name.encode(), text.encode()) for name, text in fields.items()]
         await writer.answer(_OK, lines, content)
--- a/src/fireflymux/experiment/fleet.py
+++ b/src/fireflymux/experiment/fleet.py
@@ -106,7 +106,7 @@
             report = reports.build()
             if report is not None and others:
                 nursery.start_soon(self._deliver_report, report, state, others)
-            instance.dispatch()
+            instance.queues.dispatch()
 
     async def _deliver_report(
         self, report: PeerReport, sender: EntryState, receivers: list[PeerLink]
