Name what the entry role does with reports and decoded requests

PeerLink.take is apply_report, and RequestHandler.answer, which admits, sends and answers, is handle_decoded.

--- a/bench/reports.py
+++ b/bench/reports.py
@@ -83,7 +83,9 @@
         for datagram in datagrams:
             received = assembler.take(decode_datagram(datagram))
             if received is not None:
-                link.take(decode_report(received.content), host='10.0.0.1', failure_domain='a')
+                link.apply_report(
+                    decode_report(received.content), host='10.0.0.1', failure_domain='a'
+                )
     taken_at = time.process_time()
     return (
         sum(len(datagram) for datagram in datagrams_by_report[0]),
--- a/features/steps/entry_restart_steps.py
+++ b/features/steps/entry_restart_steps.py
@@ -32,7 +32,7 @@
         for number in range(2):
             await fleet.wait_ready(number)
         # The first instance drops the reports of the others from here on.
-        fleet.instances[0]._peers.take = lambda _report, **_origin: None
+        fleet.instances[0]._peers.apply_report = lambda _report, **_origin: None
         fleet.instances[0]._peers.heard.clear()
         accounts = [{'name': 'mothers', 'api_keys': [_NEW_KEY]}]
         fleet.store.put('op', 'config', configuration(9, routes, tenants=accounts))
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -74,9 +74,9 @@
             request: The request.
             writer: Writes its response.
         """
-        await self.answer(request, decode_request_headers(request), writer)
+        await self.handle_decoded(request, decode_request_headers(request), writer)
 
-    async def answer(
+    async def handle_decoded(
         self, request: Request, metadata: RequestMetadata, writer: ResponseWriter
     ) -> None:
         """Handles a request whose header fields are already decoded, from admission to response.
--- a/src/fireflymux/entry/peer_link.py
+++ b/src/fireflymux/entry/peer_link.py
@@ -145,7 +145,7 @@
         """Counts the instances that sent a report recently."""
         return sum(self.is_heard(host) for host in self.heard)
 
-    def take(self, report: PeerReport, *, host: str, failure_domain: str) -> None:
+    def apply_report(self, report: PeerReport, *, host: str, failure_domain: str) -> None:
         """Applies the newest report of another instance to the state.
 
         Args:
@@ -263,7 +263,7 @@
             return
         report = decode_report(received.content)
         if received.is_newest:
-            self.take(report, host=datagram.host, failure_domain=datagram.failure_domain)
+            self.apply_report(report, host=datagram.host, failure_domain=datagram.failure_domain)
             return
         # The report is late or a duplicate: the prompts and refusals in it still happened, but its
         # statements about the sender's state are out of date.
--- a/src/fireflymux/experiment/callers.py
+++ b/src/fireflymux/experiment/callers.py
@@ -121,7 +121,7 @@
         for _ in range(terms.retries + 1):
             writer = _ResultWriter(result, sent_at)
             remaining_seconds = deadline_scope.deadline - trio.current_time()
-            await instance.answer(
+            await instance.handle_decoded(
                 _build_request(prompt), _build_metadata(prompt, remaining_seconds), writer
             )
             if writer.status == _OK or not writer.retry_after:
--- a/src/fireflymux/experiment/fleet.py
+++ b/src/fireflymux/experiment/fleet.py
@@ -115,7 +115,7 @@
         await trio.sleep(self._plan.fleet.link_seconds)
         domain = sender.settings.failure_domain
         for receiver in receivers:
-            receiver.take(report, host=sender.host, failure_domain=domain)
+            receiver.apply_report(report, host=sender.host, failure_domain=domain)
 
     def _build_state(self, number: int) -> EntryState:
         domain = str(number % self._plan.fleet.failure_domains)
