--- a/emulator/router_variants.py
+++ b/emulator/router_variants.py
@@ -155,8 +155,8 @@
 
 def no_end_marker() -> None:
     """Treats a stream without the end marker as complete."""
-    router_app.is_whole = lambda _stream: True
-    run_client.is_whole = lambda _stream: True
+    router_app.is_complete = lambda _stream: True
+    run_client.is_complete = lambda _stream: True
 
 
 def no_limits() -> None:
--- a/features/steps/router_responses_steps.py
+++ b/features/steps/router_responses_steps.py
@@ -11,7 +11,7 @@
 from fireflymux.observability.metrics import Metrics
 from fireflymux.router import run_client
 from fireflymux.router.backlog import Placement
-from fireflymux.router.run_client import BufferedResponse, RunClient, StreamedResponse, is_whole
+from fireflymux.router.run_client import BufferedResponse, RunClient, StreamedResponse, is_complete
 from fireflymux.web.http_clients import FleetClients
 from fireflymux.web.responses import build_problem_response
 from fireflymux.wire import codec, headers
@@ -85,7 +85,7 @@
 @then('the sidecar was asked for {count:d} transfers and the stream is not whole')
 def check_transfers(context, count):
     assert len(context.server.requests) == count, len(context.server.requests)
-    assert not is_whole(context.result)
+    assert not is_complete(context.result)
 
 
 @then('the router has the whole response with the headers of the service')
--- a/src/fireflymux/router/router_app.py
+++ b/src/fireflymux/router/router_app.py
@@ -33,7 +33,7 @@
 from .caller_requests import CallerRequest, ReceivedRequest, authenticate, parse_request
 from .event_buffer import EventBuffer
 from .router import Router
-from .run_client import BufferedResponse, StreamedResponse, is_whole
+from .run_client import BufferedResponse, StreamedResponse, is_complete
 
 _log = get_logger(__name__)
 #: Time for the load balancer to notice that a stopping router is not ready. The router already
@@ -197,7 +197,7 @@
     try:
         async for events in _read_events(router, stream):
             yield events
-        result = 'whole' if is_whole(stream) else 'cut'
+        result = 'whole' if is_complete(stream) else 'cut'
         if result == 'cut':
             router.dispatcher.record_stream_crash(stream)
             yield _build_error_event()
@@ -218,7 +218,7 @@
         events = buffer.add(chunk)
         if events:
             yield events
-    if buffer.partial and is_whole(stream):
+    if buffer.partial and is_complete(stream):
         yield buffer.partial
 
 
--- a/src/fireflymux/router/run_client.py
+++ b/src/fireflymux/router/run_client.py
@@ -123,7 +123,7 @@
             stream: A stream returned by `send_order`.
 
         Yields:
-            The chunks of the body without gaps or overlaps. Afterwards `is_whole` tells whether
+            The chunks of the body without gaps or overlaps. Afterwards `is_complete` tells whether
             the stream is complete.
         """
         transfer_count = 0
@@ -131,7 +131,7 @@
             async for chunk in self._read_transfer(stream):
                 yield chunk
             transfer_count += 1
-            if is_whole(stream) or transfer_count == _MAXIMUM_TRANSFERS:
+            if is_complete(stream) or transfer_count == _MAXIMUM_TRANSFERS:
                 return
             result = await self._reopen(
                 stream.placement,
@@ -276,7 +276,7 @@
         return BufferedResponse(response.status_code, content_type, body, endpoint_headers)
 
 
-def is_whole(stream: StreamedResponse) -> bool:
+def is_complete(stream: StreamedResponse) -> bool:
     """Tells whether a stream was received to its end.
 
     Args:
