--- a/features/steps/sidecar_state_steps.py
+++ b/features/steps/sidecar_state_steps.py
@@ -76,7 +76,7 @@
     context.now = 0.0
     context.claims = _Claims(result)
     context.scheduler = build_scheduler()
-    context.health = EndpointBackoff(clock=lambda: context.now)
+    context.backoff = EndpointBackoff(clock=lambda: context.now)
     context.runs = SidecarRuns(
         RunContext(
             scheduler=context.scheduler,
@@ -87,7 +87,7 @@
             metrics=Metrics(),
             tracer=create_tracer('', instance='sidecar'),
             crashes=CrashRegistry(clock=lambda: context.now),
-            health=context.health,
+            backoff=context.backoff,
             is_engine=False,
             retention_seconds=1,
             maximum_answer_bytes=1000,
@@ -102,9 +102,9 @@
         'a refusal': CallFailure(ErrorKind.call_in_progress),
     }
     _prepare_runs(context, results[claim])
-    context.health.record_failure()
-    context.first_backoff = context.health.until
-    context.now = context.health.until
+    context.backoff.record_failure()
+    context.first_backoff = context.backoff.until
+    context.now = context.backoff.until
 
 
 @given('the runs of a sidecar whose client raises an error that nobody expects')
@@ -115,7 +115,7 @@
 @when('a call with a key runs and the endpoint takes no call again')
 def run_and_fail(context):
     run_call(context)
-    context.health.record_failure()
+    context.backoff.record_failure()
 
 
 @when('a call with a key runs')
@@ -127,7 +127,7 @@
 
 @then('the backoff of the endpoint is twice as long')
 def check_backoff(context):
-    assert context.health.until - context.now == 2 * context.first_backoff
+    assert context.backoff.until - context.now == 2 * context.first_backoff
 
 
 @then('its outcome is unknown, and is recorded so, and its slot is free')
--- a/src/fireflymux/sidecar/sidecar.py
+++ b/src/fireflymux/sidecar/sidecar.py
@@ -97,7 +97,7 @@
             / _MILLISECONDS_PER_SECOND,
             clock=trio.current_time,
         )
-        self.health = EndpointBackoff(clock=trio.current_time)
+        self.endpoint_backoff = EndpointBackoff(clock=trio.current_time)
         self.crashes = CrashRegistry(clock=trio.current_time)
         self._group_committer = GroupCommitter(self.platform.table, self.metrics)
         self._claims = ClaimStore(
@@ -157,7 +157,7 @@
             return CallFailure(ErrorKind.sidecar_unconfirmed, 'no configuration')
         if self.model_loader.is_load_pending:
             return CallFailure(ErrorKind.sidecar_unconfirmed, 'an order to the engine is pending')
-        if self.health.is_backing_off:
+        if self.endpoint_backoff.is_backing_off:
             return CallFailure(ErrorKind.sidecar_unconfirmed, 'the endpoint takes no calls')
         if self._is_behind():
             return CallFailure(ErrorKind.sidecar_unconfirmed, 'a newer configuration exists')
@@ -269,7 +269,7 @@
                 metrics=self.metrics,
                 tracer=self.tracer,
                 crashes=self.crashes,
-                health=self.health,
+                backoff=self.endpoint_backoff,
                 is_engine=self.sidecar_settings.kind == 'engine',
                 retention_seconds=self.sidecar_settings.resume_seconds,
                 maximum_answer_bytes=self.sidecar_settings.maximum_answer_bytes,
--- a/src/fireflymux/sidecar/sidecar_runs.py
+++ b/src/fireflymux/sidecar/sidecar_runs.py
@@ -67,7 +67,7 @@
         metrics: Metrics of the process.
         tracer: Tracer of the process.
         crashes: Verdicts on requests that ran when an endpoint crashed.
-        health: Backoff of the endpoint after calls that it did not accept.
+        backoff: Backoff of the endpoint after calls that it did not accept.
         is_engine: Whether the endpoint is a model engine rather than a plain service.
         retention_seconds: Time for which a run is kept after its end and after its last reader.
         maximum_answer_bytes: Size limit of a response buffer, unless the response is recorded.
@@ -81,7 +81,7 @@
     metrics: Metrics
     tracer: Tracer
     crashes: CrashRegistry
-    health: EndpointBackoff
+    backoff: EndpointBackoff
     is_engine: bool
     retention_seconds: float
     maximum_answer_bytes: int
@@ -292,26 +292,26 @@
             if self._context.is_engine:
                 await self._context.endpoint.cancel_request(run.call)
         run.last_read_at = max(run.last_read_at, trio.current_time())
-        self._record_endpoint_health(run)
+        self._record_endpoint_result(run)
         self._context.scheduler.release(run.slot, completed=is_complete)
         result = 'whole' if is_complete else 'failed'
         self._context.metrics.attempts.inc({'pool': run.order.pool, 'result': result})
 
-    def _record_endpoint_health(self, run: Run) -> None:
-        """Updates the health of the endpoint and the crash verdict on the request.
+    def _record_endpoint_result(self, run: Run) -> None:
+        """Updates the backoff of the endpoint and the crash verdict on the request.
 
-        A call that certainly did not reach the endpoint tells nothing of its health, other than one
+        A call that certainly did not reach the endpoint does not change its backoff, other than one
         that the endpoint did not take.
         """
         failure = run.buffer.failure
         if not run.has_called_endpoint:
             return
         if failure is not None and failure.kind is ErrorKind.endpoint_unreachable:
-            self._context.health.record_failure()
+            self._context.backoff.record_failure()
             return
         if failure is not None and failure.outcome is ExecutionStatus.no:
             return
-        self._context.health.record_success()
+        self._context.backoff.record_success()
         if failure is None:
             if run.order.isolated:
                 self._context.crashes.clear(run.order.fingerprint)
