--- a/src/fireflymux/experiment/fleet.py
+++ b/src/fireflymux/experiment/fleet.py
@@ -106,7 +106,7 @@
             report = reports.build()
             if report is not None and others:
                 nursery.start_soon(self._deliver_report, report, state, others)
-            instance.dispatch()
+            instance.queues.dispatch()
 
     async def _deliver_report(
         self, report: PeerReport, sender: EntryState, receivers: list[PeerLink]
@@ -115,7 +115,7 @@
         await trio.sleep(self._plan.fleet.link_seconds)
         domain = sender.settings.failure_domain
         for receiver in receivers:
-            receiver.take(report, host=sender.host, failure_domain=domain)
+            receiver.apply_report(report, host=sender.host, failure_domain=domain)
 
     def _build_state(self, number: int) -> EntryState:
         domain = str(number % self._plan.fleet.failure_domains)
--- a/src/fireflymux/router/run_client.py
+++ b/src/fireflymux/router/run_client.py
@@ -125,7 +125,7 @@
             stream: A stream returned by `send_order`.
 
         Yields:
-            The chunks of the body without gaps or overlaps. Afterwards `is_whole` tells whether
+            The chunks of the body without gaps or overlaps. Afterwards `is_complete` tells whether
             the stream is complete.
         """
         transfer_count = 0
@@ -133,7 +133,7 @@
             async for chunk in self._read_transfer(stream):
                 yield chunk
             transfer_count += 1
-            if is_whole(stream) or transfer_count == _MAXIMUM_TRANSFERS:
+            if is_complete(stream) or transfer_count == _MAXIMUM_TRANSFERS:
                 return
             result = await self._reopen(
                 stream.placement,
@@ -287,7 +287,7 @@
     return response.headers.get(headers.REQUEST_ECHO, problem_echo) == order.request
 
 
-def is_whole(stream: StreamedResponse) -> bool:
+def is_complete(stream: StreamedResponse) -> bool:
     """Tells whether a stream was received to its end.
 
     Args:
