--- a/src/fireflymux/sidecar/grants.py
+++ b/src/fireflymux/sidecar/grants.py
@@ -112,8 +112,8 @@
         self._running: set[Slot] = set()
         self._pending_grants: dict[str, _PendingGrant] = {}
         self._changed = trio.Event()
-        self._is_offering_to_routers = False
-        self._are_offers_to_routers_due = False
+        self._is_offering_to_any_account = False
+        self._are_offers_to_any_account_due = False
         self._is_isolated = False
         self._isolated_slot: Slot | None = None
 
@@ -213,7 +213,7 @@
             self._is_isolated = False
         self._shares.close_charge(slot.charge, learn=completed)
         self._metrics.running.set({}, len(self._running))
-        self._are_offers_to_routers_due = True
+        self._are_offers_to_any_account_due = True
         self.notify()
 
     async def run(self) -> None:
@@ -233,25 +233,25 @@
             account = choose_account(self._reservations.accounts(), self._shares.virtual_time)
             router = None if account is None else self._reservations.take(account)
             if account is None or router is None:
-                self._start_offers_to_routers(nursery)
+                self._start_offers_to_any_account(nursery)
                 return
             grant = uuid.uuid4().hex
             self._pending_grants[grant] = _PendingGrant(self._shares.open_charge(account))
             nursery.start_soon(self._offer_slot, router, grant, account)
         self._shares.record_backlog(self._reservations.accounts())
 
-    def _start_offers_to_routers(self, nursery: trio.Nursery) -> None:
-        if self._are_offers_to_routers_due and not self._is_offering_to_routers:
-            self._is_offering_to_routers = True
-            nursery.start_soon(self._offer_to_routers)
+    def _start_offers_to_any_account(self, nursery: trio.Nursery) -> None:
+        if self._are_offers_to_any_account_due and not self._is_offering_to_any_account:
+            self._is_offering_to_any_account = True
+            nursery.start_soon(self._offer_to_any_account)
 
-    async def _offer_to_routers(self) -> None:
+    async def _offer_to_any_account(self) -> None:
         """Offers free slots to the routers in turn, one to each, for any account.
 
         Runs after a slot became free while no waiting request is known: the reservations may
         be out of date.
         """
-        self._are_offers_to_routers_due = False
+        self._are_offers_to_any_account_due = False
         routers = self._reservations.routers()
         random.shuffle(routers)
         try:
@@ -262,7 +262,7 @@
                 self._pending_grants[grant] = _PendingGrant()
                 await self._offer_slot(router, grant, '')
         finally:
-            self._is_offering_to_routers = False
+            self._is_offering_to_any_account = False
             self.notify()
 
     async def _offer_slot(self, router: RouterReservations, grant: str, account: str) -> None:
