--- a/features/outside_values.feature
+++ b/features/outside_values.feature
@@ -240,12 +240,12 @@
       | _state.apply_configuration  |
       | _state.update_endpoints     |
       | _state.notify               |
-      | _peers.take                 |
+      | _peers.apply_report         |
       | _peers.list_hosts           |
       | _peers.forget_silent        |
       | _snapshots._list_fetch_hosts |
       | _store._read_instances      |
-      | _handler.dispatch           |
+      | _handler.queues.dispatch    |
 
   Scenario: An odd route of a configuration hides no other, and its requests go to no other service
     Given routes "/" to "general" and "/orders/" to "orders"
