Pass on no "not run" that the endpoint of a request that must run once does not state

What callers saw: 408, 429 or 503, which promise that a request has not run, for one that its endpoint ran and answered so, without the statement that it did not run; a caller that believes the promise sends a box charge again. Cause: a signed answer was passed on whatever its status. Where a request must not run twice the caller is now told that the outcome is unknown (504); where it may, the answer is passed on as before. The five rows with 504 were red before; that of the safe route held.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -222,3 +222,17 @@
   Scenario: A request that times out while the instance is paused is not sent
     When an instance is paused while a request waits, and an endpoint is free when it resumes
     Then the request is not placed, and the endpoint carries no load of it
+
+  Scenario Outline: A status that promises "not run" is not passed on where the endpoint does not state it
+    Given a "<kind>" route whose only endpoint has behaviour "<behaviour>"
+    When a caller asks once
+    Then it is answered <status>
+
+    Examples:
+      | kind      | behaviour          | status |
+      | unsafe    | run and answer 408 | 504    |
+      | unsafe    | run and answer 429 | 504    |
+      | unsafe    | run and answer 503 | 504    |
+      | streaming | run and answer 429 | 504    |
+      | streaming | run and answer 503 | 504    |
+      | safe      | run and answer 429 | 429    |
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -12,7 +12,7 @@
 
 from ..decisions.retry import Ending, may_retry
 from ..decisions.waiting import WaitingRequest
-from ..errors import CallFailure, ErrorKind
+from ..errors import NOT_RUN_STATUSES, CallFailure, ErrorKind
 from ..http.messages import Request
 from ..http.response_writer import ResponseWriter
 from ..observability.logs import get_logger
@@ -145,6 +145,10 @@
             # The connection cancels the handler of a request when the caller closes it.
             self._log_end('caller_left', call)
             raise
+        if isinstance(result, Whole) and _is_false_promise(call, result):
+            call.history.may_have_run = True
+            detail = 'status {0}, but not stated that it did not run'.format(result.status)
+            result = CallFailure(ErrorKind.outcome_unknown, detail)
         if isinstance(result, Whole):
             self._record_answer(call, result)
             await writer.answer(result.status, result.fields, result.content)
@@ -363,3 +367,11 @@
 
 def _is_success(outcome: Outcome) -> TypeGuard[Whole]:
     return isinstance(outcome, Whole) and not outcome.is_failure
+
+
+def _is_false_promise(call: Call, answer: Whole) -> bool:
+    """Tells whether the caller would take a request that may have run for one that did not.
+
+    It could then send the request again, although that must run only once.
+    """
+    return answer.status in NOT_RUN_STATUSES and not call.route.repeatability.may_repeat
--- a/src/fireflymux/errors.py
+++ b/src/fireflymux/errors.py
@@ -198,7 +198,7 @@
 
 
 #: Status codes that promise the caller that its request has not run and never will.
-_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
 @dataclass(frozen=True, slots=True)
@@ -230,7 +230,7 @@
     def status(self) -> int:
         """HTTP status code, which promises that the request has not run only if that is so."""
         status = ERROR_RESPONSES[self.kind].status
-        if self.outcome is ExecutionStatus.no or status not in _NOT_RUN_STATUSES:
+        if self.outcome is ExecutionStatus.no or status not in NOT_RUN_STATUSES:
             return status
         kind = ErrorKind.answer_cut
         if self.outcome is ExecutionStatus.unknown:
