Count slots as busy for as long as the steps of the emulated engine last

'Backlogged accounts stay within the bound and no slot idles' compares the time of busy slots with the time that passed. The engine counted each step as 10 ms, also where its process was held up and the step took longer, so that slots that were busy throughout looked idle on a busy machine. It counts the time until the next step now, which is the same where steps are on time. The new scenario holds an engine up for 1 s while both slots run a request of 1 s: 1.0 s of 2 s counted before, 2.0 s now. The bound on the utilisation is the same.

--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -81,7 +81,10 @@
         history: Identifier and nonce of every submitted request.
         orders: Engine orders that were accepted.
         highest_fencing_token: Highest fencing token of an accepted order.
-        busy_slot_seconds: Time that requests have spent in the batch, added up.
+        busy_slot_seconds: Time that requests have spent in the batch, added up; a step lasts until
+            the next one, which may start late.
+        slots_in_step: Requests in the batch of the latest step.
+        stepped_at: Time of the latest step.
         unavailable_until: Time until which requests are rejected after a crash.
         crashes: Number of crashes.
         sends_wrong_response_next: Whether the next streamed response is that of another request.
@@ -106,6 +109,8 @@
     orders: list[dict[str, Any]] = attrs.field(factory=list)
     highest_fencing_token: int = 0
     busy_slot_seconds: float = 0.0
+    slots_in_step: int = 0
+    stepped_at: float = 0.0
     unavailable_until: float = 0.0
     crashes: int = 0
     sends_wrong_response_next: bool = False
@@ -142,7 +147,10 @@
         """Fills the batch from the queue and generates tokens for each request in it."""
         while self.waiting and len(self.batch) < self.slots:
             self.batch.append(self.waiting.pop(0))
-        self.busy_slot_seconds += len(self.batch) * self.step_seconds
+        now = trio.current_time()
+        self.busy_slot_seconds += self.slots_in_step * (now - self.stepped_at)
+        self.slots_in_step = len(self.batch)
+        self.stepped_at = now
         for generation in list(self.batch):
             self._advance(generation)
             if generation.finished and generation in self.batch:
--- a/features/fair_share.feature
+++ b/features/fair_share.feature
@@ -35,3 +35,8 @@
     When an endpoint joins at second 4 of 14 seconds of backlog
     Then the fairness gap is within the bound
     And the endpoint that joined served requests
+
+  Scenario: Slots count as busy while the process of their engine is held up
+    Given an emulated engine of 2 slots with steps of 10 ms
+    When it runs 2 requests of 100 tokens, and is held up for 1 second in between
+    Then its slots were busy for 2 seconds each
--- a/features/steps/fair_share_steps.py
+++ b/features/steps/fair_share_steps.py
@@ -6,9 +6,11 @@
 
 import trio
 from behave import given, then, when
+from trio.testing import MockClock
 
 from bench.deployment import POOL, Shape, account_names, start
 from bench.fairness import bound
+from emulator.engine import Engine, Generation
 from emulator.load import AccountLoad, Load, fairness_gap, utilisation
 
 _STEP_SECONDS = 0.01
@@ -194,3 +196,37 @@
 def check_joined_endpoint(context):
     served = context.fleet.client.get(context.joined + '/served').json()['served']
     assert sum(served.values()) > 0
+
+
+@given('an emulated engine of {slots:d} slots with steps of {milliseconds:d} ms')
+def define_engine(context, slots, milliseconds):
+    context.engine = Engine(
+        slots, milliseconds / 1000, tokens_per_step=1, checks_fencing=True, cache_entries=1
+    )
+
+
+@when(
+    'it runs {count:d} requests of {tokens:d} tokens, and is held up for {seconds:d} second'
+    ' in between'
+)
+def run_held_up_engine(context, count, tokens, seconds):
+    clock = MockClock(autojump_threshold=0)
+
+    async def run():
+        for number in range(count):
+            context.engine.submit(Generation(str(number), 'n', tokens, 'm'))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(context.engine.run)
+            await trio.sleep(0.505)
+            clock.jump(seconds)
+            # Long after both requests have ended.
+            await trio.sleep(5)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=clock)
+
+
+@then('its slots were busy for {seconds:d} seconds each')
+def check_busy_slots(context, seconds):
+    busy_seconds = context.engine.busy_slot_seconds / context.engine.slots
+    assert abs(busy_seconds - seconds) < 0.02, busy_seconds
