Hold the streams of whole_answers.feature that an engine or a sidecar is to break

'The engine crashes while it streams' and 'The sidecar dies while it streams and does not restart' end a process some 0.3 s after a stream of 2 s was seen to run, which a busy machine can turn into more than 2 s: the cause of the red in crashes.feature. With 2.5 s in place of the 0.3 s both failed, with complete responses; with the streams held at the fiftieth of their 200 tokens, both passed. The assertions are the same. Both passed as they are beside load 40, and without the end marker the first one failed, as it should.

--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -75,20 +75,21 @@
         assert answer.is_whole and answer.received == answer.expected, answer
 
 
-def _hold_streams(engines, client, tokens):
+def _hold_streams(fleet, tokens):
     """Holds the streams of all engines at a number of tokens; zero lets them end."""
-    for engine in engines:
-        client.post(engine + '/hold', params={'tokens': tokens}).raise_for_status()
+    for engine in fleet.processes['engines'].addresses:
+        fleet.client.post(engine + '/hold', params={'tokens': tokens}).raise_for_status()
 
 
-def _crash_running_engine(engines, client):
+def _crash_running_engine(fleet):
+    engines = fleet.processes['engines'].addresses
+
     def find_running():
-        return [
-            engine for engine in engines if client.get(engine + '/v1/load').json().get('running')
-        ]
+        loads = {engine: fleet.client.get(engine + '/v1/load').json() for engine in engines}
+        return [engine for engine, load in loads.items() if load.get('running')]
 
     (engine,) = wait_until(find_running, seconds=5, what='no engine reports that it runs')
-    client.post(engine + '/crash').raise_for_status()
+    fleet.client.post(engine + '/crash').raise_for_status()
 
 
 @when('an engine crashes while it streams and the caller sends the same request again')
@@ -101,16 +102,14 @@
     }
     url = context.fleet.processes['router-0'].address + CHAT
     headers = authorization('families')
-    engines = context.fleet.processes['engines'].addresses
-    client = context.fleet.client
-    _hold_streams(engines, client, 10)
+    _hold_streams(context.fleet, 10)
     with httpx.stream('POST', url, headers=headers, content=orjson.dumps(body)) as response:
         parts = response.iter_bytes()
         next(parts)
-        _crash_running_engine(engines, client)
+        _crash_running_engine(context.fleet)
         text = b''.join(parts).decode()
     assert 'event: error' in text
-    _hold_streams(engines, client, 0)
+    _hold_streams(context.fleet, 0)
     answer = Answer('again', tokens=100, is_stream=True)
     context.answer = send(answer, 'POST', url, headers, body, 60)
 
--- a/features/steps/whole_answer_steps.py
+++ b/features/steps/whole_answer_steps.py
@@ -19,6 +19,10 @@
 )
 from emulator.process import wait_until
 from emulator.small_fleet import histories, start_engine_sidecar, start_small_fleet
+from features.steps.crash_steps import _hold_streams
+
+#: Tokens at which a stream stays until its engine or sidecar has ended.
+_HELD_TOKENS = 50
 
 
 @given('a small fleet with fixed sidecar ports')
@@ -103,11 +107,13 @@
         url = context.fleet.processes['engines'].addresses[number]
         httpx.post(url + '/crash')
 
+    _hold_streams(context.fleet, _HELD_TOKENS)
     _stream(context, tokens, disturb)
 
 
 @when('a caller streams {tokens:d} tokens and the sidecar is killed')
 def kill_streaming(context, tokens):
+    _hold_streams(context.fleet, _HELD_TOKENS)
     _stream(context, tokens, lambda name: context.fleet.processes[name].kill())
 
 
