Wait until the stream of the stopping router runs before the router gets SIGTERM

'A router shuts down gracefully' slept 0.5 s for a caller's stream to reach the router: one that is later finds it stopping and is refused.

--- a/features/steps/draining_steps.py
+++ b/features/steps/draining_steps.py
@@ -8,10 +8,11 @@
 from behave import given, then, when
 
 from emulator.backend import Backend
-from emulator.callers import CHAT, Answer, chat, send
+from emulator.callers import CHAT, Answer, authorization, chat, send
 from emulator.entry_fleet import free_port
 from emulator.fleet import FLEET_KEY
-from emulator.small_fleet import start_small_fleet
+from emulator.process import wait_until
+from emulator.small_fleet import histories, start_small_fleet
 from fireflymux.entry.listeners import Listener
 from fireflymux.errors import CallFailure, ErrorKind, ExecutionStatus
 from fireflymux.http.messages import HttpLimits
@@ -117,17 +118,25 @@
 @when('router-0 gets SIGTERM during a stream of {tokens:d} tokens')
 def stop_router(context, tokens):
     context.stopped = context.fleet.processes['router-0']
-    answers = []
-    thread = threading.Thread(
-        target=lambda: answers.append(
-            chat(context.stopped.address, 'families', tokens=tokens, model='farewell')
-        )
-    )
+    answer = Answer('stopping', tokens=tokens, is_stream=True)
+    body = {
+        'model': 'farewell',
+        'messages': [{'role': 'user', 'content': 'hello'}],
+        'stream': True,
+        'emulator': {'tokens': tokens, 'nonce': answer.nonce},
+    }
+    url = context.stopped.address + CHAT
+    headers = authorization('families')
+    thread = threading.Thread(target=lambda: send(answer, 'POST', url, headers, body, 60))
     thread.start()
-    time.sleep(0.5)
+    wait_until(
+        lambda: answer.nonce in str(histories(context.fleet)),
+        seconds=5,
+        what='no engine started the request',
+    )
     context.stopped.terminate()
     thread.join()
-    context.answers += answers
+    context.answers.append(answer)
 
 
 @then('the process exits with code {code:d}')
