--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -161,9 +161,11 @@
         """Starts a new endpoint on a host and announces it as ready."""
         self._endpoints_started += 1
         name = 'e{0}'.format(self._endpoints_started)
-        endpoint_host.endpoint = FaultyEndpoint(name, service, self.history.arrivals, self.rng)
-        await self._nursery.start(endpoint_host.endpoint.run, endpoint_host.address)
-        self.announce(endpoint_host, endpoint_host.endpoint, 'ready')
+        endpoint = FaultyEndpoint(name, service, self.history.arrivals, self.rng)
+        await self._nursery.start(endpoint.run, endpoint_host.address)
+        # Not before, since another fault could end it while it starts.
+        endpoint_host.endpoint = endpoint
+        self.announce(endpoint_host, endpoint, 'ready')
 
     def announce(self, endpoint_host: EndpointHost, endpoint: FaultyEndpoint, state: str) -> None:
         """Writes an endpoint's entry to the store."""
