Test which requests may end without an answer within a stop

A request that crosses the close of an idle connection is no request cut off; one on a new connection, one that ran, or one whose connection ends later than 0.2 s after it still is.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -37,6 +37,17 @@
       | no probe is sent                    | 0 of 0 probes          |
       | 2 probes fail                       | 8 of 10 probes         |
 
+  Scenario Outline: Only a request that crosses the close of its connection may end a stop without an answer
+    When a request is sent on a <connection> connection that ends <seconds> s later within a planned stop, and it <runs>
+    Then the check of stops finds <found>
+
+    Examples:
+      | connection | seconds | runs     | found               |
+      | kept       | 0.1     | runs not | nothing             |
+      | new        | 0.1     | runs not | request was cut off |
+      | kept       | 0.3     | runs not | request was cut off |
+      | kept       | 0.1     | runs     | request was cut off |
+
   Scenario: Each check finds what it is for
     When histories that each violate one guarantee are checked
     Then only the check of that guarantee reports a violation
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -246,6 +246,36 @@
         assert len(violations) == 1 and found in violations[0], violations
 
 
+@when(
+    'a request is sent on a {connection} connection that ends {seconds:g} s later within a planned'
+    ' stop, and it {runs}'
+)
+def build_stop(context, connection, seconds, runs):
+    exchange = _build_exchange(
+        sent_at=10.0,
+        ended_at=10.0 + seconds,
+        is_kept=connection == 'kept',
+        status=0,
+        is_complete=False,
+        content=b'',
+        echoed_attempt='',
+        endpoint='',
+    )
+    term = Disturbance(kind='term', target='entry-1', start=9.5, end=12.0)
+    stop = Stop(instance='entry-1', incarnation=1, signalled_at=9.5, ended_at=11.0, exit_code=0)
+    arrivals = [_build_arrival()] if runs == 'runs' else []
+    context.history = _build_history([exchange], arrivals, disturbances=[term], stops=[stop])
+
+
+@then('the check of stops finds {found}')
+def check_stop_found(context, found):
+    violations = list(checks.check_stops(context.history))
+    if found == 'nothing':
+        assert not violations, violations
+    else:
+        assert len(violations) == 1 and found in violations[0], violations
+
+
 @when('plans are generated twice from many seeds')
 def generate_plans(context):
     context.plans = [(Plan.from_seed(seed), Plan.from_seed(seed)) for seed in range(200)]
