Start a killed instance of a soak again once its process has ended

The restart waits for the end now, and the instance counts as disturbed until a second after it. The scenario was red before (no start).

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -52,6 +52,10 @@
     When histories that each violate one guarantee are checked
     Then only the check of that guarantee reports a violation
 
+  Scenario: A killed instance is started again however long its end takes
+    When an instance is killed for 0.1 s, and its process ends only after 0.3 s
+    Then it is started once, and counts as disturbed until a second after that
+
   Scenario: A plan is the same for the same seed
     When plans are generated twice from many seeds
     Then both plans of a seed are equal, and all their faults end within the fault phase
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,18 +1,22 @@
 """Steps that run the soak test, and that test its checks and plans alone."""
 
 import os
+import signal
 import subprocess
 import sys
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from types import SimpleNamespace
 
 import orjson
+import trio
 from behave import then, when
 
 from emulator.faulty_endpoint import Arrival
 from soak import checks
+from soak.faults import inject_fault
 from soak.history import Disturbance, Exchange, History, OwnEnd, Stop
-from soak.plan import FAULT_PHASE_SECONDS, Plan
+from soak.plan import FAULT_PHASE_SECONDS, Event, Plan
 
 _ROOT = Path(__file__).resolve().parent.parent.parent
 _TIMEOUT_SECONDS = 180
@@ -276,6 +280,53 @@
         assert len(violations) == 1 and found in violations[0], violations
 
 
+class _SlowlyEndingInstance:
+    name = 'entry-1'
+    incarnation = 1
+
+    def __init__(self, seconds):
+        self._ends_at = trio.current_time() + seconds
+        self.started_at = []
+
+    @property
+    def is_running(self):
+        return bool(self.started_at) or trio.current_time() < self._ends_at
+
+    def signal(self, signum):
+        assert signum == signal.SIGKILL
+
+    def start(self):
+        self.incarnation += 1
+        self.started_at.append(trio.current_time())
+
+
+@when('an instance is killed for {seconds:g} s, and its process ends only after {end:g} s')
+def kill_slowly_ending(context, seconds, end):
+    async def act():
+        context.instance = _SlowlyEndingInstance(end)
+        context.history = History()
+        testbed = SimpleNamespace(
+            instances=[context.instance],
+            history=context.history,
+            record_disturbance=lambda kind, target, length: context.history.disturbances.append(
+                Disturbance(kind=kind, target=target, start=0, end=trio.current_time() + length)
+            ),
+        )
+        event = Event(start_seconds=0, kind='kill', target=0, duration_seconds=seconds)
+        async with trio.open_nursery() as nursery:
+            for _ in range(2):
+                nursery.start_soon(inject_fault, testbed, event)
+
+    trio.run(act)
+
+
+@then('it is started once, and counts as disturbed until a second after that')
+def check_started_once(context):
+    assert len(context.instance.started_at) == 1, context.instance.started_at
+    ends = [disturbance.end for disturbance in context.history.disturbances]
+    assert max(ends) >= context.instance.started_at[0] + 1, (ends, context.instance.started_at)
+
+
 @when('plans are generated twice from many seeds')
 def generate_plans(context):
     context.plans = [(Plan.from_seed(seed), Plan.from_seed(seed)) for seed in range(200)]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -105,10 +105,15 @@
     instance = testbed.instances[event.target]
     incarnation = instance.incarnation
     testbed.record_disturbance(event.kind, instance.name, event.duration_seconds + 1)
+    disturbance = testbed.history.disturbances[-1]
     instance.signal(signal.SIGKILL)
     await trio.sleep(event.duration_seconds)
-    if instance.incarnation == incarnation and not instance.is_running:
+    while instance.incarnation == incarnation and instance.is_running:
+        disturbance.end = trio.current_time() + 1
+        await trio.sleep(_POLL_SECONDS)
+    if instance.incarnation == incarnation:
         instance.start()
+        disturbance.end = trio.current_time() + 1
 
 
 async def _terminate(testbed: Testbed, event: Event) -> None:
