--- a/features/soak.feature
+++ b/features/soak.feature
@@ -37,10 +37,25 @@
       | no probe is sent                    | 0 of 0 probes          |
       | 2 probes fail                       | 8 of 10 probes         |
 
+  Scenario Outline: Only a request that crosses the close of its connection may end a stop without an answer
+    When a request is sent on a <connection> connection that ends <seconds> s later within a planned stop, and it <runs>
+    Then the check of stops finds <found>
+
+    Examples:
+      | connection | seconds | runs     | found               |
+      | kept       | 0.1     | runs not | nothing             |
+      | new        | 0.1     | runs not | request was cut off |
+      | kept       | 0.3     | runs not | request was cut off |
+      | kept       | 0.1     | runs     | request was cut off |
+
   Scenario: Each check finds what it is for
     When histories that each violate one guarantee are checked
     Then only the check of that guarantee reports a violation
 
+  Scenario: A killed instance is started again however long its end takes
+    When an instance is killed for 0.1 s, and its process ends only after 0.3 s
+    Then it is started once, and counts as disturbed until a second after that
+
   Scenario: A plan is the same for the same seed
     When plans are generated twice from many seeds
     Then both plans of a seed are equal, and all their faults end within the fault phase
