Report URLs in the settings to which no request can be sent

A settings file whose URL of the platform, an endpoint or another router has no host, or a port that is no number or out of range, was valid: the process started, and failed at each request, or ended where the client raised an error that is none of its own. Such a URL is a violation of the file now, as addresses of the entry role are.

Seen before the fix: five examples had no violation. They have it now.

--- a/features/role_values.feature
+++ b/features/role_values.feature
@@ -91,3 +91,16 @@
     Given a table whose row of a released claim has the version 18446744073709551615
     When a sidecar claims the call and records its outcome
     Then whether the call ran is unknown
+
+  Scenario Outline: A URL in the settings to which no request can be sent
+    Given a settings file of a sidecar whose <key> is <url>
+    When it is checked
+    Then the only violation names <key> and <url>
+
+    Examples:
+      | key          | url                     |
+      | table_url    | http://127.0.0.1:99999  |
+      | object_url   | http://                 |
+      | live_url     | http://127.0.0.1:port   |
+      | endpoint_url | https://[::1:80         |
+      | peer_routers | http://127.0.0.1:0      |
--- a/features/steps/role_value_steps.py
+++ b/features/steps/role_value_steps.py
@@ -1,5 +1,7 @@
 """Steps for values from outside that routers, sidecars and operators' commands read."""
 
+import tempfile
+
 import httpx
 import orjson
 import trio
@@ -19,7 +21,7 @@
 from fireflymux.errors import ErrorKind, ExecutionStatus
 from fireflymux.messages import ClaimRow, Heartbeat
 from fireflymux.observability.metrics import Metrics
-from fireflymux.settings import ProcessSettings
+from fireflymux.settings import ProcessSettings, SettingsError
 from fireflymux.sidecar.claims import STATE_RELEASED, Claimed, ClaimStore, claim_key
 from fireflymux.sidecar.sidecar import Sidecar
 from fireflymux.store.config_commit import load_configuration
@@ -338,3 +340,52 @@
 def check_unknown_execution(context):
     assert context.claim.outcome is ExecutionStatus.unknown, context.claim
     assert context.claim.status == 504, context.claim.status
+
+
+_SIDECAR_SETTINGS = """
+[instance]
+name = sidecar
+failure_domain = a
+listen_host = 127.0.0.1
+listen_port = 0
+[fleet]
+key = development-fleet-key
+peer_routers = {peer_routers}
+[platform]
+table_url = {table_url}
+object_url = {object_url}
+live_url = {live_url}
+[sidecar]
+endpoint = engine
+endpoint_url = {endpoint_url}
+pool = farewell
+kind = engine
+slots = 1
+"""
+_URL_KEYS = ('peer_routers', 'table_url', 'object_url', 'live_url', 'endpoint_url')
+
+
+@given('a settings file of a sidecar whose {key} is {url}')
+def prepare_settings(context, key, url):
+    urls = dict.fromkeys(_URL_KEYS, _NOWHERE)
+    # The other routers are a list.
+    urls['peer_routers'] = 'http://127.0.0.1:1,http://router.example'
+    context.settings_text = _SIDECAR_SETTINGS.format_map({**urls, key: url})
+
+
+@when('it is checked')
+def check_settings_text(context):
+    context.violations = []
+    with tempfile.NamedTemporaryFile('w', suffix='.ini') as file:
+        file.write(context.settings_text)
+        file.flush()
+        try:
+            ProcessSettings.from_file(file.name)
+        except SettingsError as error:
+            context.violations = error.violations
+
+
+@then('the only violation names {key} and {url}')
+def check_violation(context, key, url):
+    found = [(violation.key, violation.found) for violation in context.violations]
+    assert found == [(key, repr(url))], found
--- a/src/fireflymux/bounded_values.py
+++ b/src/fireflymux/bounded_values.py
@@ -13,6 +13,7 @@
 import string
 from functools import lru_cache
 from typing import Any
+from urllib.parse import urlsplit
 
 #: Greatest integer that floats, and so all implementations of JSON, represent exactly.
 MAXIMUM_INTEGER = 9007199254740991
@@ -76,6 +77,16 @@
     return is_ipv4_address(host) and bool(parse_integer(port.encode(), maximum=MAXIMUM_PORT))
 
 
+def is_http_url(text: str) -> bool:
+    """Tells whether a text is an HTTP URL with a host, and a port from 1 to the greatest if any."""
+    try:
+        url = urlsplit(text)
+        is_port_valid = url.port is None or url.port > 0
+    except ValueError:
+        return False
+    return url.scheme in {'http', 'https'} and bool(url.hostname) and is_port_valid
+
+
 @lru_cache(maxsize=_CACHED_ADDRESSES)
 def _is_ipv4_text(text: str) -> bool:
     try:
--- a/src/fireflymux/settings.py
+++ b/src/fireflymux/settings.py
@@ -22,7 +22,7 @@
     SidecarSettings,
     TlsSettings,
 )
-from .bounded_values import MAXIMUM_PORT, is_ipv4_address, is_socket_address
+from .bounded_values import MAXIMUM_PORT, is_http_url, is_ipv4_address, is_socket_address
 
 _SECTION_TYPES: Mapping[str, type] = MappingProxyType(
     {
@@ -42,12 +42,19 @@
 _DEFAULTED_SECTIONS = frozenset(('tls', 'observability'))
 #: Checks of addresses, by the member `address` of a key in the schema.
 _ADDRESS_CHECKS: Mapping[str, Callable[[str], bool]] = MappingProxyType(
-    {'host': is_ipv4_address, 'host_and_port': is_socket_address}
+    {
+        'host': is_ipv4_address,
+        'host_and_port': is_socket_address,
+        'url': is_http_url,
+        'urls': lambda text: all(map(is_http_url, filter(None, text.split(',')))),
+    }
 )
 _ADDRESS_DESCRIPTIONS: Mapping[str, str] = MappingProxyType(
     {
         'host': 'an IPv4 address',
         'host_and_port': 'an IPv4 address and a port from 1 to {0}'.format(MAXIMUM_PORT),
+        'url': 'an HTTP URL with a host',
+        'urls': 'comma-separated HTTP URLs with hosts',
     }
 )
 
