Place a refused request again only if the refusal rules out that it ran

The router placed a request again after each refusal of a sidecar as busy, leaving or unconfirmed, also if the same answer says that the request ran or may have run: one that may not be repeated would run twice. No sidecar of this build answers so; the router relied on that. Such a refusal ends the request now, with a status that does not promise that it has not run.

Seen before the fix: three examples sent the request twice. They send it once now, and a refusal that rules out that it ran is placed again as before.

--- a/features/role_responses.feature
+++ b/features/role_responses.feature
@@ -123,6 +123,18 @@
     When it gets a run order, one without the fleet's key, one that is unreadable and one of no route
     Then each response has the identifier of its exchange
 
+  Scenario Outline: A refusal that does not rule out that the request ran is not placed again
+    Given a router whose sidecar refuses a call that may not be repeated as <kind>, and that it ran is <ran>
+    When a caller sends the call
+    Then the sidecar gets it <count> times and the caller is told <status>
+
+    Examples:
+      | kind                | ran     | count | status |
+      | sidecar_busy        | unknown | 1     | 504    |
+      | sidecar_leaving     | yes     | 1     | 502    |
+      | sidecar_unconfirmed | unknown | 1     | 504    |
+      | sidecar_busy        | no      | 2     | 200    |
+
   Scenario Outline: A path reaches the endpoint as the caller sent it
     Given a <kind> that sets a cookie in its answers
     When a sidecar sends it a call of the path "<path>"
--- a/features/steps/router_responses_steps.py
+++ b/features/steps/router_responses_steps.py
@@ -1,16 +1,23 @@
 """Steps for answers of sidecars that routers get."""
 
+import random
+from types import SimpleNamespace
+
 import trio
 from behave import given, then, when
 from quart_trio import QuartTrio
 
 from emulator.scripted_server import ECHO, ScriptedAnswer, ScriptedServer, answer, broken_off
 from fireflymux._settings_generated import FleetSettings, TlsSettings
+from fireflymux.decisions.crash_registry import CrashRegistry
 from fireflymux.errors import CallFailure, ErrorKind, ExecutionStatus, to_problem
-from fireflymux.messages import RunOrder
+from fireflymux.messages import LiveInstance, RunOrder
 from fireflymux.observability.metrics import Metrics
 from fireflymux.router import run_client
-from fireflymux.router.backlog import Placement
+from fireflymux.router.backlog import Backlog, Placement
+from fireflymux.router.caller_requests import CallerRequest
+from fireflymux.router.dispatch import DispatchContext, Dispatcher
+from fireflymux.router.peers import SidecarPeer
 from fireflymux.router.run_client import BufferedResponse, RunClient, StreamedResponse, is_whole
 from fireflymux.sidecar.sidecar_app import create_app
 from fireflymux.web.http_clients import FleetClients
@@ -235,3 +242,84 @@
     assert statuses == [503, 401, 400, 404], statuses
     exchanges = [response.headers.get(headers.EXCHANGE) for response in context.responses]
     assert exchanges == ['0', '1', '2', '3'], exchanges
+
+
+class _RefusingClient:
+    """Stands in for the client of sidecars: refuses the first run order."""
+
+    def __init__(self, refusal):
+        self.refusal = refusal
+        self.orders = []
+
+    async def send_order(self, _placement, order, _body):
+        self.orders.append(order)
+        if len(self.orders) == 1:
+            return self.refusal
+        return BufferedResponse(200, 'text/plain', b'', {})
+
+
+@given(
+    'a router whose sidecar refuses a call that may not be repeated as {kind}, '
+    'and that it ran is {ran}'
+)
+def prepare_refusing_sidecar(context, kind, ran):
+    refusal = CallFailure(ErrorKind(kind), '', ExecutionStatus(ran))
+    context.run_client = _RefusingClient(refusal)
+
+
+def _ignore(*_arguments, **_options):
+    """Does nothing."""
+
+
+@when('a caller sends the call')
+def send_unrepeatable_call(context):
+    peer = SidecarPeer(
+        LiveInstance(name='s', role='sidecar', address='http://s:1', failure_domain='a'),
+        sidecar_id='sidecar',
+        free_slots=2,
+    )
+    peers = SimpleNamespace(
+        pools=set(),
+        list_sidecars=lambda _pool: [peer],
+        accepts_work=lambda _peer: True,
+        # The refusal leaves the free slots as they are, so that no heartbeat is needed.
+        find=lambda _address: None,
+        trigger_heartbeats=_ignore,
+    )
+    dispatcher = Dispatcher(
+        DispatchContext(
+            router_id='router',
+            backlog=Backlog(get_concurrency_limit=lambda _account: 9),
+            peers=peers,
+            crashes=CrashRegistry(clock=trio.current_time),
+            run_client=context.run_client,
+            metrics=Metrics(),
+            rng=random.Random(1),
+            retry_limit=3,
+            get_config_version=lambda: 1,
+        )
+    )
+    request = CallerRequest(
+        contract=SimpleNamespace(account='families'),
+        pool='bookings',
+        method='POST',
+        path='/charges',
+        body=b'',
+        content_type='text/plain',
+        idempotency_key='',
+        may_repeat=False,
+        is_stream=False,
+        timeout_seconds=2,
+        traceparent='',
+    )
+
+    async def run():
+        context.result = await dispatcher.send(request, '')
+
+    trio.run(run)
+
+
+@then('the sidecar gets it {count:d} times and the caller is told {status:d}')
+def check_orders(context, count, status):
+    assert len(context.run_client.orders) == count, context.run_client.orders
+    assert context.result.status == status, context.result
--- a/src/fireflymux/router/dispatch.py
+++ b/src/fireflymux/router/dispatch.py
@@ -359,7 +359,7 @@
         Returns:
             The final failure of the request, or None if it is retried.
         """
-        if failure.kind in _PLACEMENT_REFUSALS:
+        if failure.kind in _PLACEMENT_REFUSALS and failure.outcome is ExecutionStatus.no:
             return self._handle_placement_refusal(dispatch, failure)
         if failure.kind is ErrorKind.call_in_progress:
             return self._resolve_call_in_progress(failure)
