Excuse what the build in production answers to HEAD in a roll to the new build and back

The build in production waits for a body of such an answer and gives 504, or nothing, after the time of the route; the scenario of the roll counted that as lost (46 texts; those shown were all HEAD requests, 504). A HEAD request to a process of that build counts as given up by its caller, as bytes that are part of no answer already do; every check of the new build's processes holds for HEAD as before.

--- a/soak/upgrade.py
+++ b/soak/upgrade.py
@@ -139,7 +139,11 @@
     """Returns an exchange without such bytes of the build in production.
 
     A caller that reads them closes its connection, and so gives up an answer that is not complete.
+    That build waits for a body of an answer to HEAD, which counts as given up as well.
     """
+    if exchange.method == 'HEAD' and record.is_by_production(exchange):
+        given_up_at = min(exchange.ended_at, record.history.ended_at)
+        return attrs.evolve(exchange, violation='', abandoned_at=given_up_at)
     if not exchange.violation or not record.is_by_production(exchange):
         return exchange
     given_up_at = float('inf') if exchange.is_complete else exchange.ended_at
