--- a/features/steps/router_responses_steps.py
+++ b/features/steps/router_responses_steps.py
@@ -18,6 +18,7 @@
 from fireflymux.router.caller_requests import CallerRequest
 from fireflymux.router.dispatch import DispatchContext, Dispatcher
 from fireflymux.router.sidecar_peer import SidecarPeer
+from fireflymux.router.placement import Placer
 from fireflymux.router.run_client import BufferedResponse, RunClient, StreamedResponse, is_complete
 from fireflymux.sidecar.sidecar_app import create_app
 from fireflymux.web.http_clients import FleetClients
@@ -286,15 +287,16 @@
         find=lambda _address: None,
         trigger_heartbeats=_ignore,
     )
+    rng = random.Random(1)
     dispatcher = Dispatcher(
         DispatchContext(
             router_id='router',
-            backlog=Backlog(get_concurrency_limit=lambda _account: 9),
             peers=peers,
+            placer=Placer(Backlog(get_concurrency_limit=lambda _account: 9), peers, rng=rng),
             crashes=CrashRegistry(clock=trio.current_time),
             run_client=context.run_client,
             metrics=Metrics(),
-            rng=random.Random(1),
+            rng=rng,
             retry_limit=3,
             get_config_version=lambda: 1,
         )
