--- a/src/fireflymux/entry/attempt.py
+++ b/src/fireflymux/entry/attempt.py
@@ -231,9 +231,10 @@
 ) -> Outcome:
     """Reads a response to its end, or relays it if the route streams and the status is a success.
 
-    A success must be signed, and encoded only if the caller accepts that. An error to a request that resumes a stream is not forwarded, as the
-    caller has the head of a success already. A response that is not relayed and states that the request was not
-    executed counts as rejected, even if it is unsigned and no success. Any other must be signed.
+    A success must be signed, and encoded only if the caller accepts that. An error to a request that
+    resumes a stream is not forwarded, as the caller has the head of a success already. A response
+    that is not relayed and states that the request was not executed counts as rejected, even if it
+    is unsigned and no success. Any other must be signed.
     """
     head = response.head
     is_success = _FIRST_SUCCESS_STATUS <= head.status < _FIRST_REDIRECT_STATUS
