--- a/features/steps/outside_decoder_steps.py
+++ b/features/steps/outside_decoder_steps.py
@@ -18,7 +18,7 @@
 from fireflymux.platform.call_headers import decode_request_headers, decode_response_headers
 from fireflymux.platform.configuration_row import MalformedRow, decode_configuration
 from fireflymux.platform.endpoint_row import decode_endpoint
-from fireflymux.platform.store import StoreUnavailable, _decode_page, _Reply
+from fireflymux.platform.store_rows import StoreReply, StoreUnavailable, decode_page
 
 _REPRODUCIBLE = hypothesis_settings(
     max_examples=400, derandomize=True, deadline=None, database=None
@@ -168,7 +168,7 @@
     def run(rows, reply, other):
         for body in (reply | {'rows': [*rows, row]}, reply | {'rows': other}, other):
             try:
-                page = _decode_page(_Reply(200, 0, body))
+                page = decode_page(StoreReply(200, 0, body))
             except StoreUnavailable:
                 continue
             assert all(0 <= found.number < 2**53 for found in page.rows), page
--- a/features/steps/store_copy_steps.py
+++ b/features/steps/store_copy_steps.py
@@ -6,7 +6,8 @@
 from emulator.entry_fleet import configuration, open_fleet, route
 from features.steps.entry_steps import _run_on_fleet, _send_calls
 from fireflymux.decisions.membership import Endpoint, Membership
-from fireflymux.platform.store import StoreClient, StoreUnavailable
+from fireflymux.platform.store import StoreClient
+from fireflymux.platform.store_rows import StoreUnavailable
 
 _NEW_KEY = 'new-key'
 _TABLE = 'fireflymux-instances'
--- a/src/fireflymux/entry/instance.py
+++ b/src/fireflymux/entry/instance.py
@@ -23,6 +23,7 @@
 from .entry_metrics import EntryMetrics
 from .evacuating import update_evacuations
 from .exchange import RequestHandler
+from .instance_registry import InstanceRegistry
 from .listeners import Listener
 from .peer_link import PeerLink
 from .peer_snapshot import PeerSnapshots
@@ -69,11 +70,9 @@
         self._reloader = SettingsReloader(self._state, path)
         self._handler = RequestHandler(self._state, self._metrics)
         self._peers = PeerLink(self._state, self._metrics)
-        self._store = StoreFollower(
-            self._state,
-            StoreClient(self._settings.store_address),
-            is_follower=self._peers.is_store_follower,
-        )
+        store = StoreClient(self._settings.store_address)
+        self._registry = InstanceRegistry(self._state, store)
+        self._store = StoreFollower(self._state, store, is_follower=self._peers.is_store_follower)
         self._snapshots = PeerSnapshots(self._state, self._peers)
         self._callers = Listener(
             self._settings.caller_address,
@@ -109,6 +108,7 @@
             # These two supervise their own tasks: without its socket, the process must not run.
             self._peers.run,
             self._store.run,
+            partial(supervise, self._registry.run, 'read instances'),
             partial(supervise, self._snapshots.run, 'fetch snapshots'),
             partial(supervise, self._tick, 'tick'),
             partial(supervise, self._close_stale_connections, 'close stale connections'),
@@ -145,7 +145,7 @@
         _log.info('stopping', running=self._handler.running)
         deadline = started + self._state.settings.shutdown_timeout_seconds - _EXIT_MARGIN_SECONDS
         with trio.move_on_at(deadline):
-            await self._store.unregister()
+            await self._registry.unregister()
             await trio.sleep_until(started + _BALANCER_NOTICE_SECONDS)
             self._state.refuses_requests = True
             self._callers.close_idle()
--- a/src/fireflymux/entry/peer_snapshot.py
+++ b/src/fireflymux/entry/peer_snapshot.py
@@ -24,11 +24,11 @@
 from ..http.response_writer import ResponseWriter
 from ..observability.logs import get_logger
 from ..platform.configuration_row import MalformedRow, decode_configuration
+from .endpoint_rows import replace_endpoint_rows
 from .endpoint_wishes import mark_leaving
 from .evacuating import apply_evacuations
 from .peer_link import PeerLink
 from .state import EntryState
-from .store_follower import replace_endpoint_rows
 
 _log = get_logger(__name__)
 _PATH = b'/v1/snapshot'
--- a/src/fireflymux/entry/store_follower.py
+++ b/src/fireflymux/entry/store_follower.py
@@ -5,13 +5,12 @@
 over. The others learn of changes from these, which limits the calls to the store.
 """
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from functools import partial
 
 import attrs
 import trio
 
-from ..bounded_values import is_ipv4_address
 from ..decisions.evacuations import EvacuationList
 from ..decisions.store_version import StoreVersion
 from ..observability.logs import get_logger
@@ -22,22 +21,20 @@
     decode_configuration,
     decode_evacuated_domain,
 )
-from ..platform.endpoint_row import ENDPOINT_TABLE, decode_endpoint
-from ..platform.store import HistoryLost, Row, StoreClient, StoreUnavailable
+from ..platform.endpoint_row import ENDPOINT_TABLE
+from ..platform.store import StoreClient
+from ..platform.store_rows import HistoryLost, Row, StoreUnavailable
+from .endpoint_rows import change_endpoint_rows, replace_endpoint_rows
 from .evacuating import apply_evacuations, update_evacuations
 from .state import EntryState
 from .supervision import supervise
 
 _log = get_logger(__name__)
-#: Table in which entry instances register their IP addresses.
-INSTANCE_TABLE = 'fireflymux-instances'
 #: Maximum wait of one call for a change of a table. A connection that was lost without notice is
 #: only detected after it. The configuration can wait for longer, since newer versions are also
 #: learned from the other instances.
 _CONFIGURATION_WAIT_SECONDS = 4.0
 _ENDPOINTS_WAIT_SECONDS = 2.0
-#: Time between two reads of the table of instances; new ones become known earlier by reports.
-_INSTANCES_INTERVAL_SECONDS = 30.0
 #: Time after which an instance that does not follow checks again whether it should.
 _FOLLOWER_CHECK_SECONDS = 0.1
 #: Pause after a change of the endpoints, so that the next call returns several changes at once.
@@ -46,7 +43,6 @@
 _PAUSE_SECONDS = 0.1
 _FIRST_RETRY_DELAY_SECONDS = 0.1
 _MAXIMUM_RETRY_DELAY_SECONDS = 0.8
-_REGISTER_RETRY_SECONDS = 0.5
 
 ApplyRows = Callable[[Sequence[Row], bool, StoreVersion], None]
 
@@ -69,9 +65,9 @@
 
 
 class StoreFollower:
-    """Reads the tables of configuration, endpoints and instances.
+    """Reads the tables of configuration and endpoints.
 
-    It follows the first two only while this instance is one of their followers.
+    It follows them only while this instance is one of their followers.
     """
 
     def __init__(
@@ -108,54 +104,6 @@
             ):
                 follow = partial(self._follow, followed)
                 nursery.start_soon(supervise, follow, 'follow {0}'.format(followed.table))
-            nursery.start_soon(supervise, self._register_and_read_instances, 'read instances')
-
-    async def unregister(self) -> None:
-        """Removes this instance from the table of instances."""
-        try:
-            await self._store.remove_row(INSTANCE_TABLE, self._state.settings.name)
-        except StoreUnavailable as error:
-            _log.warning('unregister_failed', reason=str(error))
-
-    async def _register_and_read_instances(self) -> None:
-        """Registers this instance in the table, and reads the other rows regularly.
-
-        If two instances start together, the one that registers last reads the row of the other.
-        The other one learns of it when its reports arrive.
-        """
-        is_registered = False
-        while True:
-            try:
-                if not is_registered:
-                    await self._register()
-                names = await self._read_instances()
-            except StoreUnavailable as error:
-                _log.warning('instances_not_read', reason=str(error))
-                await trio.sleep(_REGISTER_RETRY_SECONDS)
-                continue
-            is_registered = self._state.settings.name in names
-            if not is_registered:
-                # The row was written, but the store does not list it (yet).
-                await trio.sleep(_REGISTER_RETRY_SECONDS)
-                continue
-            with trio.move_on_after(_INSTANCES_INTERVAL_SECONDS):
-                await self._store.wait_for_new_era()
-                # The store was restored from an older copy, which may lack this instance's row.
-                is_registered = False
-
-    async def _register(self) -> None:
-        settings = self._state.settings
-        await self._store.put_row(INSTANCE_TABLE, settings.name, self._state.host.encode())
-
-    async def _read_instances(self) -> set[str]:
-        rows = (await self._store.read_table(INSTANCE_TABLE)).rows
-        hosts = {row.key: (row.content or b'').decode('latin-1') for row in rows}
-        for name, host in hosts.items():
-            if not is_ipv4_address(host):
-                _log.warning('instance_malformed', peer=name, host=host)
-            elif name != self._state.settings.name:
-                self._state.instances[name] = host
-        return set(hosts)
 
     async def _follow(self, followed: FollowedTable) -> None:
         """Reads a table, and follows it whenever this instance is one of its followers."""
@@ -266,54 +214,3 @@
         if version >= self._state.members_version:
             known = {row.key: row.content for row in rows if row.content is not None}
             replace_endpoint_rows(self._state, known, version)
-
-
-def replace_endpoint_rows(
-    state: EntryState, row_contents: Mapping[str, bytes], version: StoreVersion
-) -> None:
-    """Replaces the list of endpoints by the full table.
-
-    Args:
-        state: State to update.
-        row_contents: Content of every row of the table by its key.
-        version: Version of the store that the table was read at.
-    """
-    decoded = [decode_endpoint(key, content) for key, content in row_contents.items()]
-    endpoints = [endpoint for endpoint in decoded if endpoint is not None]
-    state.member_rows = {
-        endpoint.identifier: row_contents[endpoint.identifier] for endpoint in endpoints
-    }
-    state.members.replace(endpoints, trio.current_time(), era=version.era)
-    state.members_version = version
-    state.has_endpoint_list = True
-    state.update_endpoints()
-
-
-def change_endpoint_rows(state: EntryState, rows: Sequence[Row], era: int) -> None:
-    """Applies changed rows of the table of endpoints.
-
-    Args:
-        state: State to update.
-        rows: Changed rows in order. Those not newer than the list of endpoints are ignored; rows
-            with number zero, whose version is not known, always apply.
-        era: Era of the store that the rows were read in.
-    """
-    for row in rows:
-        version = StoreVersion(era, row.number)
-        if row.number and version <= state.members_version:
-            continue
-        _change_endpoint(state, row)
-        state.members_version = max(state.members_version, version)
-    state.update_endpoints()
-
-
-def _change_endpoint(state: EntryState, row: Row) -> None:
-    """Applies a changed row; one that was removed or is not valid removes the endpoint."""
-    now = trio.current_time()
-    endpoint = None if row.content is None else decode_endpoint(row.key, row.content)
-    if endpoint is None or row.content is None:
-        state.member_rows.pop(row.key, None)
-        state.members.remove(row.key, now)
-        return
-    state.member_rows[row.key] = row.content
-    state.members.put(endpoint, now)
--- a/src/fireflymux/platform/store.py
+++ b/src/fireflymux/platform/store.py
@@ -6,19 +6,19 @@
 """
 
 import base64
-from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
 
 import orjson
 import trio
 
-from ..bounded_values import MAXIMUM_INTEGER, OutOfBounds, check_integer, parse_integer
+from ..bounded_values import MAXIMUM_INTEGER, parse_integer
 from ..decisions.store_version import StoreVersion
 from ..http.client_connection import ConnectFailed, ConnectionBroken
 from ..http.messages import ResponseHead, find_header
 from ..observability.logs import get_logger
 from .store_connections import StoreConnections
+from .store_rows import HistoryLost, Row, StoreReply, StoreUnavailable, TableRows, decode_page
 
 _log = get_logger(__name__)
 
@@ -35,79 +35,6 @@
 _ERA_FIELD = b'store-era'
 
 
-class StoreUnavailable(Exception):
-    """A call to the store gave no usable response; a write may still have taken effect.
-
-    It failed, was rejected, or its response was not valid JSON, had another shape or was of an
-    outdated era; or the era changed while a table was read.
-    """
-
-
-@dataclass(frozen=True, slots=True)
-class Row:
-    """One row of a table of the entry role's store, or the change to it.
-
-    The class `Row` of `store.platform_client` is another one: a row of the table service.
-
-    Attributes:
-        key: Key of the row.
-        content: Content of the row; None if the row was removed, empty if it cannot be decoded.
-        number: Number of its last change, as in `StoreVersion.number`, within one era of the
-            store; zero if the store does not state a valid one.
-    """
-
-    key: str
-    content: bytes | None
-    number: int
-
-
-@dataclass(frozen=True, slots=True)
-class TableRows:
-    """Rows of a table as of a version of the store.
-
-    `read_table` returns all rows, `follow_table` only the changed and removed ones.
-    """
-
-    rows: tuple[Row, ...]
-    version: StoreVersion
-
-
-@dataclass(frozen=True, slots=True)
-class HistoryLost:
-    """The store cannot list the changes since a version; the table must be read again."""
-
-
-@dataclass(frozen=True, slots=True)
-class _Reply:
-    """A response of the store.
-
-    Attributes:
-        status: HTTP status code.
-        era: Era of the store that the response states; the newest known one if it states none.
-        json_body: Decoded JSON body, for reads a page of rows; None if the body is empty or the
-            status is not 200.
-    """
-
-    status: int
-    era: int
-    json_body: Any
-
-
-@dataclass(frozen=True, slots=True)
-class _Page:
-    """Rows in a response of the store, without those that have no valid key.
-
-    Attributes:
-        rows: The rows.
-        version: Version of the store at which they were read.
-        has_more: Whether there are rows after them.
-    """
-
-    rows: tuple[Row, ...]
-    version: StoreVersion
-    has_more: bool
-
-
 class StoreClient:
     """Client of the store for one process.
 
@@ -170,7 +97,7 @@
         while True:
             # Tables are always used with the empty `part`.
             query = {'table': table, 'part': '', 'from': start, 'limit': _ROWS_PER_PAGE}
-            page = _decode_page(await self._call('GET', 'rows-get', query))
+            page = decode_page(await self._call('GET', 'rows-get', query))
             rows.extend(page.rows)
             # The version of the first page: changes made since then are followed from there.
             version = version or page.version
@@ -209,7 +136,7 @@
             'wait_ms': int(wait_seconds * _MILLISECONDS_PER_SECOND),
         }
         timeout = wait_seconds + _FOLLOW_SLACK_SECONDS
-        reply: _Reply | None = None
+        reply: StoreReply | None = None
         with trio.CancelScope() as scope:
             self._follow_scopes.add(scope)
             try:
@@ -222,7 +149,7 @@
         # era, so changes since a version of an older era cannot be requested.
         if reply is None or after.era != self.era or reply.status == _GONE:
             return HistoryLost()
-        page = _decode_page(reply)
+        page = decode_page(reply)
         return TableRows(page.rows, page.version)
 
     async def put_row(self, table: str, key: str, content: bytes) -> None:
@@ -269,7 +196,7 @@
         change: Any = None,
         timeout: float = _CALL_TIMEOUT_SECONDS,
         followed_table: str = '',
-    ) -> _Reply:
+    ) -> StoreReply:
         target = '/api/{0}'.format(name)
         if query:
             target = '{0}?{1}'.format(target, urlencode(query))
@@ -285,7 +212,7 @@
             raise StoreUnavailable('response is of the outdated era {0}'.format(reply.era))
         return reply
 
-    async def _exchange(self, start_line: str, content: bytes, followed_table: str) -> _Reply:
+    async def _exchange(self, start_line: str, content: bytes, followed_table: str) -> StoreReply:
         response = await self._connections.exchange(
             start_line, content, followed_table=followed_table
         )
@@ -293,7 +220,7 @@
         json_body = orjson.loads(response.body) if response.body and status == _OK else None
         era = self._read_era(response.head)
         self.update_era(era)
-        return _Reply(status, era, json_body)
+        return StoreReply(status, era, json_body)
 
     def _read_era(self, head: ResponseHead) -> int:
         """Returns the era stated in a response, or the known one if it states no valid one."""
@@ -302,56 +229,3 @@
         if era is None and stated:
             _log.warning('era_malformed', stated=stated[:_LOGGED_BYTES].decode('latin-1'))
         return self.era if era is None else era
-
-
-def _decode_page(reply: _Reply) -> _Page:
-    """Decodes the response to a read.
-
-    Args:
-        reply: The response.
-
-    Returns:
-        The rows in it.
-
-    Raises:
-        StoreUnavailable: The store rejected the call, or the response has another shape.
-    """
-    if reply.status != _OK:
-        raise StoreUnavailable('store responded with status {0}'.format(reply.status))
-    body = reply.json_body
-    if not isinstance(body, dict) or not isinstance(body.get('rows'), list):
-        raise StoreUnavailable('the response holds no rows')
-    try:
-        version = StoreVersion(reply.era, check_integer(body.get('ver')))
-    except OutOfBounds as error:
-        raise StoreUnavailable('the response states no version: {0}'.format(error)) from error
-    decoded = [_decode_row(raw) for raw in body['rows']]
-    rows = tuple(row for row in decoded if row is not None)
-    return _Page(rows, version, bool(body.get('more_pages')))
-
-
-def _decode_row(raw: Any) -> Row | None:
-    """Decodes a row; one without a valid key is left out, so that it does not hide the others."""
-    if not isinstance(raw, dict) or not isinstance(raw.get('key'), str):
-        _log.warning('row_malformed', key='', reason='no key')
-        return None
-    key = raw['key']
-    if raw.get('removed'):
-        return Row(key, None, _decode_number(key, raw.get('ver', 0)))
-    return Row(key, _decode_content(key, raw.get('value')), _decode_number(key, raw.get('ver')))
-
-
-def _decode_content(key: str, encoded: Any) -> bytes:
-    try:
-        return base64.b64decode(encoded, validate=True)
-    except (TypeError, ValueError) as error:
-        _log.warning('row_malformed', key=key, reason=repr(error))
-        return b''
-
-
-def _decode_number(key: str, stated: Any) -> int:
-    try:
-        return check_integer(stated)
-    except OutOfBounds as error:
-        _log.warning('row_malformed', key=key, reason=repr(error))
-        return 0
