--- a/emulator/entry_fleet.py
+++ b/emulator/entry_fleet.py
@@ -137,6 +137,7 @@
         self.settings: list[EntrySettings] = []
         self._nursery = nursery
         self._outage_by_address: dict[str, str] = {}
+        self._losses_by_address: dict[str, int] = {}
         self._peer_port = free_port()
 
     async def start_store(self) -> str:
@@ -147,10 +148,13 @@
         """
         address = '127.0.0.1:{0}'.format(free_port())
 
-        def find_outage() -> str:
-            return self._outage_by_address.get(address, '')
-
         async def respond(request: Request, writer: ResponseWriter) -> None:
+            losses = self._losses_by_address.get(address, 0)
+
+            def find_outage() -> str:
+                is_lost = self._losses_by_address.get(address, 0) > losses
+                return 'silent' if is_lost else self._outage_by_address.get(address, '')
+
             await self.store.respond(request, writer, find_outage)
 
         await self._listen(address, respond)
@@ -165,6 +169,16 @@
         """
         self._outage_by_address[store_address] = outage
 
+    def lose_answers(self, store_address: str) -> None:
+        """Loses the answers to the calls of the store that are pending at one of its addresses.
+
+        Later calls are answered; nothing tells the callers that the earlier ones never are.
+
+        Args:
+            store_address: Address of the listener.
+        """
+        self._losses_by_address[store_address] = self._losses_by_address.get(store_address, 0) + 1
+
     async def add_backend(
         self, name: str, service: str, behaviour: str = 'answer', **changes: Any
     ) -> Backend:
--- a/emulator/row_store.py
+++ b/emulator/row_store.py
@@ -28,12 +28,14 @@
         version: Version of the newest change.
         era: Number of restores from a backup so far; stated in every answer.
         calls: Number of requests received.
+        answer_seconds: Time that the store takes for each answer, after any wait for changes.
     """
 
     def __init__(self) -> None:
         self.version = 1
         self.era = 0
         self.calls = 0
+        self.answer_seconds = 0.0
         self._tables: dict[str, dict[str, tuple[bytes, int]]] = {}
         self._changes: list[tuple[str, str, bytes | None, int]] = []
         self._oldest_version = 0
@@ -98,6 +100,7 @@
             response = self._read_table(query['table'])
         else:
             response = await self._wait_for_changes(query)
+        await trio.sleep(self.answer_seconds)
         if not await _let_pass(writer, find_outage(), self._response_fields()):
             return
         status = _STATUS_GONE if response is None else _STATUS_OK
