--- a/features/outside_values.feature
+++ b/features/outside_values.feature
@@ -244,7 +244,7 @@
       | _peers.list_hosts           |
       | _peers.forget_silent        |
       | _snapshots._list_fetch_hosts |
-      | _store._read_instances      |
+      | _registry._read_instances   |
       | _handler.queues.dispatch    |
 
   Scenario: An odd route of a configuration hides no other, and its requests go to no other service
