Tell how old what an instance knows of the store is: in the log and as a metric

The log of the incident could not tell a call that waits in vain from trust in others or from steps that add up: it said neither how long a call had waited nor how old the tables were. store_lost and store_regained state both, fireflymux_table_age_seconds has the age by table.

--- a/src/fireflymux/entry/entry_metrics.py
+++ b/src/fireflymux/entry/entry_metrics.py
@@ -53,6 +53,9 @@
             'endpoints_resting', 'Endpoints that asked for a time without work'
         )
         self.store_era = self._gauge('store_era', 'How often the store came back from a copy')
+        self.table_age = self._gauge(
+            'table_age_seconds', 'Time since a table of the store was known to be current'
+        )
         self.config_version = self._gauge('config_version', 'Configuration version in force')
         self.first_event = self._histogram('first_event_seconds', 'Time to the first event')
         self.latency = self._histogram('request_seconds', 'Time to the end of the answer')
--- a/src/fireflymux/entry/instance.py
+++ b/src/fireflymux/entry/instance.py
@@ -28,7 +28,7 @@
 from .peer_link import PeerLink
 from .peer_snapshot import PeerSnapshots
 from .settings_reload import SettingsReloader
-from .state import EntryState
+from .state import FOLLOWED_TABLES, EntryState
 from .store_follower import StoreFollower
 from .supervision import supervise
 
@@ -214,6 +214,9 @@
         state = self._state
         metrics.config_version.set({}, state.configuration_version)
         metrics.store_era.set({}, state.members_version.era)
+        now = trio.current_time()
+        for table in FOLLOWED_TABLES:
+            metrics.table_age.set({'table': table}, state.table_ages.get_age(table, now))
         metrics.endpoints_known.set({}, len(state.members.list_endpoints()))
         metrics.endpoints_leaving.set({}, len(state.members.list_leaving()))
         metrics.endpoints_resting.set({}, count_requested_backoffs(state))
--- a/src/fireflymux/entry/report_builder.py
+++ b/src/fireflymux/entry/report_builder.py
@@ -20,7 +20,6 @@
 #: Maximum number of refused requests in one report; older ones are left out.
 _MAXIMUM_REFUSALS = 200
 _MILLISECONDS_PER_SECOND = 1000.0
-_NEVER = float('-inf')
 #: Age stated unless the store has responded to the last call for every followed table.
 _UNKNOWN_AGE = -1
 
@@ -77,9 +76,9 @@
 
 
 def _get_store_age(state: EntryState, now: float) -> int:
-    """Returns the milliseconds since the store's last response; the largest over all tables."""
-    oldest = min(state.store_responded_at.values(), default=_NEVER)
-    return _UNKNOWN_AGE if oldest == _NEVER else int((now - oldest) * _MILLISECONDS_PER_SECOND)
+    """Returns the milliseconds since all tables of the store were known to be current."""
+    age = state.table_ages.find_stated_age(now)
+    return _UNKNOWN_AGE if age is None else int(age * _MILLISECONDS_PER_SECOND)
 
 
 def _encode_loads(loads: Mapping[int, EndpointLoad]) -> list[int]:
--- a/src/fireflymux/entry/state.py
+++ b/src/fireflymux/entry/state.py
@@ -22,13 +22,18 @@
 from ..decisions.placing_policy import DEFAULT_POLICY, PlacingPolicy
 from ..decisions.refused_requests import RefusedRequests
 from ..decisions.store_version import StoreVersion
+from ..decisions.table_ages import TableAges
 from ..http.connection_pool import ConnectionPool, UpstreamPool
 from ..observability.logs import get_logger
+from ..platform.configuration_row import CONFIGURATION_TABLE
+from ..platform.endpoint_row import ENDPOINT_TABLE
 from .candidates import Candidates
 from .live_endpoint import LiveEndpoint, apply_capacity, create_live_endpoint
 
 _log = get_logger(__name__)
 _CONNECT_TIMEOUT_SECONDS = 0.4
+#: Tables of the store that instances follow.
+FOLLOWED_TABLES = (CONFIGURATION_TABLE, ENDPOINT_TABLE)
 #: Fraction of an endpoint's connections that all instances together may keep idle.
 _IDLE_CONNECTIONS_FRACTION = 0.5
 
@@ -66,8 +71,7 @@
             to be confused with `Placement`, the choice of an endpoint for a request.
         instances: IP addresses of the other entry instances, by name.
         slot_time_models: Estimates of how long a request occupies a slot, by service.
-        store_responded_at: Time of the store's last response for each followed table, in seconds;
-            minus infinity before the first response and while the last call has failed.
+        table_ages: When each followed table of the store was last known to be current.
         is_stopping: Whether the instance is shutting down: it reports itself as not ready, and
             closes connections after their current response.
         refuses_requests: Whether it refuses new requests, in the last phase of the shutdown.
@@ -111,7 +115,7 @@
         self.crashes = CrashCounts()
         self.refused_requests = RefusedRequests()
         self.unreported_placements: list[list[int]] = []
-        self.store_responded_at: dict[str, float] = {}
+        self.table_ages = TableAges(FOLLOWED_TABLES)
         self.slot_time_models: defaultdict[str, SlotTimeModel] = defaultdict(SlotTimeModel)
         self.is_stopping = False
         self.refuses_requests = False
--- a/src/fireflymux/entry/store_follower.py
+++ b/src/fireflymux/entry/store_follower.py
@@ -85,8 +85,6 @@
         self._store = store
         self._is_follower = is_follower
         self._unavailable_tables: set[str] = set()
-        for table in (CONFIGURATION_TABLE, ENDPOINT_TABLE):
-            state.store_responded_at[table] = float('-inf')
 
     async def run(self) -> None:
         """Reads the tables, and follows them whenever it should, until cancelled."""
@@ -116,18 +114,16 @@
             if version is not None and not self._is_follower():
                 await trio.sleep(_FOLLOWER_CHECK_SECONDS)
                 continue
+            started = trio.current_time()
             try:
                 version = await self._read_or_wait(followed, version)
             except StoreUnavailable as error:
-                self._record_outage(table, error)
+                self._record_outage(table, error, started)
                 await trio.sleep(delay * self._state.rng.uniform(0.5, 1))
                 delay = min(delay * 2, _MAXIMUM_RETRY_DELAY_SECONDS)
                 continue
-            self._state.store_responded_at[table] = trio.current_time()
+            self._record_read(table, version)
             delay = _FIRST_RETRY_DELAY_SECONDS
-            if table in self._unavailable_tables:
-                self._unavailable_tables.discard(table)
-                _log.info('store_regained', table=table, version=str(version))
 
     async def _read_or_wait(
         self, followed: FollowedTable, version: StoreVersion | None
@@ -160,14 +156,34 @@
             await trio.sleep(_PAUSE_SECONDS)
         return changes.version
 
-    def _record_outage(self, table: str, error: StoreUnavailable) -> None:
+    def _record_read(self, table: str, version: StoreVersion | None) -> None:
+        """Records a response of the store for a table; None if it no longer has the changes."""
+        now = trio.current_time()
+        age = self._state.table_ages.get_age(table, now)
+        if version is not None:
+            self._state.table_ages.record_read(table, version, now)
+        if table not in self._unavailable_tables:
+            return
+        self._unavailable_tables.discard(table)
+        _log.info('store_regained', table=table, version=str(version), age=round(age, 3))
+
+    def _record_outage(self, table: str, error: StoreUnavailable, started: float) -> None:
         """Records that the store did not respond for a table, and logs the first time."""
-        self._state.members.record_outage(trio.current_time())
+        now = trio.current_time()
+        self._state.members.record_outage(now)
         # Reports then state that the store does not respond, so that others follow in its place.
-        self._state.store_responded_at[table] = float('-inf')
-        if table not in self._unavailable_tables:
-            self._unavailable_tables.add(table)
-            _log.warning('store_lost', table=table, reason=str(error))
+        self._state.table_ages.record_doubt(table)
+        if table in self._unavailable_tables:
+            _log.debug('store_still_lost', table=table, seconds=round(now - started, 3))
+            return
+        self._unavailable_tables.add(table)
+        _log.warning(
+            'store_lost',
+            table=table,
+            reason=str(error),
+            seconds=round(now - started, 3),
+            age=round(self._state.table_ages.get_age(table, now), 3),
+        )
 
     def _apply_configuration(
         self, rows: Sequence[Row], is_full_table: bool, version: StoreVersion
