Bound the age of what an instance knows of the store, whichever call, connection or follower is lost

Cause: a call for changes that was sent into the silence was never answered, and nothing asked again before its 4.6 s were over (2.6 s for endpoints); all instances were caught alike. The class: knowledge whose age had no bound, as it hung on one call, or for 5 s on a follower that had stopped hearing. Change: calls about the two tables end in turn, 1.3 s apart; one that is overdue by 0.3 s is repeated on another connection beside the first, with all others that wait; any response shows by the store's newest version whether the other table is current; a follower says in its reports that its call is overdue; versions are reported at once.

--- a/src/fireflymux/decisions/followers.py
+++ b/src/fireflymux/decisions/followers.py
@@ -9,11 +9,15 @@
 import zlib
 from collections.abc import Iterable
 
+from .poll_timing import EVIDENCE_SECONDS, OVERDUE_SECONDS
+
 #: Number of followers in each failure domain.
 _FOLLOWERS_PER_DOMAIN = 2
-#: Age of the last response of the store up to which an instance is fresh. Only fresh instances
-#: are ranked to find the followers; a fresh one need not be a follower.
-FRESH_SECONDS = 5.0
+#: Time that a report may take until the others rely on what it states.
+_REPORT_SECONDS = 0.6
+#: Age of the tables up to which an instance is fresh. Only fresh instances are ranked to find the
+#: followers. One whose calls get no response says so before its tables are as old.
+FRESH_SECONDS = EVIDENCE_SECONDS + OVERDUE_SECONDS + _REPORT_SECONDS
 
 
 def is_follower(host: str, fresh_neighbours: Iterable[str], *, is_anyone_fresh: bool) -> bool:
--- a/src/fireflymux/decisions/table_ages.py
+++ b/src/fireflymux/decisions/table_ages.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from .store_changes import ListedChanges
 from .store_version import StoreVersion
 
 _NEVER = float('-inf')
@@ -49,21 +50,26 @@
         """
         self._tables[table] = _KnownTable(version, now, is_in_doubt=False)
 
-    def record_response(self, newest: StoreVersion, now: float) -> None:
-        """Records the newest version of the store, as a response about any table states it.
+    def record_response(self, changes: ListedChanges, now: float) -> None:
+        """Records a response of the store about any table.
 
         Args:
-            newest: The version.
+            changes: What it shows of the changes of the store.
             now: Time in seconds.
         """
         for known in self._tables.values():
-            if known.version >= newest:
+            known.version = changes.advance(known.version)
+            if known.version >= changes.newest:
                 known.current_at = now
 
     def record_doubt(self, table: str) -> None:
         """Records that a call about a table is overdue or has failed."""
         self._tables[table].is_in_doubt = True
 
+    def is_in_doubt(self, table: str) -> bool:
+        """Tells whether a call about a table is overdue, has failed, or was not yet made."""
+        return self._tables[table].is_in_doubt
+
     def get_age(self, table: str, now: float) -> float:
         """Returns the seconds since a table was known to be current; infinity before that."""
         return now - self._tables[table].current_at
--- a/src/fireflymux/entry/instance.py
+++ b/src/fireflymux/entry/instance.py
@@ -70,7 +70,9 @@
         self._reloader = SettingsReloader(self._state, path)
         self._handler = RequestHandler(self._state, self._metrics)
         self._peers = PeerLink(self._state, self._metrics)
-        store = StoreClient(self._settings.store_address)
+        store = StoreClient(
+            self._settings.store_address, on_changes=self._state.record_store_changes
+        )
         self._registry = InstanceRegistry(self._state, store)
         self._store = StoreFollower(self._state, store, is_follower=self._peers.is_store_follower)
         self._snapshots = PeerSnapshots(self._state, self._peers)
--- a/src/fireflymux/entry/peer_link.py
+++ b/src/fireflymux/entry/peer_link.py
@@ -72,16 +72,22 @@
     report: PeerReport
     heard_at: float
 
-    @property
-    def is_store_fresh(self) -> bool:
-        """Whether its report states a recent response of the store for each followed table."""
-        return 0 <= self.report.store_age_milliseconds <= FRESH_SECONDS * _MILLISECONDS_PER_SECOND
-
     @property
     def members_version(self) -> StoreVersion:
         """Version of its list of endpoints."""
         return StoreVersion(self.report.members_era, self.report.members_version)
 
+    def is_store_fresh(self, now: float) -> bool:
+        """Tells whether it knew the followed tables to be current a short time ago.
+
+        Args:
+            now: Time in seconds.
+        """
+        if self.report.store_age_milliseconds < 0:
+            return False
+        age = self.report.store_age_milliseconds / _MILLISECONDS_PER_SECOND
+        return age + now - self.heard_at <= FRESH_SECONDS
+
 
 class PeerLink:
     """Sends this instance's reports to the others and applies theirs to the state.
@@ -167,10 +173,11 @@
     def is_store_follower(self) -> bool:
         """Tells whether this instance is one of those that follow the tables of the store."""
         own = self._state.settings.failure_domain
+        now = trio.current_time()
         fresh = [
             (host, heard.failure_domain)
             for host, heard in self.heard.items()
-            if self.is_heard(host) and heard.is_store_fresh
+            if self.is_heard(host) and heard.is_store_fresh(now)
         ]
         neighbours = [host for host, domain in fresh if domain == own]
         return is_follower(self._state.host, neighbours, is_anyone_fresh=bool(fresh))
--- a/src/fireflymux/entry/peer_snapshot.py
+++ b/src/fireflymux/entry/peer_snapshot.py
@@ -145,9 +145,11 @@
     def _get_fetch_delay(self) -> float:
         """Returns how long the store gets to deliver what others know already, in seconds.
 
-        An instance that does not follow the store has nothing to wait for.
+        An instance that does not follow the store, or gets no response, has nothing to wait for.
         """
-        if self._has_tables() and not self._link.is_store_follower():
+        ages = self._state.table_ages
+        is_answered = ages.find_stated_age(trio.current_time()) is not None
+        if self._has_tables() and not (is_answered and self._link.is_store_follower()):
             return 0
         return _FETCH_DELAY_SECONDS
 
--- a/src/fireflymux/entry/report_builder.py
+++ b/src/fireflymux/entry/report_builder.py
@@ -11,6 +11,7 @@
 
 from .._messages_generated import PeerReport
 from ..decisions.loads import EndpointLoad, find_load_changes
+from ..decisions.store_version import StoreVersion
 from .state import EntryState
 
 #: One in this many calls of `build` builds a full report.
@@ -19,6 +20,8 @@
 _MAXIMUM_PLACEMENTS = 40
 #: Maximum number of refused requests in one report; older ones are left out.
 _MAXIMUM_REFUSALS = 200
+#: Reports that are sent after the versions of the tables changed, as datagrams can be lost.
+_REPORTS_PER_VERSION = 3
 _MILLISECONDS_PER_SECOND = 1000.0
 #: Age stated unless the store has responded to the last call for every followed table.
 _UNKNOWN_AGE = -1
@@ -37,9 +40,14 @@
         self._state = state
         self._build_count = 0
         self._sent_loads: dict[int, EndpointLoad] = {}
+        self._told: tuple[int, StoreVersion, bool] | None = None
+        self._tell_count = 0
 
     def build(self) -> PeerReport | None:
-        """Builds the next report; returns None if nothing changed and no full one is due."""
+        """Builds the next report; returns None if nothing changed and no full one is due.
+
+        The versions of the tables count as changed for several reports.
+        """
         self._build_count += 1
         state = self._state
         is_full = self._build_count % _CALLS_PER_FULL_REPORT == 0
@@ -47,7 +55,8 @@
         loads = current if is_full else find_load_changes(self._sent_loads, current)
         placements = state.unreported_placements[:_MAXIMUM_PLACEMENTS]
         refusals = state.refused_requests.unreported
-        if not (placements or refusals or loads or is_full):
+        must_send = self._tells_versions() or is_full
+        if not (placements or refusals or loads or must_send):
             return None
         self._sent_loads = current
         state.unreported_placements = state.unreported_placements[_MAXIMUM_PLACEMENTS:]
@@ -74,6 +83,17 @@
             leaving=state.members.list_leaving() if is_full else None,
         )
 
+    def _tells_versions(self) -> bool:
+        """Tells whether the versions of the tables, or the doubt about them, are still news."""
+        state = self._state
+        is_in_doubt = state.table_ages.find_stated_age(trio.current_time()) is None
+        current = (state.configuration_version, state.members_version, is_in_doubt)
+        if current != self._told:
+            self._told = current
+            self._tell_count = _REPORTS_PER_VERSION
+        self._tell_count -= 1
+        return self._tell_count >= 0
+
 
 def _get_store_age(state: EntryState, now: float) -> int:
     """Returns the milliseconds since all tables of the store were known to be current."""
--- a/src/fireflymux/entry/state.py
+++ b/src/fireflymux/entry/state.py
@@ -21,6 +21,7 @@
 from ..decisions.membership import Endpoint, Membership
 from ..decisions.placing_policy import DEFAULT_POLICY, PlacingPolicy
 from ..decisions.refused_requests import RefusedRequests
+from ..decisions.store_changes import ListedChanges
 from ..decisions.store_version import StoreVersion
 from ..decisions.table_ages import TableAges
 from ..http.connection_pool import ConnectionPool, UpstreamPool
@@ -138,6 +139,10 @@
         """Version of the active configuration; zero before the first one."""
         return 0 if self.configuration is None else self.configuration.version
 
+    def record_store_changes(self, changes: ListedChanges) -> None:
+        """Records what a response of the store about any table shows of its changes."""
+        self.table_ages.record_response(changes, trio.current_time())
+
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Registers a function to call after each change that may let a waiting request go."""
         self._subscribers.append(callback)
--- a/src/fireflymux/entry/store_follower.py
+++ b/src/fireflymux/entry/store_follower.py
@@ -30,19 +30,16 @@
 from .supervision import supervise
 
 _log = get_logger(__name__)
-#: Maximum wait of one call for a change of a table. A connection that was lost without notice is
-#: only detected after it. The configuration can wait for longer, since newer versions are also
-#: learned from the other instances.
-_CONFIGURATION_WAIT_SECONDS = 4.0
-_ENDPOINTS_WAIT_SECONDS = 2.0
 #: Time after which an instance that does not follow checks again whether it should.
-_FOLLOWER_CHECK_SECONDS = 0.1
+_FOLLOWER_CHECK_SECONDS = 0.05
 #: Pause after a change of the endpoints, so that the next call returns several changes at once.
 _BATCH_SECONDS = 0.2
 #: Pause before the next call if the one before made no progress.
 _PAUSE_SECONDS = 0.1
 _FIRST_RETRY_DELAY_SECONDS = 0.1
 _MAXIMUM_RETRY_DELAY_SECONDS = 0.8
+#: Time until a table is asked for again while the store responds for no table.
+_IDLE_RETRY_SECONDS = 4.0
 
 ApplyRows = Callable[[Sequence[Row], bool, StoreVersion], None]
 
@@ -54,13 +51,11 @@
     Attributes:
         table: Name of the table.
         apply: Applies rows; gets them, whether they are the full table, and their version.
-        wait_seconds: Maximum wait of one call for a change.
         batch_seconds: Pause after a change before the next call.
     """
 
     table: str
     apply: ApplyRows
-    wait_seconds: float
     batch_seconds: float = 0.0
 
 
@@ -84,21 +79,16 @@
         self._state = state
         self._store = store
         self._is_follower = is_follower
-        self._unavailable_tables: set[str] = set()
+        # In the order in which they became unavailable; the values are not used.
+        self._unavailable_tables: dict[str, None] = {}
+        self._responded = trio.Event()
 
     async def run(self) -> None:
         """Reads the tables, and follows them whenever it should, until cancelled."""
         async with trio.open_nursery() as nursery:
             for followed in (
-                FollowedTable(
-                    CONFIGURATION_TABLE, self._apply_configuration, _CONFIGURATION_WAIT_SECONDS
-                ),
-                FollowedTable(
-                    ENDPOINT_TABLE,
-                    self._apply_endpoints,
-                    _ENDPOINTS_WAIT_SECONDS,
-                    batch_seconds=_BATCH_SECONDS,
-                ),
+                FollowedTable(CONFIGURATION_TABLE, self._apply_configuration),
+                FollowedTable(ENDPOINT_TABLE, self._apply_endpoints, batch_seconds=_BATCH_SECONDS),
             ):
                 follow = partial(self._follow, followed)
                 nursery.start_soon(supervise, follow, 'follow {0}'.format(followed.table))
@@ -112,6 +102,7 @@
             # Other instances can report a newer era before the store responds to this one.
             self._store.update_era(self._state.members_version.era)
             if version is not None and not self._is_follower():
+                self._state.table_ages.record_doubt(table)
                 await trio.sleep(_FOLLOWER_CHECK_SECONDS)
                 continue
             started = trio.current_time()
@@ -119,12 +110,24 @@
                 version = await self._read_or_wait(followed, version)
             except StoreUnavailable as error:
                 self._record_outage(table, error, started)
-                await trio.sleep(delay * self._state.rng.uniform(0.5, 1))
+                # A call that got no response has taken as long as a pause already.
+                passed = trio.current_time() - started
+                await self._wait_to_retry(table, max(delay - passed, _FIRST_RETRY_DELAY_SECONDS))
                 delay = min(delay * 2, _MAXIMUM_RETRY_DELAY_SECONDS)
                 continue
-            self._record_read(table, version)
             delay = _FIRST_RETRY_DELAY_SECONDS
 
+    async def _wait_to_retry(self, table: str, delay: float) -> None:
+        """Waits before the next call about a table that the store does not respond for.
+
+        While it responds for no table, only the first one is asked for at that interval.
+        """
+        if next(iter(self._unavailable_tables)) != table:
+            with trio.move_on_after(_IDLE_RETRY_SECONDS):
+                await self._responded.wait()
+            return
+        await trio.sleep(delay * self._state.rng.uniform(0.5, 1))
+
     async def _read_or_wait(
         self, followed: FollowedTable, version: StoreVersion | None
     ) -> StoreVersion | None:
@@ -140,15 +143,24 @@
         table = followed.table
         if version is None:
             snapshot = await self._store.read_table(table)
+            self._record_read(table, snapshot.version)
             followed.apply(snapshot.rows, True, snapshot.version)
             return snapshot.version
-        changes = await self._store.follow_table(table, version, followed.wait_seconds)
+        ages = self._state.table_ages
+        changes = await self._store.follow_table(
+            table,
+            version,
+            may_wait=not ages.is_in_doubt(table),
+            may_repeat=self._is_follower,
+            on_overdue=partial(ages.record_doubt, table),
+        )
         if isinstance(changes, HistoryLost):
             _log.info('history_lost', table=table, version=str(version))
             # A store that loses its history again and again is not asked without a pause, nor is
             # one that responds at once without a newer version.
             await trio.sleep(_PAUSE_SECONDS)
             return None
+        self._record_read(table, changes.version)
         if changes.rows:
             followed.apply(changes.rows, False, changes.version)
             await trio.sleep(followed.batch_seconds)
@@ -156,15 +168,16 @@
             await trio.sleep(_PAUSE_SECONDS)
         return changes.version
 
-    def _record_read(self, table: str, version: StoreVersion | None) -> None:
-        """Records a response of the store for a table; None if it no longer has the changes."""
+    def _record_read(self, table: str, version: StoreVersion) -> None:
+        """Records that the store returned a table, or its changes, up to a version."""
         now = trio.current_time()
         age = self._state.table_ages.get_age(table, now)
-        if version is not None:
-            self._state.table_ages.record_read(table, version, now)
+        self._state.table_ages.record_read(table, version, now)
         if table not in self._unavailable_tables:
             return
-        self._unavailable_tables.discard(table)
+        self._unavailable_tables.pop(table)
+        self._responded.set()
+        self._responded = trio.Event()
         _log.info('store_regained', table=table, version=str(version), age=round(age, 3))
 
     def _record_outage(self, table: str, error: StoreUnavailable, started: float) -> None:
@@ -176,7 +189,7 @@
         if table in self._unavailable_tables:
             _log.debug('store_still_lost', table=table, seconds=round(now - started, 3))
             return
-        self._unavailable_tables.add(table)
+        self._unavailable_tables[table] = None
         _log.warning(
             'store_lost',
             table=table,
--- a/src/fireflymux/platform/store.py
+++ b/src/fireflymux/platform/store.py
@@ -6,6 +6,7 @@
 """
 
 import base64
+from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import urlencode
 
@@ -13,20 +14,31 @@
 import trio
 
 from ..bounded_values import MAXIMUM_INTEGER, parse_integer
+from ..decisions.poll_timing import OVERDUE_SECONDS, choose_wait
+from ..decisions.store_changes import ListedChanges
 from ..decisions.store_version import StoreVersion
 from ..http.client_connection import ConnectFailed, ConnectionBroken
 from ..http.messages import ResponseHead, find_header
 from ..observability.logs import get_logger
+from .hedged_reads import HedgedRead
+from .pending_polls import PendingPoll, PendingPolls
 from .store_connections import StoreConnections
-from .store_rows import HistoryLost, Row, StoreReply, StoreUnavailable, TableRows, decode_page
+from .store_rows import (
+    HistoryLost,
+    Page,
+    Row,
+    StoreReply,
+    StoreUnavailable,
+    TableRows,
+    decode_page,
+)
 
 _log = get_logger(__name__)
 
 _OK = 200
 _GONE = 410
+#: Timeout of a write, and of opening a connection.
 _CALL_TIMEOUT_SECONDS = 1.5
-#: Added to the wait time of a long poll to get the timeout of its call.
-_FOLLOW_SLACK_SECONDS = 0.6
 _ROWS_PER_PAGE = 500
 #: Bytes of a malformed header field that are logged.
 _LOGGED_BYTES = 100
@@ -35,6 +47,17 @@
 _ERA_FIELD = b'store-era'
 
 
+_CALL_FAILURES = (ConnectFailed, ConnectionBroken, trio.TooSlowError, ValueError)
+
+
+def _ignore(*_: ListedChanges) -> None:
+    """Ignores changes, or that a call is overdue."""
+
+
+def _always() -> bool:
+    return True
+
+
 class StoreClient:
     """Client of the store for one process.
 
@@ -42,17 +65,21 @@
         era: Newest known era of the store, from its responses or from other instances.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, *, on_changes: Callable[[ListedChanges], None] = _ignore
+    ) -> None:
         """Creates a client without connecting.
 
         Args:
             address: IP address and port of the store.
+            on_changes: Is called with what each read shows of the changes of the store.
         """
         self.era = 0
         self._connections = StoreConnections(
             address, connect_timeout_seconds=_CALL_TIMEOUT_SECONDS
         )
-        self._follow_scopes: set[trio.CancelScope] = set()
+        self._polls = PendingPolls()
+        self._on_changes = on_changes
         self._era_changed = trio.Event()
 
     def update_era(self, era: int) -> None:
@@ -69,8 +96,7 @@
             return
         _log.warning('store_went_back', era=era, previous=self.era)
         self.era = era
-        for scope in self._follow_scopes:
-            scope.cancel()
+        self._polls.cancel()
         self._era_changed.set()
         self._era_changed = trio.Event()
 
@@ -97,7 +123,7 @@
         while True:
             # Tables are always used with the empty `part`.
             query = {'table': table, 'part': '', 'from': start, 'limit': _ROWS_PER_PAGE}
-            page = decode_page(await self._call('GET', 'rows-get', query))
+            page = self._decode_page(await self._read('rows-get', query))
             rows.extend(page.rows)
             # The version of the first page: changes made since then are followed from there.
             version = version or page.version
@@ -114,14 +140,21 @@
         self,
         table: str,
         after: StoreVersion,
-        wait_seconds: float,
+        *,
+        may_wait: bool = True,
+        may_repeat: Callable[[], bool] = _always,
+        on_overdue: Callable[[], None] = _ignore,
     ) -> TableRows | HistoryLost:
-        """Waits for changes to a table with one long poll.
+        """Waits for changes to a table with one long poll, which is repeated if it is overdue.
 
         Args:
             table: Name of the table.
             after: Version up to which the changes are known.
-            wait_seconds: Time after which the store responds even without a change.
+            may_wait: Whether the store may wait for a change (see `poll_timing`); it responds at
+                once otherwise.
+            may_repeat: Tells whether the call is repeated before it is overdue, if a response about
+                another table shows that there are changes.
+            on_overdue: Is called when the response is overdue, before the call is repeated.
 
         Returns:
             The changed rows in order, possibly none, or `HistoryLost` if the store no longer
@@ -130,26 +163,17 @@
         Raises:
             StoreUnavailable: The call failed or was rejected.
         """
-        query = {
-            'table': table,
-            'after': after.number,
-            'wait_ms': int(wait_seconds * _MILLISECONDS_PER_SECOND),
-        }
-        timeout = wait_seconds + _FOLLOW_SLACK_SECONDS
+        now = trio.current_time()
+        wait_seconds = choose_wait(now, self._polls.list_ends()) if may_wait else 0
         reply: StoreReply | None = None
-        with trio.CancelScope() as scope:
-            self._follow_scopes.add(scope)
-            try:
-                reply = await self._call(
-                    'GET', 'rows-feed', query, timeout=timeout, followed_table=table
-                )
-            finally:
-                self._follow_scopes.discard(scope)
+        poll = PendingPoll(after, now + wait_seconds, may_repeat)
+        with self._polls.add(poll):
+            reply = await self._poll(table, poll, wait_seconds, on_overdue)
         # `reply` is None if `update_era` cancelled the call. Version numbers are reused in each
         # era, so changes since a version of an older era cannot be requested.
         if reply is None or after.era != self.era or reply.status == _GONE:
             return HistoryLost()
-        page = decode_page(reply)
+        page = self._decode_page(reply)
         return TableRows(page.rows, page.version)
 
     async def put_row(self, table: str, key: str, content: bytes) -> None:
@@ -183,36 +207,70 @@
         await self._write({'expect': [], 'writes': [], 'remove': [row]})
 
     async def _write(self, change: dict[str, Any]) -> None:
-        reply = await self._call('POST', 'rows-tx', {}, change=change)
+        try:
+            with trio.fail_after(_CALL_TIMEOUT_SECONDS):
+                reply = await self._exchange('POST /api/rows-tx HTTP/1.1', orjson.dumps(change))
+        except _CALL_FAILURES as error:
+            raise StoreUnavailable(repr(error)) from error
         if reply.status != _OK:
             raise StoreUnavailable('store responded with status {0}'.format(reply.status))
 
-    async def _call(
+    async def _poll(
         self,
-        method: str,
-        name: str,
-        query: dict[str, Any],
-        *,
-        change: Any = None,
-        timeout: float = _CALL_TIMEOUT_SECONDS,
-        followed_table: str = '',
+        table: str,
+        poll: PendingPoll,
+        wait_seconds: float,
+        on_overdue: Callable[[], None],
     ) -> StoreReply:
-        target = '/api/{0}'.format(name)
-        if query:
-            target = '{0}?{1}'.format(target, urlencode(query))
-        content = b'' if change is None else orjson.dumps(change)
+        """Sends a long poll; its repetition does not wait for changes."""
+        after = poll.after.number
+
+        async def send(is_repeat: bool) -> StoreReply:
+            wait = 0 if is_repeat else int(wait_seconds * _MILLISECONDS_PER_SECOND)
+            query = {'table': table, 'after': after, 'wait_ms': wait}
+            line = _encode_start_line('rows-feed', query)
+            return await self._exchange(line, followed_table=table)
+
+        def record_overdue() -> None:
+            on_overdue()
+            self._polls.repeat_all()
+
+        return await self._run_read(
+            HedgedRead(send, failures=_CALL_FAILURES).run(
+                wait_seconds + OVERDUE_SECONDS,
+                wait_for_repeat=poll.wait_for_repeat,
+                on_overdue=record_overdue,
+            )
+        )
+
+    async def _read(self, name: str, query: dict[str, Any]) -> StoreReply:
+        line = _encode_start_line(name, query)
+
+        async def send(is_repeat: bool) -> StoreReply:
+            return await self._exchange(line)
+
+        return await self._run_read(HedgedRead(send, failures=_CALL_FAILURES).run(OVERDUE_SECONDS))
+
+    async def _run_read(self, read: Awaitable[StoreReply]) -> StoreReply:
         try:
-            with trio.fail_after(timeout):
-                reply = await self._exchange(
-                    '{0} {1} HTTP/1.1'.format(method, target), content, followed_table
-                )
-        except (ConnectFailed, ConnectionBroken, trio.TooSlowError, ValueError) as error:
+            reply = await read
+        except _CALL_FAILURES as error:
             raise StoreUnavailable(repr(error)) from error
         if reply.era < self.era:
             raise StoreUnavailable('response is of the outdated era {0}'.format(reply.era))
         return reply
 
-    async def _exchange(self, start_line: str, content: bytes, followed_table: str) -> StoreReply:
+    def _decode_page(self, reply: StoreReply) -> Page:
+        """Decodes the response to a read, and records what it shows of the store's changes."""
+        page = decode_page(reply)
+        changes = ListedChanges(page.version, frozenset(row.number for row in page.rows))
+        self._on_changes(changes)
+        self._polls.record_changes(changes)
+        return page
+
+    async def _exchange(
+        self, start_line: str, content: bytes = b'', *, followed_table: str = ''
+    ) -> StoreReply:
         response = await self._connections.exchange(
             start_line, content, followed_table=followed_table
         )
@@ -229,3 +287,7 @@
         if era is None and stated:
             _log.warning('era_malformed', stated=stated[:_LOGGED_BYTES].decode('latin-1'))
         return self.era if era is None else era
+
+
+def _encode_start_line(name: str, query: dict[str, Any]) -> str:
+    return 'GET /api/{0}?{1} HTTP/1.1'.format(name, urlencode(query))
