Find the part of prompts that crashes engines over the whole fleet, and quarantine it

Cause: crashes were counted by a digest of account, path and body. Requests of which no two are alike never added up, so that none was ever refused. The class: blame put on the message instead of on what messages share. Change: each part of a prompt but the last is counted with the endpoints that ended under it, where ended means that no new connection is accepted or another incarnation is listed; a part that any instance has completed in the last minute is not counted, and cleared for the others. Three crashes quarantine a part; it is checked before placing and before sending, so also for requests that waited, are retried or resumed. Counts that change are told at once in datagrams of their own, which earlier builds drop, and stay in full reports. The caller is told request_quarantined, 503, or 504 if its request may have run. A quarantine ends after 120 s by a trial: the next crash begins it again. Of counts beyond 500 those with the fewest crashes go first. Why it works: the part is in every crash and in no complete answer; what sound requests share is completed many times a second.

--- a/emulator/crashing_endpoint.py
+++ b/emulator/crashing_endpoint.py
@@ -10,7 +10,7 @@
 import trio
 
 from fireflymux.entry.listeners import Listener
-from fireflymux.http.messages import HttpLimits, Request, find_header
+from fireflymux.http.messages import HeaderFields, HttpLimits, Request, find_header
 from fireflymux.http.response_writer import ResponseWriter
 
 from .entry_fleet import EntryFleet, free_port
@@ -98,12 +98,16 @@
             self.crashes.append(trio.current_time())
             self._ended.set()
             await trio.sleep_forever()
-        await writer.start(200, [*fields, (b'Content-Type', b'text/event-stream')], b'')
         after = int(find_header(request.fields, b'last-event-id') or b'0')
-        for number in range(after + 1, _EVENTS + 1):
-            await writer.send_chunk(b'id: %d\ndata: word\n\n' % number)
-            await trio.sleep(_EVENT_INTERVAL_SECONDS)
-        await writer.end()
+        await _stream(writer, fields, after)
+
+
+async def _stream(writer: ResponseWriter, fields: HeaderFields, after: int) -> None:
+    await writer.start(200, [*fields, (b'Content-Type', b'text/event-stream')], b'')
+    for number in range(after + 1, _EVENTS + 1):
+        await writer.send_chunk(b'id: %d\ndata: word\n\n' % number)
+        await trio.sleep(_EVENT_INTERVAL_SECONDS)
+    await writer.end()
 
 
 def _ignore() -> None:
--- a/features/steps/crash_count_steps.py
+++ b/features/steps/crash_count_steps.py
@@ -51,7 +51,9 @@
             old_reports = [sender.report(now) for sender in counts]
         _exchange_reports(counts, float(len(actions)))
         expected = crashes >= 3
-        assert [own.must_refuse(_FINGERPRINT) for own in counts] == [expected] * _INSTANCES
+        assert [own.must_refuse(_FINGERPRINT, float(len(actions))) for own in counts] == [
+            expected
+        ] * _INSTANCES
         if not actions or actions[-1][0] == 'report':
             return
         # An answer clears the count at an instance that is told of it, also if a report from
@@ -61,7 +63,7 @@
         counts[receiver].merge(str(last), counts[last].report(float(len(actions))))
         third = (last + 2) % _INSTANCES
         counts[receiver].merge(str(third), old_reports[third])
-        assert not counts[receiver].must_refuse(_FINGERPRINT)
+        assert not counts[receiver].must_refuse(_FINGERPRINT, float(len(actions)))
 
     run()
 
@@ -84,7 +86,7 @@
     for number in range(3):
         sequential.record(_FINGERPRINT, endpoint=1, sent_at=number + 0.5, now=number + 1.0)
     context.crash_results = (
-        [counts.must_refuse(_FINGERPRINT) for counts in overlapping],
+        [counts.must_refuse(_FINGERPRINT, 1.0) for counts in overlapping],
         sequential,
     )
 
@@ -93,4 +95,4 @@
 def check_overlapping_crashes(context):
     overlapping, sequential = context.crash_results
     assert not any(overlapping), overlapping
-    assert sequential.must_refuse(_FINGERPRINT)
+    assert sequential.must_refuse(_FINGERPRINT, 3.0)
--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -6,8 +6,7 @@
 from behave import given, then, when
 
 from emulator.crashing_endpoint import start_crashing_endpoints
-from emulator.entry_fleet import configuration, exchange, open_fleet, route
-from emulator.entry_fleet import encode_call
+from emulator.entry_fleet import configuration, encode_call, exchange, open_fleet, route
 
 _BAD_PART = 'bad0'
 _CONTACT_SECONDS = 3.0
@@ -26,6 +25,12 @@
 def set_fleet(context, count, engines):
     context.instances = count
     context.engines = engines
+    context.down_seconds = _DOWN_SECONDS
+
+
+@given('each engine starts again after {seconds:f} seconds')
+def set_down_seconds(context, seconds):
+    context.down_seconds = seconds
 
 
 async def _start(context, fleet, nursery, kind):
@@ -35,7 +40,7 @@
         context.engines,
         service='pool',
         bad_part=_BAD_PART,
-        down_seconds=_DOWN_SECONDS,
+        down_seconds=context.down_seconds,
     )
     changes = {'stream_resume': True} if kind == 'streaming' else {}
     routes = [route('/', kind, 'pool', session_affinity=True, **changes)]
--- a/features/steps/outside_peer_steps.py
+++ b/features/steps/outside_peer_steps.py
@@ -169,7 +169,8 @@
         counts = fleet.instances[0]._state.crashes
         for fingerprint in (1, 2):
             counts.record(fingerprint, endpoint=9, sent_at=0, now=trio.current_time())
-        return counts.report(trio.current_time()), counts.must_refuse(1), counts.must_refuse(2)
+        now = trio.current_time()
+        return counts.report(now), counts.must_refuse(1, now), counts.must_refuse(2, now)
 
     _run_on_fleet(context, act)
 
--- a/src/fireflymux/_messages_generated.py
+++ b/src/fireflymux/_messages_generated.py
@@ -256,6 +256,15 @@
     warming: list[int]
 
 
+@define(frozen=True, kw_only=True)
+class PeerCrashNotice:
+    """Crash counts of an entry instance that changed lately; it fits into one datagram and can be applied in any order and more than once."""
+
+    kind: str
+    instance: str
+    counts: list[list[int]]
+
+
 @define(frozen=True, kw_only=True)
 class PeerDatagram:
     """One part of the encoded report of an entry instance."""
--- a/src/fireflymux/entry/calls.py
+++ b/src/fireflymux/entry/calls.py
@@ -52,6 +52,7 @@
     tried_endpoints: set[int] = attrs.field(factory=set)
     history: AttemptHistory = attrs.field(factory=AttemptHistory)
     is_in_flight: bool = False
+    _part_fingerprints: tuple[int, ...] | None = attrs.field(default=None, init=False)
 
     @property
     def may_have_run(self) -> bool:
@@ -81,6 +82,29 @@
         digest.update(self.account.encode())
         return int.from_bytes(digest.digest(), 'big')
 
+    def part_fingerprints(self) -> tuple[int, ...]:
+        """Returns digests of service and part, for all parts of the prompt but the last.
+
+        Other requests can share these parts.
+        """
+        if self._part_fingerprints is None:
+            shared = self.metadata.parts[:-1]
+            self._part_fingerprints = tuple(
+                _digest_part(self.service, part.identifier) for part in shared
+            )
+        return self._part_fingerprints
+
+    def describe_part(self, fingerprint: int) -> str:
+        """Returns the identifier of the part with a fingerprint, as the caller sent it."""
+        index = self.part_fingerprints().index(fingerprint)
+        return '{0:x}'.format(self.metadata.parts[index].identifier)
+
+
+def _digest_part(service: str, identifier: int) -> int:
+    content = '{0} {1:x}'.format(service, identifier).encode()
+    digest = hashlib.blake2b(content, digest_size=_FINGERPRINT_BYTES)
+    return int.from_bytes(digest.digest(), 'big')
+
 
 def admit_call(
     state: EntryState,
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -34,6 +34,7 @@
     Whole,
 )
 from .placement_log import log_not_placed, log_placed
+from .quarantine import find_quarantine, record_crash
 from .retry_allowances import RetryAllowances
 from .service_queue import refund_placement, release_placement
 from .service_queues import ServiceQueues
@@ -167,11 +168,13 @@
     async def _run(self, call: Call) -> Whole | Relayed | Abandoned | CallFailure:
         """Makes attempts until one succeeds or no further one is allowed."""
         while True:
-            if self._is_crashing(call):
-                return CallFailure(ErrorKind.endpoint_crashed, 'it broke off on several endpoints')
             waiting = await self._place(call)
             if isinstance(waiting, CallFailure):
                 return waiting
+            quarantine = find_quarantine(self._state, call)
+            if quarantine is not None:
+                release_placement(self._state, waiting)
+                return quarantine
             outcome = await self._run_attempt(call, waiting)
             if isinstance(outcome, Relayed | Abandoned) or _is_success(outcome):
                 return outcome
@@ -179,11 +182,6 @@
                 continue
             return outcome if isinstance(outcome, Whole) else build_attempt_failure(call, outcome)
 
-    def _is_crashing(self, call: Call) -> bool:
-        """Tells whether too many attempts of the request broke off, on any instance."""
-        crashes = self._state.crashes
-        return not crashes.is_empty and crashes.must_refuse(call.fingerprint())
-
     async def _place(self, call: Call) -> WaitingRequest | CallFailure:
         """Waits until the request is placed; returns the reason if it is refused instead."""
         waiting = WaitingRequest(
@@ -201,7 +199,9 @@
         )
         patience = self._state.policy.patience_part * call.route.target_seconds
         until = min(trio.current_time() + patience, call.deadline)
-        failure = find_unavailability(self._state, call, until=until)
+        failure = find_quarantine(self._state, call) or find_unavailability(
+            self._state, call, until=until
+        )
         if failure is not None:
             return failure
         # A retry is not counted as demand again if an earlier attempt sent the request; one that
@@ -255,7 +255,7 @@
             ),
         )
         call.is_in_flight = False
-        self._record_crash(call, outcome, live.number, started)
+        await record_crash(self._state, call, outcome, live, started)
         self._metrics.attempts.inc({'pool': call.service, 'result': type(outcome).__name__})
         if isinstance(outcome, NotSent | Rejected | Abandoned):
             refund_placement(self._state, waiting)
@@ -272,14 +272,6 @@
             )
         return outcome
 
-    def _record_crash(self, call: Call, outcome: Outcome, endpoint: int, started: float) -> None:
-        crashes = self._state.crashes
-        now = trio.current_time()
-        if isinstance(outcome, Broken):
-            crashes.record(call.fingerprint(), endpoint=endpoint, sent_at=started, now=now)
-        elif isinstance(outcome, Whole | Relayed) and not crashes.is_empty:
-            crashes.record_response(call.fingerprint(), now)
-
     def _may_retry(self, call: Call, outcome: Outcome) -> bool:
         """Records how an attempt ended, and tells whether another one follows."""
         now = trio.current_time()
--- a/src/fireflymux/entry/peer_link.py
+++ b/src/fireflymux/entry/peer_link.py
@@ -14,7 +14,6 @@
 
 from .._messages_generated import PeerDatagram, PeerReport
 from ..bounded_values import is_ipv4_address
-from ..decisions.crash_counts import CrashCount
 from ..decisions.followers import FRESH_SECONDS, is_follower
 from ..decisions.loads import EndpointLoad
 from ..decisions.prompts import PromptPart
@@ -26,6 +25,7 @@
 )
 from ..decisions.store_version import StoreVersion
 from ..observability.logs import get_logger
+from .crash_notices import CrashNoticeBuilder, apply_if_crash_notice, decode_counts
 from .endpoint_wishes import mark_leaving
 from .entry_metrics import EntryMetrics
 from .peer_notices import NoticeBuilder, apply_if_notice
@@ -45,8 +45,6 @@
 _MAXIMUM_DATAGRAM_BYTES = 65536
 #: Numbers per endpoint in the loads of a report: its number, pending tokens, running requests.
 _LOAD_FIELDS = 3
-#: Greatest generation of a crash count that is taken over, since a response increases it.
-_MAXIMUM_GENERATION = 1000000
 _MILLISECONDS_PER_SECOND = 1000.0
 #: How long the list of heard instances is reused before it is computed again.
 _HEARD_CACHE_SECONDS = 0.1
@@ -109,6 +107,7 @@
         self._metrics = metrics
         self._reports = ReportBuilder(state)
         self._notices = NoticeBuilder(state)
+        self._crash_notices = CrashNoticeBuilder(state)
         self._heard_cache: list[KnownInstance] = []
         self._heard_cache_until = float('-inf')
         self._splitter = ReportSplitter(state.host, state.settings.failure_domain, state.rng)
@@ -190,9 +189,9 @@
     async def _send(self, sock: socket.socket) -> None:
         while True:
             await trio.sleep(choose_report_interval(self.count_heard()))
-            notice = self._notices.build()
-            for host in self.list_hosts() if notice else ():
-                self._send_to(sock, host, notice)
+            for notice in (*self._notices.build(), *self._crash_notices.build()):
+                for host in self.list_hosts():
+                    self._send_to(sock, host, notice)
             report = self._reports.build()
             if report is None:
                 continue
@@ -255,6 +254,8 @@
         try:
             if apply_if_notice(self._state, received):
                 return
+            if apply_if_crash_notice(self._state, received):
+                return
             datagram = decode_datagram(received)
             self._relay_to_neighbours(sock, datagram)
             self._handle_datagram(datagram)
@@ -318,7 +319,9 @@
         mark_leaving(state, report.leaving or (), report.instance)
         # Usage counts the tokens of placed requests (given), demand those of all requests (asked).
         state.shares.merge(report.instance, given=report.usage, asked=report.demand, now=now)
-        state.crashes.merge(report.instance, _decode_crashes(report))
+        counts = decode_counts(report.instance, report.crashes)
+        state.crashes.merge(report.instance, counts)
+        state.part_crashes.clear_completed(counts, now)
 
 
 def _decode_loads(encoded: list[int]) -> dict[int, EndpointLoad]:
@@ -329,17 +332,6 @@
     }
 
 
-def _decode_crashes(report: PeerReport) -> list[CrashCount]:
-    """Returns the crash counts of a report, without those whose generation is out of range."""
-    counts: list[CrashCount] = []
-    for fingerprint, generation, *endpoints in report.crashes or ():
-        if generation > _MAXIMUM_GENERATION:
-            _log.warning('crash_count_malformed', peer=report.instance, generation=generation)
-            continue
-        counts.append(CrashCount(fingerprint, generation, tuple(endpoints)))
-    return counts
-
-
 def _parse_seed_hosts(seeds: str) -> list[str]:
     """Returns the IPv4 addresses in the setting `seeds`, a list of hosts with ports."""
     hosts = [entry.strip().rpartition(':')[0] for entry in seeds.split(',') if entry.strip()]
--- a/src/fireflymux/entry/peer_notices.py
+++ b/src/fireflymux/entry/peer_notices.py
@@ -88,8 +88,8 @@
         self._warming: frozenset[int] = frozenset()
         self._sent_at = float('-inf')
 
-    def build(self) -> bytes:
-        """Builds and encodes a notice; returns nothing if there is nothing to tell now."""
+    def build(self) -> list[bytes]:
+        """Builds and encodes a notice; returns none if there is nothing to tell now."""
         now = trio.current_time()
         newest = self._state.candidates.evacuations.newest
         warming = self._find_warming(now)
@@ -100,11 +100,11 @@
         if not is_new and now < self._sent_at + self._find_interval(
             now, has_warming=bool(warming)
         ):
-            return b''
+            return []
         self._told = newest
         self._warming = frozenset(warming)
         self._sent_at = now
-        return self._encode(newest, warming)
+        return [self._encode(newest, warming)]
 
     def _find_interval(self, now: float, *, has_warming: bool) -> float:
         """Returns the time until the next notice while nothing changes."""
--- a/src/fireflymux/entry/report_builder.py
+++ b/src/fireflymux/entry/report_builder.py
@@ -12,6 +12,7 @@
 from .._messages_generated import PeerReport
 from ..decisions.loads import EndpointLoad, find_load_changes
 from ..decisions.store_version import StoreVersion
+from .crash_notices import encode_counts
 from .state import EntryState
 
 #: One in this many calls of `build` builds a full report.
@@ -74,12 +75,7 @@
             refusals=refusals[-_MAXIMUM_REFUSALS:],
             usage=_round_tokens(state.shares.given.report(now)) if is_full else None,
             demand=_round_tokens(state.shares.asked.report(now)) if is_full else None,
-            crashes=[
-                [count.fingerprint, count.generation, *count.endpoints]
-                for count in state.crashes.report(now)
-            ]
-            if is_full
-            else None,
+            crashes=encode_counts(state.crashes.report(now)) if is_full else None,
             leaving=state.members.list_leaving() if is_full else None,
         )
 
--- a/src/fireflymux/entry/state.py
+++ b/src/fireflymux/entry/state.py
@@ -19,9 +19,9 @@
 from ..decisions.first_event_model import SlotTimeModel
 from ..decisions.loads import FleetLoads
 from ..decisions.membership import Endpoint, Membership
+from ..decisions.part_crashes import PartCrashes
 from ..decisions.placing_policy import DEFAULT_POLICY, PlacingPolicy
 from ..decisions.refused_requests import RefusedRequests
-from ..decisions.store_changes import ListedChanges
 from ..decisions.store_version import StoreVersion
 from ..decisions.table_ages import TableAges
 from ..http.connection_pool import ConnectionPool, UpstreamPool
@@ -29,6 +29,7 @@
 from ..platform.configuration_row import CONFIGURATION_TABLE
 from ..platform.endpoint_row import ENDPOINT_TABLE
 from .candidates import Candidates
+from .endpoint_crashes import record_endpoint_gone
 from .live_endpoint import LiveEndpoint, apply_capacity, create_live_endpoint
 
 _log = get_logger(__name__)
@@ -64,7 +65,7 @@
             and the endpoints that are warming up.
         loads: Outstanding work of each endpoint, over all instances.
         shares: Demand and usage of each account, over all instances.
-        crashes: Counts of attempts that broke off, by `Call.fingerprint` of the request.
+        part_crashes: Finds the parts of prompts that crash endpoints, by `Call.part_fingerprints`.
         refused_requests: Recently refused requests, which callers may send again, by
             `Call.checksum`; the class calls that digest a fingerprint.
         unreported_placements: Placed prompts that no report has named yet, encoded for the
@@ -113,7 +114,7 @@
         )
         self.loads = FleetLoads()
         self.shares = FairShares(settings.share_window_seconds)
-        self.crashes = CrashCounts()
+        self.part_crashes = PartCrashes(CrashCounts())
         self.refused_requests = RefusedRequests()
         self.unreported_placements: list[list[int]] = []
         self.table_ages = TableAges(FOLLOWED_TABLES)
@@ -129,6 +130,11 @@
         """IP address at which the other instances reach this one."""
         return self.settings.peer_advertised_host or self.settings.peer_host
 
+    @property
+    def crashes(self) -> CrashCounts:
+        """Counts of crashes, by `Call.fingerprint` and `Call.part_fingerprints` of requests."""
+        return self.part_crashes.counts
+
     @property
     def is_ready(self) -> bool:
         """Whether it has a configuration and a list of endpoints, and is not shutting down."""
@@ -139,10 +145,6 @@
         """Version of the active configuration; zero before the first one."""
         return 0 if self.configuration is None else self.configuration.version
 
-    def record_store_changes(self, changes: ListedChanges) -> None:
-        """Records what a response of the store about any table shows of its changes."""
-        self.table_ages.record_response(changes, trio.current_time())
-
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Registers a function to call after each change that may let a waiting request go."""
         self._subscribers.append(callback)
@@ -185,8 +187,7 @@
             # One at another address is another one: the connections lead to the address before.
             if number not in current or current[number].address != known.endpoint.address:
                 self._endpoints.pop(number)
-                known.pool.close()
-                _log.info('endpoint_gone', endpoint=known.endpoint.identifier)
+                self._drop_endpoint(known)
         for number, endpoint in current.items():
             self._update_endpoint(number, endpoint)
         self._by_service = {}
@@ -241,6 +242,11 @@
                 until=round(record.ejected_until, 1),
             )
 
+    def _drop_endpoint(self, live: LiveEndpoint) -> None:
+        live.pool.close()
+        _log.info('endpoint_gone', endpoint=live.endpoint.identifier)
+        record_endpoint_gone(self.part_crashes, live)
+
     def _update_endpoint(self, number: int, endpoint: Endpoint) -> None:
         """Adds an endpoint, or applies its new entry."""
         known = self._endpoints.get(number)
--- a/src/fireflymux/errors.py
+++ b/src/fireflymux/errors.py
@@ -42,6 +42,7 @@
     call_in_progress = 'call_in_progress'
     outcome_unknown = 'outcome_unknown'
     crash_suspected = 'crash_suspected'
+    request_quarantined = 'request_quarantined'
     endpoint_crashed = 'endpoint_crashed'
     answer_cut = 'answer_cut'
     answer_expired = 'answer_expired'
@@ -168,6 +169,12 @@
             60,
             'Endpoints crashed while they ran this request',
         ),
+        ErrorKind.request_quarantined: ErrorResponse(
+            503,
+            ExecutionStatus.no,
+            60,
+            'Endpoints crashed while they ran such requests',
+        ),
         ErrorKind.endpoint_crashed: ErrorResponse(
             502,
             ExecutionStatus.unknown,
