Promise nothing of a repeated request that broke off on several endpoints

Such a request gets 502 as before; only one whose prompt shares a part with others is told prompt_quarantined, a kind that now names what it is.

--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -149,5 +149,5 @@
     refused = [(seconds, reply) for sent, seconds, reply in context.bad if sent > limit]
     assert refused
     for seconds, reply in refused:
-        assert b'request_quarantined' in reply.content, (reply.status, reply.content)
+        assert b'prompt_quarantined' in reply.content, (reply.status, reply.content)
         assert seconds < _AT_ONCE_SECONDS, seconds
--- a/features/steps/part_crash_steps.py
+++ b/features/steps/part_crash_steps.py
@@ -134,4 +134,4 @@
 @then('none of them is refused as one that crashes endpoints')
 def check_not_refused(context):
     kinds = [reply.content for reply in context.result]
-    assert not any(b'request_quarantined' in content for content in kinds), kinds
+    assert not any(b'prompt_quarantined' in content for content in kinds), kinds
--- a/src/fireflymux/entry/quarantine.py
+++ b/src/fireflymux/entry/quarantine.py
@@ -35,16 +35,17 @@
     if state.crashes.is_empty:
         return None
     now = trio.current_time()
-    detail = 'it broke off on several endpoints'
-    if not state.crashes.must_refuse(call.fingerprint(), now):
-        cause = state.part_crashes.find_cause(call.part_fingerprints(), now)
-        if cause is None:
-            return None
-        detail = 'part {0} of its prompt crashed endpoints {1}'.format(
-            call.describe_part(cause), _describe_crashes(state, cause, now)
-        )
+    if state.crashes.must_refuse(call.fingerprint(), now):
+        # It was sent before, by another attempt of its caller, so that nothing is promised.
+        return CallFailure(ErrorKind.endpoint_crashed, 'it broke off on several endpoints')
+    cause = state.part_crashes.find_cause(call.part_fingerprints(), now)
+    if cause is None:
+        return None
+    detail = 'part {0} of its prompt crashed endpoints {1}'.format(
+        call.describe_part(cause), _describe_crashes(state, cause, now)
+    )
     ran = ExecutionStatus.unknown if call.may_have_run else ExecutionStatus.no
-    return CallFailure(ErrorKind.request_quarantined, detail, ran=ran)
+    return CallFailure(ErrorKind.prompt_quarantined, detail, ran=ran)
 
 
 async def record_crash(
--- a/src/fireflymux/errors.py
+++ b/src/fireflymux/errors.py
@@ -42,7 +42,7 @@
     call_in_progress = 'call_in_progress'
     outcome_unknown = 'outcome_unknown'
     crash_suspected = 'crash_suspected'
-    request_quarantined = 'request_quarantined'
+    prompt_quarantined = 'prompt_quarantined'
     endpoint_crashed = 'endpoint_crashed'
     answer_cut = 'answer_cut'
     answer_expired = 'answer_expired'
@@ -169,11 +169,11 @@
             60,
             'Endpoints crashed while they ran this request',
         ),
-        ErrorKind.request_quarantined: ErrorResponse(
+        ErrorKind.prompt_quarantined: ErrorResponse(
             503,
             ExecutionStatus.no,
             60,
-            'Endpoints crashed while they ran such requests',
+            'Endpoints crashed while they ran prompts with a part of this one',
         ),
         ErrorKind.endpoint_crashed: ErrorResponse(
             502,
