Answer the requests that a stopping instance cannot finish, and give endpoints no more time than it has left

What callers saw (reported by other operators, and shown here): a request that runs at the SIGTERM, or comes until 2.5 s after it, and needs longer than the shutdown timeout ended without an answer, also one that must not repeat. Cause: the instance only waited for its requests and then exited; their deadlines stayed those of the callers. Change: 0.3 s before the shutdown timeout, with its exit margin, is over, requests end with a response that is true about what ran: 504 if they may have, 503 if not; streams end as broken off. What is sent to endpoints meanwhile has no later deadline. Nothing ends earlier than before for an endpoint's silence.

--- a/emulator/backend.py
+++ b/emulator/backend.py
@@ -132,6 +132,17 @@
     await trio.sleep_forever()
 
 
+async def _stream_endlessly(
+    request: Request, writer: ResponseWriter, fields: HeaderFields
+) -> None:
+    await writer.start(200, fields, b'')
+    number = 0
+    while True:
+        number += 1
+        await writer.send_chunk(b'id: %d\ndata: piece\n\n' % number)
+        await trio.sleep(_EVENT_INTERVAL_SECONDS)
+
+
 async def _answer_in_two_codings(
     request: Request, writer: ResponseWriter, fields: HeaderFields
 ) -> None:
@@ -393,6 +404,7 @@
             'answer after a stray one': _answer_after_unrelated_response,
             'answer twice': _answer_twice,
             'stream': _stream,
+            'stream endlessly': _stream_endlessly,
             'stream with a long id': _stream_with_long_id,
             'events without ids': _stream_without_ids,
             'events of another type': _answer_with(
--- a/src/fireflymux/entry/call_failures.py
+++ b/src/fireflymux/entry/call_failures.py
@@ -8,10 +8,17 @@
 from .outcomes import Outcome, Rejected
 
 
-def build_deadline_failure(call: Call) -> CallFailure:
-    """Builds the failure of a call whose time is over."""
-    kind = ErrorKind.outcome_unknown if call.may_have_run else ErrorKind.queue_timeout
-    return CallFailure(kind, 'the time of the request is over')
+def build_end_failure(call: Call, *, is_stopping: bool) -> CallFailure:
+    """Builds the failure of a call that has to end.
+
+    Args:
+        call: The call.
+        is_stopping: Whether the instance ends it as it shuts down; its time is over otherwise.
+    """
+    detail = 'the instance shuts down' if is_stopping else 'the time of the request is over'
+    if call.may_have_run:
+        return CallFailure(ErrorKind.outcome_unknown, detail)
+    return CallFailure(ErrorKind.shutting_down if is_stopping else ErrorKind.queue_timeout, detail)
 
 
 def build_placing_failure(call: Call) -> CallFailure:
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -19,7 +19,7 @@
 from ..platform.call_headers import RequestMetadata, decode_request_headers
 from .attempt import Attempt, run_attempt
 from .availability import find_unavailability
-from .call_failures import build_attempt_failure, build_deadline_failure, build_placing_failure
+from .call_failures import build_attempt_failure, build_end_failure, build_placing_failure
 from .calls import Call, admit_call
 from .entry_metrics import EntryMetrics, TokenState
 from .failure_responses import write_failure
@@ -64,10 +64,24 @@
         """
         self.running = 0
         self.queues = ServiceQueues(state)
+        self._scopes: set[trio.CancelScope] = set()
+        self._ends_at = float('inf')
         self._state = state
         self._metrics = metrics
         self._retry_allowances = RetryAllowances(state)
 
+    def end_requests_at(self, time: float) -> None:
+        """Ends all requests at a time with a response that is true about what has run.
+
+        Those that come until then get no more time at endpoints, either.
+
+        Args:
+            time: Time in seconds.
+        """
+        self._ends_at = time
+        for scope in self._scopes:
+            scope.deadline = min(scope.deadline, time)
+
     async def handle_request(self, request: Request, writer: ResponseWriter) -> None:
         """Decodes the header fields of a request and handles it.
 
@@ -124,14 +138,7 @@
     async def _handle_admitted(self, call: Call, writer: ResponseWriter) -> None:
         """Runs an admitted request; writes the response, or an error soon after the deadline."""
         self._retry_allowances.get(call.service).count_request(trio.current_time())
-        result: Whole | Relayed | Abandoned | CallFailure | None = None
-        try:
-            with trio.move_on_at(call.deadline + _RESPONSE_MARGIN_SECONDS):
-                result = await self._run(call)
-        except trio.Cancelled:
-            # The connection cancels the handler of a request when the caller closes it.
-            self._log_end('caller_left', call)
-            raise
+        result = await self._run_in_time(call)
         if isinstance(result, Whole) and _is_false_promise(call, result):
             call.history.may_have_run = True
             detail = 'status {0}, but not stated that it did not run'.format(result.status)
@@ -147,7 +154,23 @@
             self._log_end('caller_left', call)
             writer.abort()
             return
-        await self._fail(call, result or build_deadline_failure(call), writer)
+        await self._fail(call, result, writer)
+
+    async def _run_in_time(self, call: Call) -> Whole | Relayed | Abandoned | CallFailure:
+        """Runs a call until it is done, its time is over or the instance has to end it."""
+        ends_at = min(call.deadline + _RESPONSE_MARGIN_SECONDS, self._ends_at)
+        scope = trio.CancelScope(deadline=ends_at)
+        self._scopes.add(scope)
+        try:
+            with scope:
+                return await self._run(call)
+        except trio.Cancelled:
+            # The connection cancels the handler of a request when the caller closes it.
+            self._log_end('caller_left', call)
+            raise
+        finally:
+            self._scopes.discard(scope)
+        return build_end_failure(call, is_stopping=scope.deadline == self._ends_at)
 
     def _record_answer(self, call: Call, answer: Whole) -> None:
         self._count_result(call, 'whole')
@@ -247,7 +270,7 @@
                 account=call.account,
                 live=live,
                 placement=placement,
-                deadline=call.deadline,
+                deadline=min(call.deadline, self._ends_at),
                 relay=call.relay,
                 metrics=self._metrics,
                 has_caller_disconnected=call.has_caller_disconnected,
--- a/src/fireflymux/entry/instance.py
+++ b/src/fireflymux/entry/instance.py
@@ -39,6 +39,8 @@
 _BALANCER_NOTICE_SECONDS = 2.5
 #: Time kept free for the exit, since the process is killed when the shutdown timeout ends.
 _EXIT_MARGIN_SECONDS = 0.6
+#: Time kept for the responses to the requests that are not done when the shutdown timeout ends.
+_LAST_RESPONSES_SECONDS = 0.3
 _POLL_SECONDS = 0.05
 _TICK_SECONDS = 0.02
 #: Time between two checks of the idle connections to endpoints.
@@ -149,6 +151,7 @@
         self._state.is_stopping = True
         _log.info('stopping', running=self._handler.running)
         deadline = started + self._state.settings.shutdown_timeout_seconds - _EXIT_MARGIN_SECONDS
+        self._handler.end_requests_at(deadline - _LAST_RESPONSES_SECONDS)
         with trio.move_on_at(deadline):
             await self._registry.unregister()
             await trio.sleep_until(started + _BALANCER_NOTICE_SECONDS)
