--- a/emulator/entry_variants.py
+++ b/emulator/entry_variants.py
@@ -18,14 +18,15 @@
 from fireflymux.decisions.fair_shares import FairShares
 from fireflymux.entry import (
     attempt,
+    endpoint_rows,
     event_relay,
     exchange,
     instance,
+    matching_response,
     outcomes,
     peer_link,
     report_datagrams,
     state,
-    store_follower,
     warmups,
 )
 from fireflymux.http import client_connection, connection_pool, response_writer
@@ -49,13 +50,13 @@
 
 def forget_leaving() -> None:
     """Ignores the leaving state in the store rows of endpoints."""
-    original = store_follower.decode_endpoint
+    original = endpoint_rows.decode_endpoint
 
     def decode(identifier: str, content: bytes) -> object:
         endpoint = original(identifier, content)
         return endpoint and attrs.evolve(endpoint, is_leaving=False)
 
-    store_follower.decode_endpoint = decode
+    endpoint_rows.decode_endpoint = decode
 
 
 def forget_departures() -> None:
@@ -107,8 +108,8 @@
     client_connection._MAXIMUM_BYTES_WITHOUT_PROGRESS = float('inf')
     event_relay._MAXIMUM_EVENT_BYTES = float('inf')
     attempt._MAXIMUM_UNSIZED_RESPONSE_BYTES = float('inf')
-    attempt._MAXIMUM_SKIPPED_RESPONSES = 10**9
-    attempt._MAXIMUM_SKIPPED_BYTES = 10**12
+    matching_response._MAXIMUM_SKIPPED_RESPONSES = 10**9
+    matching_response._MAXIMUM_SKIPPED_BYTES = 10**12
     connection_pool.ConnectionPool.close_stale = lambda _pool: None
 
 
@@ -202,9 +203,9 @@
 
     async def read(connection: connection_pool.UpstreamConnection, _attempt: bytes) -> object:
         response = await connection.next_response()
-        return response, attempt.decode_response_headers(response.head)
+        return response, matching_response.decode_response_headers(response.head)
 
-    attempt._read_matching_response = read
+    attempt.read_matching_response = read
 
 
 def any_connection() -> None:
--- a/src/fireflymux/entry/attempt.py
+++ b/src/fireflymux/entry/attempt.py
@@ -20,13 +20,13 @@
     RequestMetadata,
     ResponseMetadata,
     build_request_headers,
-    decode_response_headers,
     filter_response_headers,
 )
 from .endpoint_wishes import apply_response_signals
 from .entry_metrics import EntryMetrics
 from .event_relay import EventRelay, EventTooLarge, StreamNotResumed
 from .live_endpoint import LiveEndpoint
+from .matching_response import MAXIMUM_RESPONSE_BYTES, read_matching_response
 from .outcomes import (
     Abandoned,
     Broken,
@@ -39,14 +39,8 @@
 )
 from .state import EntryState
 
-#: Largest body of a response that is not a stream and states its length.
-_MAXIMUM_RESPONSE_BYTES = 8388608
 #: Largest body without a stated length, which might never end.
 _MAXIMUM_UNSIZED_RESPONSE_BYTES = 1048576
-#: Limits on late responses to other requests that are skipped: their number, and the bytes of all
-#: their bodies, which are as many as one response may have.
-_MAXIMUM_SKIPPED_RESPONSES = 16
-_MAXIMUM_SKIPPED_BYTES = _MAXIMUM_RESPONSE_BYTES
 _FIRST_SUCCESS_STATUS = 200
 _FIRST_REDIRECT_STATUS = 300
 #: Status by which another endpoint at the same address rejects a request. Whether that response
@@ -140,9 +134,7 @@
     try:
         with attempt.stall_scope:
             await _send(state, attempt, connection)
-            response, metadata = await _read_matching_response(
-                connection, attempt.metadata.attempt
-            )
+            response, metadata = await read_matching_response(connection, attempt.metadata.attempt)
             if response.head.status != _MISDIRECTED_STATUS:
                 apply_response_signals(state, live, metadata)
             outcome = await _read_response_body(state, attempt, connection, response, metadata)
@@ -190,38 +182,6 @@
     return '{0}:{1}'.format(source.endpoint.host, source.endpoint.port)
 
 
-async def _read_matching_response(
-    connection: UpstreamConnection, attempt_id: bytes
-) -> tuple[IncomingResponse, ResponseMetadata]:
-    """Reads the head of the response to an attempt, and skips late responses to other requests.
-
-    A response without an identifier can be to any request of its connection, so that it counts only
-    as the first response to the first request.
-    """
-    remaining_bytes = _MAXIMUM_SKIPPED_BYTES
-    for skipped in range(_MAXIMUM_SKIPPED_RESPONSES):
-        response = await connection.next_response()
-        metadata = decode_response_headers(response.head)
-        is_only_one = not (metadata.attempt or skipped or connection.has_earlier_requests)
-        if metadata.attempt == attempt_id or is_only_one:
-            return response, metadata
-        remaining_bytes -= await _skip_body(connection, response, remaining_bytes)
-        connection.drop(response)
-    raise ConnectionBroken('{0} answers to other requests'.format(_MAXIMUM_SKIPPED_RESPONSES))
-
-
-async def _skip_body(
-    connection: UpstreamConnection, response: IncomingResponse, maximum_bytes: int
-) -> int:
-    """Reads a response body to its end without keeping it, and returns its size."""
-    size = 0
-    while part := await connection.next_body_part(response):
-        size += len(part)
-        if size > maximum_bytes:
-            raise ConnectionBroken('the answers to other requests are too large')
-    return size
-
-
 async def _read_response_body(
     state: EntryState,
     attempt: Attempt,
@@ -245,7 +205,7 @@
     if is_success and attempt.relay is not None:
         return await _relay_events(state, attempt, connection, response)
     states_length = head.content_length is not None
-    maximum_bytes = _MAXIMUM_RESPONSE_BYTES if states_length else _MAXIMUM_UNSIZED_RESPONSE_BYTES
+    maximum_bytes = MAXIMUM_RESPONSE_BYTES if states_length else _MAXIMUM_UNSIZED_RESPONSE_BYTES
     content = await connection.read_full_body(response, maximum_bytes)
     if metadata.was_not_executed:
         return Rejected(head.status)
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -6,7 +6,6 @@
 
 from collections.abc import Mapping
 from types import MappingProxyType
-from typing import TypeGuard
 
 import trio
 
@@ -17,9 +16,9 @@
 from ..http.response_writer import ResponseWriter
 from ..observability.logs import get_logger
 from ..platform.call_headers import RequestMetadata, decode_request_headers
-from .attempt import Attempt, run_attempt
 from .availability import find_unavailability
 from .call_failures import build_attempt_failure, build_end_failure, build_placing_failure
+from .call_results import CallResults
 from .calls import Call, admit_call
 from .entry_metrics import EntryMetrics, TokenState
 from .failure_responses import write_failure
@@ -33,10 +32,11 @@
     Relayed,
     Whole,
 )
-from .placement_log import log_not_placed, log_placed
-from .quarantine import find_quarantine, record_crash
+from .placed_attempt import is_success, run_placed_attempt
+from .placement_log import log_not_placed
+from .quarantine import find_quarantine
 from .retry_allowances import RetryAllowances
-from .service_queue import refund_placement, release_placement
+from .service_queue import release_placement
 from .service_queues import ServiceQueues
 from .state import EntryState
 
@@ -44,7 +44,6 @@
 #: Time after the deadline for the response of the endpoint to arrive: the endpoint has the same
 #: deadline and responds when that passes.
 _RESPONSE_MARGIN_SECONDS = 0.05
-_FIRST_ERROR_STATUS = 400
 
 
 class RequestHandler:
@@ -68,6 +67,7 @@
         self._ends_at = float('inf')
         self._state = state
         self._metrics = metrics
+        self._call_results = CallResults(metrics)
         self._retry_allowances = RetryAllowances(state)
 
     def end_requests_at(self, time: float) -> None:
@@ -144,14 +144,14 @@
             detail = 'status {0}, but not stated that it did not run'.format(result.status)
             result = CallFailure(ErrorKind.outcome_unknown, detail)
         if isinstance(result, Whole):
-            self._record_answer(call, result)
+            self._call_results.record_response(call, result)
             await writer.answer(result.status, result.fields, result.content)
             return
         if isinstance(result, Relayed):
-            self._count_result(call, 'relayed')
+            self._call_results.record_relayed(call)
             return
         if isinstance(result, Abandoned):
-            self._log_end('caller_left', call)
+            self._call_results.record_left(call)
             writer.abort()
             return
         await self._fail(call, result, writer)
@@ -166,26 +166,15 @@
                 return await self._run(call)
         except trio.Cancelled:
             # The connection cancels the handler of a request when the caller closes it.
-            self._log_end('caller_left', call)
+            self._call_results.record_left(call)
             raise
         finally:
             self._scopes.discard(scope)
         return build_end_failure(call, is_stopping=scope.deadline == self._ends_at)
 
-    def _record_answer(self, call: Call, answer: Whole) -> None:
-        self._count_result(call, 'whole')
-        if answer.status >= _FIRST_ERROR_STATUS:
-            self._log_end('request_answered', call, status=answer.status)
-
-    def _count_result(self, call: Call, result: str) -> None:
-        self._metrics.requests.inc({'pool': call.service, 'result': result})
-        seconds = trio.current_time() - call.request.received_at
-        self._metrics.latency.observe({'result': result}, seconds)
-
     async def _fail(self, call: Call, failure: CallFailure, writer: ResponseWriter) -> None:
         """Responds with an error, or closes the connection if the stream has already begun."""
-        self._log_failure(call, failure)
-        self._count_result(call, failure.kind.value)
+        self._call_results.record_failure(call, failure)
         await write_failure(failure, call.metadata, writer, self._state.rng)
 
     async def _run(self, call: Call) -> Whole | Relayed | Abandoned | CallFailure:
@@ -198,8 +187,10 @@
             if quarantine is not None:
                 release_placement(self._state, waiting)
                 return quarantine
-            outcome = await self._run_attempt(call, waiting)
-            if isinstance(outcome, Relayed | Abandoned) or _is_success(outcome):
+            outcome = await run_placed_attempt(
+                self._state, self._metrics, call, waiting, ends_at=self._ends_at
+            )
+            if isinstance(outcome, Relayed | Abandoned) or is_success(outcome):
                 return outcome
             if self._may_retry(call, outcome):
                 continue
@@ -249,52 +240,6 @@
             return False
         return self._state.refused_requests.was_refused(call.checksum(), trio.current_time())
 
-    async def _run_attempt(self, call: Call, waiting: WaitingRequest) -> Outcome:
-        placement = waiting.placement
-        if placement is None:
-            return NotSent('no endpoint')
-        live = self._state.find_endpoint(placement.number)
-        call.tried_endpoints.add(placement.number)
-        if live is None:
-            release_placement(self._state, waiting)
-            return NotSent('the endpoint is gone')
-        log_placed(self._state, call, waiting, live)
-        self._metrics.count_tokens(call.account, TokenState.given, waiting.cost_tokens)
-        call.is_in_flight = True
-        started = trio.current_time()
-        outcome = await run_attempt(
-            self._state,
-            Attempt(
-                request=call.request,
-                metadata=call.metadata,
-                account=call.account,
-                live=live,
-                placement=placement,
-                deadline=min(call.deadline, self._ends_at),
-                relay=call.relay,
-                metrics=self._metrics,
-                has_caller_disconnected=call.has_caller_disconnected,
-                stall_seconds=call.route.stall_seconds,
-            ),
-        )
-        call.is_in_flight = False
-        await record_crash(self._state, call, outcome, live, started)
-        self._metrics.attempts.inc({'pool': call.service, 'result': type(outcome).__name__})
-        if isinstance(outcome, NotSent | Rejected | Abandoned):
-            refund_placement(self._state, waiting)
-            self._metrics.count_tokens(call.account, TokenState.unused, waiting.cost_tokens)
-        if not isinstance(outcome, Relayed) and not _is_success(outcome):
-            _log.info(
-                'attempt_ended',
-                request=call.metadata.attempt.decode('latin-1'),
-                account=call.account,
-                endpoint=live.endpoint.identifier,
-                result=type(outcome).__name__,
-                detail=str(outcome),
-                begun=call.has_begun,
-            )
-        return outcome
-
     def _may_retry(self, call: Call, outcome: Outcome) -> bool:
         """Records how an attempt ended, and tells whether another one follows."""
         now = trio.current_time()
@@ -315,25 +260,6 @@
             self._metrics.retries.inc({'ending': ending.value})
         return is_retried
 
-    def _log_failure(self, call: Call, failure: CallFailure) -> None:
-        """Counts and logs the failure of an admitted request."""
-        self._metrics.refusals.inc({'kind': failure.kind.value})
-        self._log_end('request_failed', call, kind=failure.kind.value, detail=failure.detail)
-
-    def _log_end(self, event: str, call: Call, **details: str | int) -> None:
-        _log.info(
-            event,
-            request=call.metadata.attempt.decode('latin-1'),
-            route=call.route.name,
-            account=call.account,
-            ran='unknown' if call.may_have_run else 'no',
-            begun=call.has_begun,
-            **details,
-            sends=call.history.sends,
-            unsent=call.history.unsent,
-            seconds=round(trio.current_time() - call.request.received_at, 3),
-        )
-
 
 #: Endings of attempts that did not succeed, by outcome; a complete response can be a server error.
 _ENDINGS: Mapping[type[Outcome], Ending] = MappingProxyType(
@@ -347,10 +273,6 @@
 )
 
 
-def _is_success(outcome: Outcome) -> TypeGuard[Whole]:
-    return isinstance(outcome, Whole) and not outcome.is_failure
-
-
 def _is_false_promise(call: Call, answer: Whole) -> bool:
     """Tells whether the caller would take a request that may have run for one that did not.
 
--- a/src/fireflymux/entry/peer_link.py
+++ b/src/fireflymux/entry/peer_link.py
@@ -14,21 +14,19 @@
 
 from .._messages_generated import PeerDatagram, PeerReport
 from ..bounded_values import is_ipv4_address
-from ..decisions.followers import FRESH_SECONDS, is_follower
-from ..decisions.loads import EndpointLoad
-from ..decisions.prompts import PromptPart
+from ..decisions.followers import is_follower
 from ..decisions.report_routes import (
     KnownInstance,
     choose_receivers,
     choose_relay_targets,
     choose_report_interval,
 )
-from ..decisions.store_version import StoreVersion
 from ..observability.logs import get_logger
-from .crash_notices import CrashNoticeBuilder, apply_if_crash_notice, decode_counts
-from .endpoint_wishes import mark_leaving
+from .crash_notices import CrashNoticeBuilder, apply_if_crash_notice
 from .entry_metrics import EntryMetrics
+from .heard_instance import HeardInstance
 from .peer_notices import NoticeBuilder, apply_if_notice
+from .received_reports import apply_events, apply_newest_report
 from .report_builder import ReportBuilder
 from .report_datagrams import (
     ReportAssembler,
@@ -43,9 +41,6 @@
 
 _log = get_logger(__name__)
 _MAXIMUM_DATAGRAM_BYTES = 65536
-#: Numbers per endpoint in the loads of a report: its number, pending tokens, running requests.
-_LOAD_FIELDS = 3
-_MILLISECONDS_PER_SECOND = 1000.0
 #: How long the list of heard instances is reused before it is computed again.
 _HEARD_CACHE_SECONDS = 0.1
 #: Datagrams handled in a row before other tasks may run.
@@ -56,37 +51,6 @@
 _FORGET_AFTER_SECONDS = 60.0
 
 
-@attrs.define(frozen=True)
-class HeardInstance:
-    """Another instance, as its newest report describes it.
-
-    Attributes:
-        failure_domain: Its failure domain.
-        report: Its newest report.
-        heard_at: Time at which the report arrived, in seconds.
-    """
-
-    failure_domain: str
-    report: PeerReport
-    heard_at: float
-
-    @property
-    def members_version(self) -> StoreVersion:
-        """Version of its list of endpoints."""
-        return StoreVersion(self.report.members_era, self.report.members_version)
-
-    def is_store_fresh(self, now: float) -> bool:
-        """Tells whether it knew the followed tables to be current a short time ago.
-
-        Args:
-            now: Time in seconds.
-        """
-        if self.report.store_age_milliseconds < 0:
-            return False
-        age = self.report.store_age_milliseconds / _MILLISECONDS_PER_SECOND
-        return age + now - self.heard_at <= FRESH_SECONDS
-
-
 class PeerLink:
     """Sends this instance's reports to the others and applies theirs to the state.
 
@@ -163,10 +127,7 @@
         now = trio.current_time()
         self._state.instances[report.instance] = host
         self.heard[host] = HeardInstance(failure_domain, report, now)
-        loads = _decode_loads(report.loads)
-        self._state.loads.merge(report.instance, loads, now, is_whole=report.is_whole)
-        self._apply_full_report(report, now)
-        self._apply_placements_and_refusals(report)
+        apply_newest_report(self._state, report, now)
         self._state.notify()
 
     def is_store_follower(self) -> bool:
@@ -275,7 +236,7 @@
             return
         # The report is late or a duplicate: the prompts and refusals in it still happened, but its
         # statements about the sender's state are out of date.
-        self._apply_placements_and_refusals(report)
+        apply_events(self._state, report, trio.current_time())
 
     def _relay_to_neighbours(self, sock: socket.socket, datagram: PeerDatagram) -> None:
         """Sends a datagram from another failure domain on to the instances in this one."""
@@ -292,45 +253,6 @@
         for host in neighbours:
             self._send_to(sock, host, content)
 
-    def _apply_placements_and_refusals(self, report: PeerReport) -> None:
-        """Applies the placed prompts and refused requests of a report."""
-        for placement in report.placements:
-            self._apply_placement(*placement)
-        self._state.refused_requests.merge(report.refusals, trio.current_time())
-
-    def _apply_placement(self, number: int, *parts: int) -> None:
-        """Records a prompt that another instance has placed in the endpoint's cache model.
-
-        Args:
-            number: Number of the endpoint.
-            parts: Identifier and tokens of each prompt part, in turn.
-        """
-        live = self._state.find_endpoint(number)
-        if live is None:
-            return
-        pairs = zip(parts[::2], parts[1::2], strict=True)
-        live.cache.record([PromptPart(*pair) for pair in pairs])
-
-    def _apply_full_report(self, report: PeerReport, now: float) -> None:
-        """Applies what only a full report states: usage, crash counts and leaving endpoints."""
-        if report.usage is None or report.demand is None or report.crashes is None:
-            return
-        state = self._state
-        mark_leaving(state, report.leaving or (), report.instance)
-        # Usage counts the tokens of placed requests (given), demand those of all requests (asked).
-        state.shares.merge(report.instance, given=report.usage, asked=report.demand, now=now)
-        counts = decode_counts(report.instance, report.crashes)
-        state.crashes.merge(report.instance, counts)
-        state.part_crashes.clear_completed(counts, now)
-
-
-def _decode_loads(encoded: list[int]) -> dict[int, EndpointLoad]:
-    columns = (encoded[start::_LOAD_FIELDS] for start in range(_LOAD_FIELDS))
-    return {
-        endpoint: EndpointLoad(tokens, running)
-        for endpoint, tokens, running in zip(*columns, strict=True)
-    }
-
 
 def _parse_seed_hosts(seeds: str) -> list[str]:
     """Returns the IPv4 addresses in the setting `seeds`, a list of hosts with ports."""
--- /dev/null
+++ b/src/fireflymux/entry/placed_attempt.py
@@ -0,0 +1,99 @@
+"""Runs the attempts of a call on the endpoints that it is placed on."""
+
+from typing import TypeGuard
+
+import trio
+
+from ..decisions.waiting import WaitingRequest
+from ..observability.logs import get_logger
+from .attempt import Attempt, run_attempt
+from .calls import Call
+from .entry_metrics import EntryMetrics, TokenState
+from .live_endpoint import LiveEndpoint
+from .outcomes import Abandoned, NotSent, Outcome, Rejected, Relayed, Whole
+from .placement_log import log_placed
+from .quarantine import record_crash
+from .service_queue import refund_placement, release_placement
+from .state import EntryState
+
+_log = get_logger(__name__)
+
+
+def is_success(outcome: Outcome) -> TypeGuard[Whole]:
+    """Tells whether an attempt ended with a complete response that is no server error."""
+    return isinstance(outcome, Whole) and not outcome.is_failure
+
+
+async def run_placed_attempt(
+    state: EntryState,
+    metrics: EntryMetrics,
+    call: Call,
+    waiting: WaitingRequest,
+    *,
+    ends_at: float,
+) -> Outcome:
+    """Runs an attempt of a call on the endpoint that it is placed on, and records how it ends.
+
+    Args:
+        state: State of the instance.
+        metrics: Metrics of the instance.
+        call: The call.
+        waiting: The call as it was placed.
+        ends_at: Time at which the instance ends all calls, in seconds.
+
+    Returns:
+        How it ended.
+    """
+    placement = waiting.placement
+    if placement is None:
+        return NotSent('no endpoint')
+    live = state.find_endpoint(placement.number)
+    call.tried_endpoints.add(placement.number)
+    if live is None:
+        release_placement(state, waiting)
+        return NotSent('the endpoint is gone')
+    log_placed(state, call, waiting, live)
+    metrics.count_tokens(call.account, TokenState.given, waiting.cost_tokens)
+    attempt = Attempt(
+        request=call.request,
+        metadata=call.metadata,
+        account=call.account,
+        live=live,
+        placement=placement,
+        deadline=min(call.deadline, ends_at),
+        relay=call.relay,
+        metrics=metrics,
+        has_caller_disconnected=call.has_caller_disconnected,
+        stall_seconds=call.route.stall_seconds,
+    )
+    outcome = await _run_in_flight(state, call, attempt)
+    if isinstance(outcome, NotSent | Rejected | Abandoned):
+        refund_placement(state, waiting)
+        metrics.count_tokens(call.account, TokenState.unused, waiting.cost_tokens)
+    metrics.attempts.inc({'pool': call.service, 'result': type(outcome).__name__})
+    _log_unless_successful(call, live, outcome)
+    return outcome
+
+
+async def _run_in_flight(state: EntryState, call: Call, attempt: Attempt) -> Outcome:
+    """Runs an attempt; the call may have run while it does."""
+    call.is_in_flight = True
+    started = trio.current_time()
+    outcome = await run_attempt(state, attempt)
+    call.is_in_flight = False
+    await record_crash(state, call, outcome, attempt.live, started)
+    return outcome
+
+
+def _log_unless_successful(call: Call, live: LiveEndpoint, outcome: Outcome) -> None:
+    if isinstance(outcome, Relayed) or is_success(outcome):
+        return
+    _log.info(
+        'attempt_ended',
+        request=call.metadata.attempt.decode('latin-1'),
+        account=call.account,
+        endpoint=live.endpoint.identifier,
+        result=type(outcome).__name__,
+        detail=str(outcome),
+        begun=call.has_begun,
+    )
