--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -10,6 +10,11 @@
     Then the request is refused as crash_suspected
     And at most 3 engines crashed
 
+  Scenario: Chats that share a message which crashes engines are refused, although no two are alike
+    Given a small fleet of 4 engines
+    When 8 chats that share a message which crashes engines are sent, no two alike
+    Then at most 8 engines crashed
+
   Scenario: An engine crashes after the caller of a stream received its first tokens
     Given a small fleet of 4 engines
     When an engine crashes while it streams and the caller sends the same request again
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -57,6 +57,22 @@
     context.answer = _send_crashing_request(context, name)
 
 
+@when('{count:d} chats that share a message which crashes engines are sent, no two alike')
+def send_with_shared_message(context, count):
+    for number in range(count):
+        name = 'router-{0}'.format(number % 2)
+        url = context.fleet.processes[name].address + CHAT
+        request = {
+            'model': 'farewell',
+            'messages': [
+                {'role': 'system', 'content': 'poison'},
+                {'role': 'user', 'content': 'question {0}'.format(number)},
+            ],
+            'emulator': {'nonce': 'question-{0}'.format(number), 'crash': True},
+        }
+        send(Answer(str(number)), 'POST', url, authorization('families'), request, 60)
+
+
 @then('the request is refused as {kind}')
 def check_refused(context, kind):
     assert context.answer.problem.get('kind') == kind, context.answer
