--- a/review/1/case.py
+++ b/review/1/case.py
@@ -80,7 +80,7 @@
         link = s.Link(server.target)
         servers.append(server)
         links.append(link)
-        tasks.append(asyncio.ensure_future(link.run()))
+        link.start()
         tasks.append(asyncio.ensure_future(beat(store, server, link)))
     route = s.route(
         'r-6q5rmmv',
--- a/review/lib/stand_ins.py
+++ b/review/lib/stand_ins.py
@@ -203,19 +203,21 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def run(self):
-        loop = asyncio.get_running_loop()
-        while True:
-            await self.open.wait()
-            try:
-                near, _ = await asyncio.wait_for(loop.sock_accept(self.listener), 0.05)
-            except asyncio.TimeoutError:
-                continue
-            self.spawn(self.relay(near))
+    def start(self):
+        """Begins to accept connections."""
+        asyncio.get_running_loop().add_reader(self.listener, self.accept)
+
+    def accept(self):
+        try:
+            near, _ = self.listener.accept()
+        except OSError:
+            return
+        self.spawn(self.relay(near))
 
     def cut(self):
         """Cuts the path silently. The queue of new connections is filled, so that more hang."""
         self.open.clear()
+        asyncio.get_running_loop().remove_reader(self.listener)
         self.listener.listen(0)
         for _ in range(4):
             filler = socket.socket()
@@ -242,6 +244,7 @@
         self.fillers.clear()
         self.listener.listen(128)
         self.open.set()
+        self.start()
 
     async def relay(self, near):
         loop = asyncio.get_running_loop()
