--- a/src/fireflymux/entry/placed_attempt.py
+++ b/src/fireflymux/entry/placed_attempt.py
@@ -71,7 +71,6 @@
         refund_placement(state, waiting)
         metrics.count_tokens(call.account, TokenState.unused, waiting.cost_tokens)
     metrics.attempts.inc({'pool': call.service, 'result': type(outcome).__name__})
-    _log_unless_successful(call, live, outcome)
     return outcome
 
 
@@ -81,6 +80,7 @@
     started = trio.current_time()
     outcome = await run_attempt(state, attempt)
     call.is_in_flight = False
+    _log_unless_successful(call, attempt.live, outcome)
     await record_crash(state, call, outcome, attempt.live, started)
     return outcome
 
