Entry: one record tells whether a request may have run

Cause: two fields had to agree. `Call.is_in_flight` was cleared when an attempt ended and `Call.history` learned of it after an await; whatever ended the call in between found both without a trace of the attempt. Change: `SendRecord` is told of a send right before its first byte leaves, and is taken back only by the endpoint's statement that it did not execute it, with no await between statement and record. It can err in one direction only. The same record decides answers, retries and the log's field `ran`.

features/call_ends.feature ends a call at each of its awaits in turn, by its time, a stop or its caller.

--- /dev/null
+++ b/features/steps/call_end_steps.py
@@ -0,0 +1,46 @@
+"""Steps for calls that end within any of their awaits."""
+
+from behave import given, then, when
+
+from emulator.scripted_calls import end_at_step, open_unreachable_port
+from fireflymux.decisions.entry_configuration import Repeatability
+from fireflymux.errors import NOT_RUN_STATUSES
+
+#: Statuses that tell that a request may have run.
+_MAY_HAVE_RUN_STATUSES = frozenset((502, 504))
+
+
+@given('a "{kind}" call whose endpoint {behaviours}')
+def set_up_call(context, kind, behaviours):
+    context.kind = Repeatability[kind]
+    context.behaviours = tuple(behaviours.split(', then '))
+
+
+@when('it ends by {cause} within each of its awaits in turn')
+def end_within_each(context, cause):
+    with open_unreachable_port() as port:
+        last = end_at_step(context.kind, context.behaviours, cause, 0, port)
+        context.walks = [
+            end_at_step(context.kind, context.behaviours, cause, step, port)
+            for step in range(1, last.steps + 1)
+        ]
+    assert len(context.walks) > 3, last
+
+
+@then('neither its caller nor the log is told that it did not run where it did')
+def check_not_denied(context):
+    ran = [walk for walk in context.walks if walk.runs]
+    assert ran or context.behaviours[0] in {'rejects it', 'accepts no connection'}
+    wrong = [walk for walk in ran if walk.status in NOT_RUN_STATUSES or walk.logged == 'no']
+    assert not wrong, wrong
+
+
+@then('none that was never sent is told to have run')
+def check_not_claimed(context):
+    unsent = [walk for walk in context.walks if not walk.sends]
+    wrong = [
+        walk
+        for walk in unsent
+        if walk.status in _MAY_HAVE_RUN_STATUSES or walk.logged not in {'', 'no'}
+    ]
+    assert not wrong, wrong
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -47,6 +47,15 @@
     run()
 
 
+def _record_attempt(history, ending):
+    if ending is Ending.not_sent:
+        history.unsent += 1
+        return
+    history.record_send()
+    if ending is Ending.rejected:
+        history.record_rejection()
+
+
 @when('attempts of a "{kind}" request that may go to {most:d} endpoints ended as "{endings}"')
 def decide_retry(context, kind, most, endings):
     history = AttemptHistory()
@@ -55,7 +64,7 @@
         name, _, times = entry.partition(' x')
         last = Ending(name)
         for _ in range(int(times or 1)):
-            history.record(last)
+            _record_attempt(history, last)
     context.is_retried = may_retry(
         history,
         last,
--- a/src/fireflymux/decisions/retry.py
+++ b/src/fireflymux/decisions/retry.py
@@ -6,6 +6,7 @@
 import attrs
 
 from .entry_configuration import Repeatability
+from .send_record import SendRecord
 
 #: Failed connections after which a request is given up.
 _MAXIMUM_CONNECTION_FAILURES = 6
@@ -27,31 +28,16 @@
 
 
 @attrs.define
-class AttemptHistory:
-    """Attempts of one request so far.
+class AttemptHistory(SendRecord):
+    """Attempts of one request so far, a running one included.
+
+    Each send goes to a different endpoint.
 
     Attributes:
-        sends: Number of attempts in which it was sent to an endpoint, each to a different one.
-        unsent: Number of attempts without a connection.
-        may_have_run: Whether an endpoint may have run it.
+        unsent: Number of attempts that ended without a connection.
     """
 
-    sends: int = 0
     unsent: int = 0
-    may_have_run: bool = False
-
-    def record(self, ending: Ending) -> None:
-        """Counts an attempt.
-
-        Args:
-            ending: How it ended.
-        """
-        if ending is Ending.not_sent:
-            self.unsent += 1
-            return
-        self.sends += 1
-        if ending is not Ending.rejected:
-            self.may_have_run = True
 
 
 def may_retry(
--- a/src/fireflymux/entry/attempt.py
+++ b/src/fireflymux/entry/attempt.py
@@ -12,6 +12,7 @@
 import trio
 
 from ..decisions.engine_choice import Placement
+from ..decisions.retry import AttemptHistory
 from ..http.client_connection import ConnectFailed, ConnectionBroken
 from ..http.connection_pool import UpstreamConnection
 from ..http.messages import HeaderFields, Request, ResponseHead
@@ -63,6 +64,7 @@
         relay: Forwards the events of the response; None if the route does not stream.
         metrics: Metrics of the instance.
         has_caller_disconnected: Tells whether the caller closed its connection.
+        history: Attempts of the request, in which its sends are recorded.
         stall_seconds: Time without an event after which a stream is given up.
         is_prefilling: Whether the prompt counts for the endpoint's load: no bytes of a stream have
             arrived yet, and the attempt has not ended.
@@ -79,6 +81,7 @@
     relay: EventRelay | None
     metrics: EntryMetrics
     has_caller_disconnected: Callable[[], bool]
+    history: AttemptHistory
     stall_seconds: float = float('inf')
     is_prefilling: bool = True
     sent_at: float = 0.0
@@ -171,6 +174,7 @@
     attempt.live.pacer.record_sent(attempt.sent_at)
     if attempt.relay is not None:
         attempt.stall_scope.deadline = attempt.sent_at + attempt.stall_seconds
+    attempt.history.record_send()
     await connection.send(start_line, fields, request.content)
 
 
@@ -208,6 +212,7 @@
     maximum_bytes = MAXIMUM_RESPONSE_BYTES if states_length else _MAXIMUM_UNSIZED_RESPONSE_BYTES
     content = await connection.read_full_body(response, maximum_bytes)
     if metadata.was_not_executed:
+        attempt.history.record_rejection()
         return Rejected(head.status)
     if not metadata.has_signature:
         raise ConnectionBroken('the answer is not signed')
--- a/src/fireflymux/entry/calls.py
+++ b/src/fireflymux/entry/calls.py
@@ -35,8 +35,7 @@
         relay: Forwards the events of the response; None if the route does not stream.
         has_caller_disconnected: Tells whether the caller closed its connection.
         tried_endpoints: Numbers of the endpoints that were chosen for it.
-        history: Results of its ended attempts.
-        is_in_flight: Whether an attempt is running.
+        history: Its attempts, and whether one of them may have run it.
     """
 
     request: Request
@@ -51,13 +50,12 @@
     regions: frozenset[str] | None = None
     tried_endpoints: set[int] = attrs.field(factory=set)
     history: AttemptHistory = attrs.field(factory=AttemptHistory)
-    is_in_flight: bool = False
     _part_fingerprints: tuple[int, ...] | None = attrs.field(default=None, init=False)
 
     @property
     def may_have_run(self) -> bool:
         """Whether an endpoint may have run the request, so that repeating it may not be safe."""
-        return self.is_in_flight or self.history.may_have_run
+        return self.history.may_have_run
 
     @property
     def has_begun(self) -> bool:
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -140,7 +140,6 @@
         self._retry_allowances.get(call.service).count_request(trio.current_time())
         result = await self._run_in_time(call)
         if isinstance(result, Whole) and _is_false_promise(call, result):
-            call.history.may_have_run = True
             detail = 'status {0}, but not stated that it did not run'.format(result.status)
             result = CallFailure(ErrorKind.outcome_unknown, detail)
         if isinstance(result, Whole):
@@ -241,10 +240,11 @@
         return self._state.refused_requests.was_refused(call.checksum(), trio.current_time())
 
     def _may_retry(self, call: Call, outcome: Outcome) -> bool:
-        """Records how an attempt ended, and tells whether another one follows."""
+        """Tells whether another attempt follows one that did not succeed."""
         now = trio.current_time()
         ending = _ENDINGS[type(outcome)]
-        call.history.record(ending)
+        if ending is Ending.not_sent:
+            call.history.unsent += 1
         if call.relay is not None and not call.relay.can_begin_attempt:
             return False
         allowance = self._retry_allowances.get(call.service)
--- a/src/fireflymux/entry/placed_attempt.py
+++ b/src/fireflymux/entry/placed_attempt.py
@@ -64,25 +64,23 @@
         relay=call.relay,
         metrics=metrics,
         has_caller_disconnected=call.has_caller_disconnected,
+        history=call.history,
         stall_seconds=call.route.stall_seconds,
     )
-    outcome = await _run_in_flight(state, call, attempt)
-    if isinstance(outcome, NotSent | Rejected | Abandoned):
-        refund_placement(state, waiting)
-        metrics.count_tokens(call.account, TokenState.unused, waiting.cost_tokens)
+    started = trio.current_time()
+    outcome = await run_attempt(state, attempt)
+    _log_unless_successful(call, live, outcome)
+    await record_crash(state, call, outcome, live, started)
     metrics.attempts.inc({'pool': call.service, 'result': type(outcome).__name__})
+    if isinstance(outcome, NotSent | Rejected | Abandoned):
+        _refund(state, metrics, call, waiting)
     return outcome
 
 
-async def _run_in_flight(state: EntryState, call: Call, attempt: Attempt) -> Outcome:
-    """Runs an attempt; the call may have run while it does."""
-    call.is_in_flight = True
-    started = trio.current_time()
-    outcome = await run_attempt(state, attempt)
-    call.is_in_flight = False
-    _log_unless_successful(call, attempt.live, outcome)
-    await record_crash(state, call, outcome, attempt.live, started)
-    return outcome
+def _refund(state: EntryState, metrics: EntryMetrics, call: Call, waiting: WaitingRequest) -> None:
+    """Takes the cost of an attempt that did not run off the account's usage."""
+    refund_placement(state, waiting)
+    metrics.count_tokens(call.account, TokenState.unused, waiting.cost_tokens)
 
 
 def _log_unless_successful(call: Call, live: LiveEndpoint, outcome: Outcome) -> None:
