Entry: an answer does not wait for the probe of its endpoint

What callers saw: after an attempt broke off, its caller's answer waited up to 0.15 s while the instance found out for other requests whether the endpoint had ended; where the time of the call ended in that wait, the endpoint's crash was not counted either. Change: the probe runs beside the call, as one of the instance's detached tasks. A call that is sent again still waits for it, so that the next endpoint doesn't get a prompt that crashed the first; any other is answered at once.

Calls that are sent again wait 0.15 s as before.

--- a/emulator/scripted_calls.py
+++ b/emulator/scripted_calls.py
@@ -12,6 +12,7 @@
 import attrs
 import logbook
 import trio
+import trio.testing
 
 from fireflymux._settings_generated import EntrySettings
 from fireflymux.decisions.entry_configuration import (
@@ -40,6 +41,8 @@
 _ATTEMPT = b'walked'
 _ENDPOINTS = 2
 _TIMEOUT_SECONDS = 30.0
+#: Time in which whatever a call has started ends.
+_SETTLING_SECONDS = 1.0
 _UNUSED_ADDRESS = '127.0.0.1:1'
 #: Connections that fill the shortest queue of a listening socket.
 _QUEUED_CONNECTIONS = 4
@@ -60,6 +63,8 @@
         status: Status that its caller got; zero for none.
         logged: What the log says whether it ran; empty if it says nothing.
         steps: Number of steps that its task took.
+        seconds: Time that it took, on a clock that moves only while all tasks wait.
+        crash_counts: Number of requests and prompt parts of which a crash is counted afterwards.
     """
 
     sends: int = 0
@@ -67,6 +72,8 @@
     status: int = 0
     logged: str = ''
     steps: int = 0
+    seconds: float = 0.0
+    crash_counts: int = 0
 
 
 class _Connection:
@@ -130,18 +137,23 @@
 
 
 class _Pool:
-    """Connections to one scripted endpoint."""
+    """Connections to one scripted endpoint; each attempt meets the next behaviour."""
 
-    def __init__(self, walk: Walk, behaviour: str, endpoint: str) -> None:
+    def __init__(self, walk: Walk, behaviours: list[str], endpoint: str) -> None:
         self.maximum_idle_connections = 0
-        self._arguments = (walk, behaviour, endpoint)
+        self._walk = walk
+        self._behaviours = behaviours
+        self._endpoint = endpoint
 
     async def take(self, identifier: bytes) -> _Connection:
         """Opens a connection, unless the endpoint accepts none."""
         await trio.lowlevel.checkpoint()
-        if self._arguments[1] == 'accepts no connection':
+        behaviour = self._behaviours[0]
+        if len(self._behaviours) > 1:
+            self._behaviours.pop(0)
+        if behaviour == 'accepts no connection':
             raise ConnectFailed(OSError('refused'))
-        return _Connection(*self._arguments)
+        return _Connection(self._walk, behaviour, self._endpoint)
 
     def release_connection(self, connection: _Connection, idle_seconds: float | None) -> None:
         """Does nothing."""
@@ -216,7 +228,7 @@
 
     Args:
         kind: Whether the request may run again.
-        behaviours: How each endpoint behaves; the last one applies to all further ones.
+        behaviours: What each attempt meets; the last one applies to all further ones.
         cause: Why it ends: 'the time of its route', 'a planned stop' or 'its caller leaving'.
         step: Number of the step; zero to let it end by itself.
         unreachable: Port at which connection attempts hang.
@@ -226,7 +238,8 @@
     """
     walk = Walk()
     with logbook.TestHandler().applicationbound() as log:
-        trio.run(_run_call, walk, kind, behaviours, cause, step, unreachable)
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        trio.run(_run_call, walk, kind, behaviours, cause, step, unreachable, clock=clock)
         for line in log.records:
             walk.logged = line.kwargs.get('ran', walk.logged)
     return walk
@@ -276,7 +289,14 @@
 
     with trio.fail_after(_TIMEOUT_SECONDS):
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(run_handler)
+            nursery.start_soon(handler.detached_tasks.run)
+            started = trio.current_time()
+            await run_handler()
+            walk.seconds = trio.current_time() - started
+            await trio.sleep(_SETTLING_SECONDS)
+            counts = state.crashes.list_changed(float('-inf'))
+            walk.crash_counts = sum(bool(count.endpoints) for count in counts)
+            nursery.cancel_scope.cancel()
 
 
 def _build_state(
@@ -285,8 +305,7 @@
     remaining = list(behaviours)
 
     def open_pool(endpoint: Endpoint) -> _Pool:
-        behaviour = remaining.pop(0) if len(remaining) > 1 else remaining[0]
-        return _Pool(walk, behaviour, endpoint.identifier)
+        return _Pool(walk, remaining, endpoint.identifier)
 
     settings = EntrySettings(
         name='entry-1',
--- a/features/call_ends.feature
+++ b/features/call_ends.feature
@@ -30,3 +30,21 @@
       | stream_resumable | breaks off within its answer, then breaks off | the time of its route |
       | once        | errs while it is sent to           | the time of its route |
       | stream_once | errs while it answers              | a planned stop        |
+
+  # Guards against an answer that waits until it is known whether an endpoint has ended, which
+  # serves other requests.
+  Scenario Outline: A call that is not sent again is answered before the end of its endpoint is known
+    Given a "<kind>" call whose endpoint <behaviour>
+    When it ends by itself
+    Then it is answered 502 without a wait, and a crash of its prompt's part is counted afterwards
+
+    Examples:
+      | kind             | behaviour                  |
+      | stream_once      | breaks off                 |
+      | once             | breaks off                 |
+      | stream_once      | breaks off within its answer |
+
+  Scenario: A call that is sent again waits until it is known whether its endpoint has ended
+    Given a "idempotent" call whose endpoint breaks off, then answers
+    When it ends by itself
+    Then it is answered 200 after the time in which an endpoint accepts a connection
--- a/features/steps/call_end_steps.py
+++ b/features/steps/call_end_steps.py
@@ -4,6 +4,7 @@
 
 from emulator.scripted_calls import end_at_step, open_unreachable_port
 from fireflymux.decisions.entry_configuration import Repeatability
+from fireflymux.entry.quarantine import _PROBE_SECONDS
 from fireflymux.errors import NOT_RUN_STATUSES
 
 #: Statuses that tell that a request may have run.
@@ -44,3 +45,25 @@
         if walk.status in _MAY_HAVE_RUN_STATUSES or walk.logged not in {'', 'no'}
     ]
     assert not wrong, wrong
+
+
+@when('it ends by itself')
+def end_by_itself(context):
+    with open_unreachable_port() as port:
+        context.walk = end_at_step(context.kind, context.behaviours, '', 0, port)
+
+
+@then("it is answered 502 without a wait, and a crash of its prompt's part is counted afterwards")
+def check_at_once(context):
+    walk = context.walk
+    # The stream that breaks off within its answer was answered 200 before it did.
+    assert walk.status == 502 or context.behaviours == ('breaks off within its answer',), walk
+    assert walk.seconds < _PROBE_SECONDS / 2, walk
+    assert walk.crash_counts == 2, walk
+
+
+@then('it is answered 200 after the time in which an endpoint accepts a connection')
+def check_waited(context):
+    walk = context.walk
+    assert walk.status == 200, walk
+    assert walk.seconds >= _PROBE_SECONDS, walk
--- a/src/fireflymux/entry/calls.py
+++ b/src/fireflymux/entry/calls.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import attrs
+import trio
 
 from ..decisions.entry_configuration import Route
 from ..decisions.retry import AttemptHistory
@@ -36,6 +37,8 @@
         has_caller_disconnected: Tells whether the caller closed its connection.
         tried_endpoints: Numbers of the endpoints that were chosen for it.
         history: Its attempts, and whether one of them may have run it.
+        crash_check: Set once it is known whether the endpoint of the last attempt that broke off
+            has ended; None if there is nothing to find out.
     """
 
     request: Request
@@ -50,6 +53,7 @@
     regions: frozenset[str] | None = None
     tried_endpoints: set[int] = attrs.field(factory=set)
     history: AttemptHistory = attrs.field(factory=AttemptHistory)
+    crash_check: trio.Event | None = None
     _part_fingerprints: tuple[int, ...] | None = attrs.field(default=None, init=False)
 
     @property
@@ -62,6 +66,11 @@
         """Whether the head of the response was sent to the caller."""
         return self.relay is not None and self.relay.is_begun
 
+    async def wait_for_crash_check(self) -> None:
+        """Waits until it is known whether the endpoint of the last attempt has ended."""
+        if self.crash_check is not None:
+            await self.crash_check.wait()
+
     def checksum(self) -> int:
         """Returns a short digest of account, path and body; `RefusedRequests` keeps calls by it.
 
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -20,6 +20,7 @@
 from .call_failures import build_attempt_failure, build_end_failure, build_placing_failure
 from .call_results import CallResults
 from .calls import Call, admit_call
+from .detached_tasks import DetachedTasks
 from .entry_metrics import EntryMetrics, TokenState
 from .failure_responses import write_failure
 from .outcomes import (
@@ -52,6 +53,7 @@
     Attributes:
         running: Number of requests that are being handled, waiting ones included.
         queues: Queues that the requests wait in.
+        detached_tasks: Tasks that requests have started and that go on without them.
     """
 
     def __init__(self, state: EntryState, metrics: EntryMetrics) -> None:
@@ -63,6 +65,7 @@
         """
         self.running = 0
         self.queues = ServiceQueues(state)
+        self.detached_tasks = DetachedTasks()
         self._scopes: set[trio.CancelScope] = set()
         self._ends_at = float('inf')
         self._state = state
@@ -187,11 +190,18 @@
                 release_placement(self._state, waiting)
                 return quarantine
             outcome = await run_placed_attempt(
-                self._state, self._metrics, call, waiting, ends_at=self._ends_at
+                self._state,
+                self._metrics,
+                call,
+                waiting,
+                ends_at=self._ends_at,
+                detached_tasks=self.detached_tasks,
             )
             if isinstance(outcome, Relayed | Abandoned) or is_success(outcome):
                 return outcome
             if self._may_retry(call, outcome):
+                # The next endpoint must not get a prompt that has crashed this one.
+                await call.wait_for_crash_check()
                 continue
             return outcome if isinstance(outcome, Whole) else build_attempt_failure(call, outcome)
 
--- a/src/fireflymux/entry/instance.py
+++ b/src/fireflymux/entry/instance.py
@@ -117,6 +117,7 @@
             self._store.run,
             partial(supervise, self._registry.run, 'read instances'),
             partial(supervise, self._snapshots.run, 'fetch snapshots'),
+            partial(supervise, self._handler.detached_tasks.run, 'detached tasks'),
             partial(supervise, self._tick, 'tick'),
             partial(supervise, self._close_stale_connections, 'close stale connections'),
         )
--- a/src/fireflymux/entry/live_endpoint.py
+++ b/src/fireflymux/entry/live_endpoint.py
@@ -10,7 +10,7 @@
 from ..decisions.membership import Endpoint
 from ..decisions.prompts import PrefixCache
 from ..decisions.warmup import RequestPacer
-from ..http.connection_pool import UpstreamPool
+from ..http.connection_pool import ConnectionPool, UpstreamPool
 
 #: Fraction of an engine's cache assumed to hold prefixes that later prompts can reuse.
 _PREFIX_CACHE_FRACTION = 0.75
@@ -18,6 +18,7 @@
 _DEFAULT_TOKENS_PER_SECOND = 60000.0
 #: Ratio of an engine's prefill speed to its share of the rate that the configuration states.
 _PROMPT_SPEED_FACTOR = 1.6
+_CONNECT_TIMEOUT_SECONDS = 0.4
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -87,6 +88,13 @@
         return self.warmup_until > now
 
 
+def open_pool(endpoint: Endpoint) -> UpstreamPool:
+    """Creates the pool of connections to an endpoint; none is opened yet."""
+    return ConnectionPool(
+        endpoint.host, endpoint.port, connect_timeout_seconds=_CONNECT_TIMEOUT_SECONDS
+    )
+
+
 def create_live_endpoint(number: int, endpoint: Endpoint, pool: UpstreamPool) -> LiveEndpoint:
     """Creates the state of a newly listed endpoint, without a cache.
 
--- a/src/fireflymux/entry/placed_attempt.py
+++ b/src/fireflymux/entry/placed_attempt.py
@@ -8,6 +8,7 @@
 from ..observability.logs import get_logger
 from .attempt import Attempt, run_attempt
 from .calls import Call
+from .detached_tasks import DetachedTasks
 from .entry_metrics import EntryMetrics, TokenState
 from .live_endpoint import LiveEndpoint
 from .outcomes import Abandoned, NotSent, Outcome, Rejected, Relayed, Whole
@@ -31,6 +32,7 @@
     waiting: WaitingRequest,
     *,
     ends_at: float,
+    detached_tasks: DetachedTasks,
 ) -> Outcome:
     """Runs an attempt of a call on the endpoint that it is placed on, and records how it ends.
 
@@ -40,6 +42,7 @@
         call: The call.
         waiting: The call as it was placed.
         ends_at: Time at which the instance ends all calls, in seconds.
+        detached_tasks: Runs the check that follows a broken attempt.
 
     Returns:
         How it ended.
@@ -70,7 +73,7 @@
     started = trio.current_time()
     outcome = await run_attempt(state, attempt)
     _log_unless_successful(call, live, outcome)
-    await record_crash(state, call, outcome, live, started)
+    record_crash(state, call, outcome, live, started=started, detached_tasks=detached_tasks)
     metrics.attempts.inc({'pool': call.service, 'result': type(outcome).__name__})
     if isinstance(outcome, NotSent | Rejected | Abandoned):
         _refund(state, metrics, call, waiting)
--- a/src/fireflymux/entry/quarantine.py
+++ b/src/fireflymux/entry/quarantine.py
@@ -5,6 +5,8 @@
 incarnation shortly after.
 """
 
+from functools import partial
+
 import trio
 
 from ..decisions.crash_counts import CrashCount
@@ -12,6 +14,7 @@
 from ..errors import CallFailure, ErrorKind, ExecutionStatus
 from ..http.client_connection import ClientConnection, ConnectFailed
 from .calls import Call
+from .detached_tasks import DetachedTasks
 from .endpoint_crashes import record_endpoint_crash
 from .live_endpoint import LiveEndpoint
 from .outcomes import Broken, Outcome, Relayed, Whole
@@ -48,22 +51,36 @@
     return CallFailure(ErrorKind.prompt_quarantined, detail, ran=ran)
 
 
-async def record_crash(
-    state: EntryState, call: Call, outcome: Outcome, live: LiveEndpoint, started: float
+def record_crash(
+    state: EntryState,
+    call: Call,
+    outcome: Outcome,
+    live: LiveEndpoint,
+    *,
+    started: float,
+    detached_tasks: DetachedTasks,
 ) -> None:
     """Records how an attempt ended, for the request and for the parts of its prompt.
 
+    If it broke off, whether the endpoint has ended is found out beside the call, whose
+    `crash_check` is set once that is known.
+
     Args:
         state: State of the instance.
         call: The call.
         outcome: How the attempt ended.
         live: Endpoint of the attempt.
         started: Time at which the attempt began, in seconds.
+        detached_tasks: Runs the check of the endpoint.
     """
     now = trio.current_time()
     if isinstance(outcome, Broken):
         state.crashes.record(call.fingerprint(), endpoint=live.number, sent_at=started, now=now)
-        await _record_part_crash(state, call, live, started)
+        parts = call.part_fingerprints()
+        if parts:
+            attempt = BrokenAttempt(live.number, parts, started, now)
+            check = partial(_record_part_crash, state, live, attempt)
+            call.crash_check = detached_tasks.start(check)
         return
     if not isinstance(outcome, Whole | Relayed):
         return
@@ -92,12 +109,8 @@
 
 
 async def _record_part_crash(
-    state: EntryState, call: Call, live: LiveEndpoint, started: float
+    state: EntryState, live: LiveEndpoint, attempt: BrokenAttempt
 ) -> None:
-    parts = call.part_fingerprints()
-    if not parts:
-        return
-    attempt = BrokenAttempt(live.number, parts, started, trio.current_time())
     if await _has_ended(state, live):
         record_endpoint_crash(state.part_crashes, live, attempt)
         return
--- a/src/fireflymux/entry/state.py
+++ b/src/fireflymux/entry/state.py
@@ -24,28 +24,21 @@
 from ..decisions.refused_requests import RefusedRequests
 from ..decisions.store_version import StoreVersion
 from ..decisions.table_ages import TableAges
-from ..http.connection_pool import ConnectionPool, UpstreamPool
+from ..http.connection_pool import UpstreamPool
 from ..observability.logs import get_logger
 from ..platform.configuration_row import CONFIGURATION_TABLE
 from ..platform.endpoint_row import ENDPOINT_TABLE
 from .candidates import Candidates
 from .endpoint_crashes import record_endpoint_gone
-from .live_endpoint import LiveEndpoint, apply_capacity, create_live_endpoint
+from .live_endpoint import LiveEndpoint, apply_capacity, create_live_endpoint, open_pool
 
 _log = get_logger(__name__)
-_CONNECT_TIMEOUT_SECONDS = 0.4
 #: Tables of the store that instances follow.
 FOLLOWED_TABLES = (CONFIGURATION_TABLE, ENDPOINT_TABLE)
 #: Fraction of an endpoint's connections that all instances together may keep idle.
 _IDLE_CONNECTIONS_FRACTION = 0.5
 
 
-def _open_pool(endpoint: Endpoint) -> UpstreamPool:
-    return ConnectionPool(
-        endpoint.host, endpoint.port, connect_timeout_seconds=_CONNECT_TIMEOUT_SECONDS
-    )
-
-
 class EntryState:
     """State of one entry instance, shared by its tasks.
 
@@ -85,7 +78,7 @@
         rng: random.Random,
         *,
         policy: PlacingPolicy = DEFAULT_POLICY,
-        open_pool: Callable[[Endpoint], UpstreamPool] = _open_pool,
+        open_pool: Callable[[Endpoint], UpstreamPool] = open_pool,
     ) -> None:
         """Creates the state of an instance that has received nothing yet.
 
--- a/src/fireflymux/experiment/fleet.py
+++ b/src/fireflymux/experiment/fleet.py
@@ -89,6 +89,8 @@
                 nursery.start_soon(engine.work)
             for components in zip(self._states, self._peer_links, self.instances, strict=True):
                 nursery.start_soon(self._run_instance, *components, nursery)
+            for instance in self.instances:
+                nursery.start_soon(instance.detached_tasks.run)
 
     async def _run_instance(
         self,
