Router: the record of sends tells whether a request may have run

`DispatchState.may_have_run` was set after an await that a cancellation can skip. No caller was told wrongly by it: what cancels a dispatch also ends its answer (read, not shown). The router now keeps the same record as the entry role: a send counts before the run order leaves, and is taken back only by a sidecar's statement that the call did not run, with no await in between.

--- a/src/fireflymux/router/dispatch.py
+++ b/src/fireflymux/router/dispatch.py
@@ -12,6 +12,7 @@
 
 from ..decisions.crash_registry import GUILTY, SUSPECT, CrashRegistry
 from ..decisions.retry_budget import RetryBudget, backoff_seconds
+from ..decisions.send_record import SendRecord
 from ..errors import CallFailure, ErrorKind, ExecutionStatus
 from ..messages import RunOrder
 from ..observability.metrics import Metrics
@@ -53,7 +54,7 @@
         deadline: Time at which waiting and retrying end, in seconds.
         failed_attempts: Number of failed attempts whose failure allows a retry, without placement
             refusals.
-        may_have_run: Whether an earlier attempt may have run.
+        history: Its sends, and whether one of them may have run it.
     """
 
     request: CallerRequest
@@ -61,7 +62,7 @@
     pending: PendingRequest
     deadline: float
     failed_attempts: int = 0
-    may_have_run: bool = False
+    history: SendRecord = attrs.field(factory=SendRecord)
 
 
 @attrs.define(frozen=True, kw_only=True)
@@ -132,9 +133,6 @@
             result = await self._run_attempt(dispatch)
             if not isinstance(result, CallFailure):
                 return result
-            dispatch.may_have_run = (
-                dispatch.may_have_run or result.outcome is not ExecutionStatus.no
-            )
             final_failure = self._handle_failure(dispatch, result)
             if final_failure is not None:
                 return _adjust_outcome(dispatch, final_failure)
@@ -199,6 +197,7 @@
             grant=placement.grant,
             config_version=self._context.get_config_version(),
         )
+        dispatch.history.record_send()
         try:
             result = await self._context.run_client.send_order(
                 placement,
@@ -212,6 +211,8 @@
             raise
         if isinstance(result, CallFailure):
             self._context.placer.release_concurrency(dispatch.request.account)
+            if result.outcome is ExecutionStatus.no:
+                dispatch.history.record_rejection()
         return result
 
     def _handle_failure(self, dispatch: DispatchState, failure: CallFailure) -> CallFailure | None:
@@ -284,6 +285,6 @@
 
 def _adjust_outcome(dispatch: DispatchState, failure: CallFailure) -> CallFailure:
     """Reports a request as possibly run if an earlier attempt may have run."""
-    if dispatch.may_have_run and failure.outcome is ExecutionStatus.no:
+    if dispatch.history.may_have_run and failure.outcome is ExecutionStatus.no:
         return CallFailure(failure.kind, failure.detail, ExecutionStatus.unknown, failure.writer)
     return failure
