Entry: an error's status follows from what ran, not from its kind alone

`write_failure` took the status of the error's kind, so that an error of a kind that means "not run" would have been 503 also where its call may have run. No caller is known to have met it (the review read it; a quarantined prompt gets there only if it may be repeated).

--- a/features/call_ends.feature
+++ b/features/call_ends.feature
@@ -48,3 +48,8 @@
     Given a "idempotent" call whose endpoint breaks off, then answers
     When it ends by itself
     Then it is answered 200 after the time in which an endpoint accepts a connection
+
+  # Guards against an error of a kind that means "not run" for a request that may have run.
+  Scenario: No error of a request that may have run bears a status that denies it
+    When errors of every kind are written for requests that may have run
+    Then none has a status that promises that the request did not run, or a time to come back
--- a/features/steps/call_end_steps.py
+++ b/features/steps/call_end_steps.py
@@ -1,11 +1,16 @@
 """Steps for calls that end within any of their awaits."""
 
+import random
+from types import SimpleNamespace
+
+import trio
 from behave import given, then, when
 
 from emulator.scripted_calls import end_at_step, open_unreachable_port
 from fireflymux.decisions.entry_configuration import Repeatability
 from fireflymux.entry.quarantine import _PROBE_SECONDS
-from fireflymux.errors import NOT_RUN_STATUSES
+from fireflymux.entry.failure_responses import write_failure
+from fireflymux.errors import NOT_RUN_STATUSES, CallFailure, ErrorKind, ExecutionStatus
 
 #: Statuses that tell that a request may have run.
 _MAY_HAVE_RUN_STATUSES = frozenset((502, 504))
@@ -67,3 +72,33 @@
     walk = context.walk
     assert walk.status == 200, walk
     assert walk.seconds >= _PROBE_SECONDS, walk
+
+
+class _Writer:
+    has_begun = False
+
+    async def answer(self, status, fields, content):
+        self.status = status
+        self.fields = {name.lower(): value for name, value in fields}
+
+
+@when('errors of every kind are written for requests that may have run')
+def write_errors(context):
+    context.writers = []
+    for kind in ErrorKind:
+        for ran in (ExecutionStatus.unknown, ExecutionStatus.yes):
+            writer = _Writer()
+            failure = CallFailure(kind, ran=ran)
+            metadata = SimpleNamespace(attempt=b'a')
+            trio.run(write_failure, failure, metadata, writer, random.Random(1))
+            context.writers.append((kind, writer))
+
+
+@then('none has a status that promises that the request did not run, or a time to come back')
+def check_errors(context):
+    wrong = [
+        (kind.value, writer.status)
+        for kind, writer in context.writers
+        if writer.status in NOT_RUN_STATUSES or b'retry-after' in writer.fields
+    ]
+    assert not wrong, wrong
--- a/src/fireflymux/entry/failure_responses.py
+++ b/src/fireflymux/entry/failure_responses.py
@@ -35,7 +35,7 @@
     content = orjson.dumps({'kind': failure.kind.value, 'title': error_response.title})
     retry_after = _choose_retry_after(failure, rng)
     fields = build_error_headers(metadata.attempt, retry_after)
-    await writer.answer(error_response.status, fields, content)
+    await writer.answer(failure.status, fields, content)
 
 
 def _choose_retry_after(failure: CallFailure, rng: random.Random) -> float:
