Entry: bound the bytes kept of endpoints as one sum, and the work per turn

What callers saw: an endpoint that sends bytes without end to some hundred requests took the process to several times its memory, which ends it with all its other requests; shapes of small units let sound callers wait for seconds. Cause: each response was bounded, their sum was not; fields and body parts cost more than the bytes that were counted; a read of 64 KB is parsed in one step, for each flooding connection in one turn of the loop; parts of an event were copied for each part that came; and httptools' cycle kept it all until a full collection. Change: `ByteBudget` is one sum of a fifth of the memory setting. From three quarters on, large messages are read on one at a time; at the bound the largest of the source that holds most is given up. Heads count what their fields cost. Reads are small until a body comes in large parts; input of many small units is parsed for one connection a turn. A closed connection lets go at once. After 3 responses beyond all bounds an endpoint gets no request for 10 s, then one of them is enough again. Callers are told 502 "response_too_large"; the log has shape, bytes and endpoint, the metrics what is held and the bound. attempt.py is split into the attempt, its relay and its state.

--- a/emulator/backend.py
+++ b/emulator/backend.py
@@ -20,6 +20,7 @@
 _LONG_PAUSE_SECONDS = 1.2
 #: Id of an event that has more digits than Python converts to a number.
 LONG_EVENT_ID = b'9' * 5000
+_LARGE_BYTES = 4194304
 _MISDIRECTED_BEHAVIOURS = ('misdirected', 'misdirected and leaving')
 
 
@@ -392,6 +393,7 @@
         {
             'answer': _answer,
             'answer and leave': _answer_and_leave,
+            'answer with 4 MB': _answer_with(200, [], b'x' * _LARGE_BYTES),
             'answer and warm up': _answer_and_warm_up,
             'fail': _fail,
             'not found': _fail_as_not_found,
--- a/emulator/entry_variants.py
+++ b/emulator/entry_variants.py
@@ -29,7 +29,12 @@
     state,
     warmups,
 )
-from fireflymux.http import client_connection, connection_pool, response_writer
+from fireflymux.http import (
+    client_connection,
+    connection_pool,
+    response_reader,
+    response_writer,
+)
 from fireflymux.http.server_connection import ServerConnection
 from fireflymux.platform import store
 
@@ -105,7 +110,7 @@
 
 def no_bounds() -> None:
     """Removes the limits on the bytes and answers that are read from an endpoint."""
-    client_connection._MAXIMUM_BYTES_WITHOUT_PROGRESS = float('inf')
+    response_reader._MAXIMUM_BYTES_WITHOUT_PROGRESS = float('inf')
     event_relay._MAXIMUM_EVENT_BYTES = float('inf')
     attempt._MAXIMUM_UNSIZED_RESPONSE_BYTES = float('inf')
     matching_response._MAXIMUM_SKIPPED_RESPONSES = 10**9
--- a/emulator/scripted_calls.py
+++ b/emulator/scripted_calls.py
@@ -30,6 +30,7 @@
 from fireflymux.entry.entry_metrics import EntryMetrics
 from fireflymux.entry.exchange import RequestHandler
 from fireflymux.entry.state import EntryState
+from fireflymux.http.byte_budget import ByteBudget, HeldBytes
 from fireflymux.http.client_connection import ConnectFailed, ConnectionBroken
 from fireflymux.http.messages import HeaderFields, Request, ResponseHead
 from fireflymux.http.response_parser import IncomingResponse
@@ -93,6 +94,13 @@
     def drop(self, response: IncomingResponse) -> None:
         """Does nothing."""
 
+    def hold(self, give_up: Callable[[], None]) -> HeldBytes:
+        """Returns an account without a bound, since no bytes are received."""
+        return ByteBudget().open('', give_up)
+
+    def keep(self, size: int) -> None:
+        """Does nothing, since no bytes are received."""
+
     async def send(self, start_line: bytes, fields: HeaderFields, content: bytes) -> None:
         """Sends the request; the endpoint runs it once all of it has arrived."""
         self._walk.sends += 1
--- a/src/fireflymux/decisions/ejection.py
+++ b/src/fireflymux/decisions/ejection.py
@@ -3,6 +3,7 @@
 An ejected endpoint gets no work for a few seconds while others of the service can take it.
 """
 
+from collections import deque
 from collections.abc import Iterable
 
 import attrs
@@ -19,6 +20,11 @@
 _EJECTION_SECONDS = 3.0
 #: Fraction of the endpoints of a service that may be ejected at once.
 _MAXIMUM_EJECTED_FRACTION = 0.5
+#: Responses beyond all bounds after which an endpoint gets no work, the time within which they come,
+#: and the time without work.
+_OVERSIZED_COUNT = 3
+_OVERSIZED_WINDOW_SECONDS = 60.0
+_OVERSIZED_REST_SECONDS = 10.0
 
 
 @attrs.define
@@ -39,6 +45,33 @@
     failure_rate: float = 0.0
     ejected_until: float = float('-inf')
     requested_backoff_until: float = float('-inf')
+    _oversized_until: float = float('-inf')
+    _oversized_at: deque[float] = attrs.field(factory=lambda: deque(maxlen=_OVERSIZED_COUNT))
+
+    @property
+    def refuses_until(self) -> float:
+        """Time until which the endpoint gets no work at all, in seconds."""
+        return max(self.requested_backoff_until, self._oversized_until)
+
+    def record_oversized(self, now: float) -> bool:
+        """Records a response that was larger than any may be.
+
+        After some of them within a while, the endpoint gets no work for a time. What is left of
+        them when it ends is one too few, so that one more begins the next such time.
+
+        Args:
+            now: Time in seconds.
+
+        Returns:
+            Whether such a time has begun by this response.
+        """
+        self._oversized_at.append(now)
+        is_full = len(self._oversized_at) == _OVERSIZED_COUNT
+        is_frequent = is_full and now - self._oversized_at[0] < _OVERSIZED_WINDOW_SECONDS
+        if not is_frequent or self._oversized_until > now:
+            return False
+        self._oversized_until = now + _OVERSIZED_REST_SECONDS
+        return True
 
     def record_requested_backoff(self, until: float) -> None:
         """Records that the endpoint has requested a backoff, in `requested_backoff_until`.
--- a/src/fireflymux/entry/attempt.py
+++ b/src/fireflymux/entry/attempt.py
@@ -6,27 +6,20 @@
 be a comment or a part of an event. For a response that is not a stream, both end with the attempt.
 """
 
-from collections.abc import Callable
-
-import attrs
 import trio
 
 from ..decisions.engine_choice import Placement
-from ..decisions.retry import AttemptHistory
-from ..http.client_connection import ConnectFailed, ConnectionBroken
+from ..http.client_connection import ConnectFailed, ConnectionBroken, ResponseTooLarge
 from ..http.connection_pool import UpstreamConnection
-from ..http.messages import HeaderFields, Request, ResponseHead
 from ..http.response_parser import IncomingResponse
 from ..platform.call_headers import (
-    RequestMetadata,
     ResponseMetadata,
     build_request_headers,
     filter_response_headers,
 )
+from .attempt_relay import relay_events
 from .endpoint_wishes import apply_response_signals
-from .entry_metrics import EntryMetrics
-from .event_relay import EventRelay, EventTooLarge, StreamNotResumed
-from .live_endpoint import LiveEndpoint
+from .event_relay import StreamNotResumed
 from .matching_response import MAXIMUM_RESPONSE_BYTES, read_matching_response
 from .outcomes import (
     Abandoned,
@@ -34,14 +27,18 @@
     NotResumed,
     NotSent,
     Outcome,
+    Oversized,
     Rejected,
-    Relayed,
     Whole,
 )
+from .oversized_responses import record_oversized
+from .running_attempt import Attempt, end_prefill
 from .state import EntryState
 
 #: Largest body without a stated length, which might never end.
 _MAXIMUM_UNSIZED_RESPONSE_BYTES = 1048576
+#: Shape of a response that was given up to make room, as the log calls it.
+_LARGEST_SHAPE = 'the most of all that is held'
 _FIRST_SUCCESS_STATUS = 200
 _FIRST_REDIRECT_STATUS = 300
 #: Status by which another endpoint at the same address rejects a request. Whether that response
@@ -49,45 +46,6 @@
 _MISDIRECTED_STATUS = 421
 
 
-@attrs.define(eq=False, kw_only=True)
-class Attempt:
-    """One attempt of a request on one endpoint.
-
-    Attributes:
-        request: The caller's request.
-        metadata: What its header fields say; `metadata.attempt` is the identifier that the caller
-            gave its own attempt, which may comprise several of these.
-        account: Client account; empty for requests without a key.
-        live: The endpoint.
-        placement: Load that the request counts for on the endpoint.
-        deadline: Time at which the caller's deadline or the route's timeout ends, in seconds.
-        relay: Forwards the events of the response; None if the route does not stream.
-        metrics: Metrics of the instance.
-        has_caller_disconnected: Tells whether the caller closed its connection.
-        history: Attempts of the request, in which its sends are recorded.
-        stall_seconds: Time without an event after which a stream is given up.
-        is_prefilling: Whether the prompt counts for the endpoint's load: no bytes of a stream have
-            arrived yet, and the attempt has not ended.
-        sent_at: Time at which the request was sent, in seconds.
-        stall_scope: Cancels the attempt when the stream stalls.
-    """
-
-    request: Request
-    metadata: RequestMetadata
-    account: str
-    live: LiveEndpoint
-    placement: Placement
-    deadline: float
-    relay: EventRelay | None
-    metrics: EntryMetrics
-    has_caller_disconnected: Callable[[], bool]
-    history: AttemptHistory
-    stall_seconds: float = float('inf')
-    is_prefilling: bool = True
-    sent_at: float = 0.0
-    stall_scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
-
-
 async def run_attempt(state: EntryState, attempt: Attempt) -> Outcome:
     """Runs an attempt, and records its result and the end of its load on the endpoint.
 
@@ -102,7 +60,7 @@
     try:
         outcome = await _connect_and_exchange(state, attempt)
     finally:
-        _end_prefill(state, attempt)
+        end_prefill(state, attempt)
         state.loads.end(live.number)
         state.notify()
     if isinstance(outcome, Abandoned):
@@ -111,7 +69,7 @@
         if not outcome.is_local:
             state.record_connect_failure(live)
         return outcome
-    failed = isinstance(outcome, Broken | NotResumed | Rejected)
+    failed = isinstance(outcome, Broken | Oversized | NotResumed | Rejected)
     state.record_result(live, failed=failed or (isinstance(outcome, Whole) and outcome.is_failure))
     return outcome
 
@@ -132,29 +90,52 @@
         # or requested a backoff.
         live.pool.release_connection(connection, None)
         return NotSent('the endpoint takes no work any more', is_local=True)
+    return await _exchange(state, attempt, connection)
+
+
+async def _exchange(
+    state: EntryState, attempt: Attempt, connection: UpstreamConnection
+) -> Outcome:
+    """Sends the request and handles the response, and keeps or closes the connection."""
+    outcome: Outcome | None = None
     idle_seconds = None
-    is_complete = False
+    held = connection.hold(attempt.stall_scope.cancel)
     try:
         with attempt.stall_scope:
-            await _send(state, attempt, connection)
-            response, metadata = await read_matching_response(connection, attempt.metadata.attempt)
-            if response.head.status != _MISDIRECTED_STATUS:
-                apply_response_signals(state, live, metadata)
-            outcome = await _read_response_body(state, attempt, connection, response, metadata)
-            connection.drop(response)
-            idle_seconds = metadata.idle_seconds
-            is_complete = True
-    except (ConnectionBroken, EventTooLarge) as error:
+            outcome, idle_seconds = await _send_and_read(state, attempt, connection)
+    except ResponseTooLarge as error:
+        return record_oversized(state, attempt.live, error.shape, error.size)
+    except ConnectionBroken as error:
         return Broken(str(error))
     except StreamNotResumed as error:
         return NotResumed(str(error))
     finally:
-        if not is_complete:
+        held.close()
+        if outcome is None:
             connection.close()
-    if not is_complete:
-        return Broken('no event for {0:.1f} s'.format(attempt.stall_seconds))
-    live.pool.release_connection(connection, idle_seconds)
-    return outcome
+    if outcome is not None:
+        attempt.live.pool.release_connection(connection, idle_seconds)
+        return outcome
+    if held.is_given_up:
+        return record_oversized(state, attempt.live, _LARGEST_SHAPE, held.largest_size)
+    return Broken('no event for {0:.1f} s'.format(attempt.stall_seconds))
+
+
+async def _send_and_read(
+    state: EntryState, attempt: Attempt, connection: UpstreamConnection
+) -> tuple[Outcome, float | None]:
+    """Sends the request and handles the response.
+
+    Returns:
+        How the attempt ended, and the idle timeout of the connection in seconds, if it is stated.
+    """
+    await _send(state, attempt, connection)
+    response, metadata = await read_matching_response(connection, attempt.metadata.attempt)
+    if response.head.status != _MISDIRECTED_STATUS:
+        apply_response_signals(state, attempt.live, metadata)
+    outcome = await _read_response_body(state, attempt, connection, response, metadata)
+    connection.drop(response)
+    return outcome, metadata.idle_seconds
 
 
 async def _send(state: EntryState, attempt: Attempt, connection: UpstreamConnection) -> None:
@@ -207,7 +188,7 @@
     if is_success and metadata.is_encoded and not attempt.metadata.accepts_encodings:
         raise ConnectionBroken('the answer has an encoding that its caller does not accept')
     if is_success and attempt.relay is not None:
-        return await _relay_events(state, attempt, connection, response)
+        return await relay_events(state, attempt, connection, response)
     states_length = head.content_length is not None
     maximum_bytes = MAXIMUM_RESPONSE_BYTES if states_length else _MAXIMUM_UNSIZED_RESPONSE_BYTES
     content = await connection.read_full_body(response, maximum_bytes)
@@ -220,80 +201,3 @@
         return NotResumed('it has status {0}'.format(head.status))
     fields = filter_response_headers(head, attempt.metadata.attempt)
     return Whole(head.status, fields, content)
-
-
-async def _relay_events(
-    state: EntryState,
-    attempt: Attempt,
-    connection: UpstreamConnection,
-    response: IncomingResponse,
-) -> Outcome:
-    """Relays a stream to its end, and observes its first bytes and how long it took a slot."""
-    relay = attempt.relay
-    # Cannot be None: the only caller has checked it.
-    if relay is None:
-        raise ConnectionBroken('the answer is not a stream')
-    started_at = trio.current_time()
-    head: ResponseHead = response.head
-    fields = filter_response_headers(head, attempt.metadata.attempt)
-    relay.begin_attempt(head.status, fields)
-    while True:
-        part = await connection.next_body_part(response)
-        if not part:
-            break
-        if attempt.is_prefilling:
-            _observe_first_event(attempt)
-            _end_prefill(state, attempt)
-        await _forward_part(attempt, relay, part, head.status, fields)
-    if response.ends_at_close and not relay.is_between_events:
-        raise ConnectionBroken('the stream ended within an event')
-    prefill_seconds = attempt.placement.tokens / attempt.live.first_event_model.tokens_per_second
-    slot_time_model = state.slot_time_models[attempt.live.endpoint.service]
-    slot_time_model.observe(trio.current_time() - started_at + prefill_seconds)
-    # The endpoint has done its part; only the caller may delay the end now.
-    attempt.stall_scope.deadline = float('inf')
-    await relay.end(head.status, fields)
-    return Relayed()
-
-
-async def _forward_part(
-    attempt: Attempt, relay: EventRelay, part: bytes, status: int, fields: HeaderFields
-) -> None:
-    """Forwards a part of a stream to the caller and updates the deadline for the next event.
-
-    The deadline is suspended while the caller reads, and is extended only if the part held an
-    event: comments that keep the connection open are no progress.
-    """
-    scope = attempt.stall_scope
-    stall_deadline = scope.deadline
-    writes_before = relay.event_writes
-    scope.deadline = float('inf')
-    await relay.forward(part, status, fields)
-    is_progress = relay.event_writes > writes_before
-    scope.deadline = trio.current_time() + attempt.stall_seconds if is_progress else stall_deadline
-
-
-def _observe_first_event(attempt: Attempt) -> None:
-    """Observes the time to the first event, as a metric and to learn the engine's speed.
-
-    It ends at the first bytes of the stream, which can be a comment or a part of an event.
-    """
-    placement = attempt.placement
-    model = attempt.live.first_event_model
-    seconds = trio.current_time() - attempt.sent_at
-    attempt.metrics.first_event.observe({'service': attempt.live.endpoint.service}, seconds)
-    if placement.is_queued:
-        # The time includes a wait for a slot, which says nothing about the prefill speed.
-        return
-    # The prompt's own tokens, and those that were predicted to be processed before it.
-    tokens = placement.tokens + placement.wait_seconds * model.tokens_per_second
-    model.observe(tokens, seconds)
-
-
-def _end_prefill(state: EntryState, attempt: Attempt) -> None:
-    """Takes the prompt off the endpoint's load, if it still counts there."""
-    if not attempt.is_prefilling:
-        return
-    attempt.is_prefilling = False
-    state.loads.end_prefill(attempt.live.number, attempt.placement.tokens)
-    state.notify()
--- a/src/fireflymux/entry/availability.py
+++ b/src/fireflymux/entry/availability.py
@@ -39,9 +39,7 @@
             ErrorKind.endpoints_evacuated,
             'the failure domain of every endpoint is evacuated',
         )
-    backoff_end = min(
-        (live.record.requested_backoff_until for live in remaining), default=float('-inf')
-    )
+    backoff_end = min((live.record.refuses_until for live in remaining), default=float('-inf'))
     if backoff_end <= until:
         return None
     return build_unavailable_failure(
--- a/src/fireflymux/entry/call_failures.py
+++ b/src/fireflymux/entry/call_failures.py
@@ -5,7 +5,7 @@
 
 from ..errors import CallFailure, ErrorKind
 from .calls import Call
-from .outcomes import Outcome, Rejected
+from .outcomes import Outcome, Oversized, Rejected
 
 
 def build_end_failure(call: Call, *, is_stopping: bool) -> CallFailure:
@@ -31,6 +31,8 @@
 def build_attempt_failure(call: Call, outcome: Outcome) -> CallFailure:
     """Builds the failure of a call after an attempt that is not followed by another."""
     detail = str(outcome)
+    if isinstance(outcome, Oversized):
+        return CallFailure(ErrorKind.response_too_large, detail)
     if call.may_have_run:
         return CallFailure(ErrorKind.endpoint_crashed, detail)
     if isinstance(outcome, Rejected):
--- a/src/fireflymux/entry/entry_metrics.py
+++ b/src/fireflymux/entry/entry_metrics.py
@@ -52,6 +52,13 @@
         self.endpoints_resting = self._gauge(
             'endpoints_resting', 'Endpoints that asked for a time without work'
         )
+        self.held_bytes = self._gauge('held_bytes', 'Bytes kept of messages from outside')
+        self.held_bytes_limit = self._gauge(
+            'held_bytes_limit', 'Most bytes that are kept of messages from outside'
+        )
+        self.messages_given_up = self._gauge(
+            'messages_given_up', 'Messages given up since too much was kept in all'
+        )
         self.store_era = self._gauge('store_era', 'How often the store came back from a copy')
         self.table_age = self._gauge(
             'table_age_seconds', 'Time since a table of the store was known to be current'
--- a/src/fireflymux/entry/event_relay.py
+++ b/src/fireflymux/entry/event_relay.py
@@ -7,6 +7,7 @@
 """
 
 from ..http.messages import HeaderFields, find_header
+from ..http.response_reader import ResponseTooLarge
 from ..http.response_writer import ResponseWriter
 
 _EVENT_END = b'\n\n'
@@ -19,7 +20,7 @@
 _MAXIMUM_EVENT_BYTES = 1048576
 
 
-class EventTooLarge(Exception):
+class EventTooLarge(ResponseTooLarge):
     """An event exceeds the largest size."""
 
 
@@ -53,7 +54,7 @@
         # Whether `last_event_id` tells where the caller is in the stream: no event without an id
         # was forwarded after it.
         self._is_place_known = has_event_ids
-        self._partial = b''
+        self._partial = bytearray()
         self._is_resumed = False
         # Of the response to the caller.
         self._status = 0
@@ -71,6 +72,11 @@
         """Whether another endpoint could send the rest; all of it as long as nothing was sent."""
         return self._is_place_known or not self.is_begun
 
+    @property
+    def partial_bytes(self) -> int:
+        """Number of bytes that are kept of an event that is not complete."""
+        return len(self._partial)
+
     @property
     def is_between_events(self) -> bool:
         """Whether all received bytes belong to complete events."""
@@ -87,7 +93,7 @@
             StreamNotResumed: The response to the caller has begun with another status or media
                 type.
         """
-        self._partial = b''
+        self._partial.clear()
         self._is_resumed = self.is_begun
         self._writes_before = self.event_writes
         media_type = _parse_media_type(fields)
@@ -108,15 +114,16 @@
             EventTooLarge: The incomplete event exceeds the largest size.
             StreamNotResumed: The stream was resumed, and an event has no place in its order.
         """
-        content = self._partial + received
-        end = content.rfind(_EVENT_END)
-        if len(content) - max(end, 0) > _MAXIMUM_EVENT_BYTES:
-            raise EventTooLarge('{0} bytes without the end of an event'.format(len(content)))
+        # Only the last byte of what is kept can belong to the end of an event that follows.
+        searched = max(len(self._partial) - 1, 0)
+        self._partial += received
+        end = self._partial.rfind(_EVENT_END, searched)
+        if len(self._partial) - max(end, 0) > _MAXIMUM_EVENT_BYTES:
+            raise EventTooLarge('an event', len(self._partial))
         if end < 0:
-            self._partial = content
             return
-        complete = content[: end + len(_EVENT_END)]
-        self._partial = content[len(complete) :]
+        complete = bytes(self._partial[: end + len(_EVENT_END)])
+        self._partial = self._partial[len(complete) :]
         last_event_id, is_place_known = self.last_event_id, self._is_place_known
         if self._has_event_ids:
             complete, last_event_id, is_place_known = self._drop_repeated(complete)
@@ -140,10 +147,10 @@
             StreamNotResumed: The stream was resumed, and there are bytes left that are no event,
                 or nothing tells that the response is a stream.
         """
-        remainder = self._partial
+        remainder = bytes(self._partial)
         if self._is_resumed:
             self._check_end_of_rest()
-        self._partial = b''
+        self._partial.clear()
         if not self.is_begun:
             await self._writer.start(status, fields, remainder)
         elif remainder:
--- a/src/fireflymux/entry/exchange.py
+++ b/src/fireflymux/entry/exchange.py
@@ -29,6 +29,7 @@
     NotResumed,
     NotSent,
     Outcome,
+    Oversized,
     Rejected,
     Relayed,
     Whole,
@@ -277,6 +278,7 @@
         NotSent: Ending.not_sent,
         Rejected: Ending.rejected,
         Broken: Ending.broken,
+        Oversized: Ending.broken,
         NotResumed: Ending.failed,
         Whole: Ending.failed,
     }
--- a/src/fireflymux/entry/instance.py
+++ b/src/fireflymux/entry/instance.py
@@ -13,6 +13,7 @@
 import trio
 
 from .._settings_generated import EntrySettings
+from ..http.byte_budget import ByteBudget
 from ..http.messages import HttpLimits, Request
 from ..http.response_writer import ResponseWriter
 from ..observability.logs import get_logger
@@ -25,6 +26,7 @@
 from .exchange import RequestHandler
 from .instance_registry import InstanceRegistry
 from .listeners import Listener
+from .live_endpoint import open_pool
 from .peer_link import PeerLink
 from .peer_snapshot import PeerSnapshots
 from .settings_reload import SettingsReloader
@@ -47,6 +49,8 @@
 _CONNECTION_CHECK_SECONDS = 1.0
 #: Fraction of the file descriptors and of the memory that connections of callers may take.
 _CALLER_CONNECTIONS_FRACTION = 0.5
+#: Fraction of the memory that messages from outside may take, beside the connections themselves.
+_HELD_BYTES_FRACTION = 0.2
 #: Memory that an open connection takes, with its tasks, parser and buffers.
 _CONNECTION_BYTES = 32768
 _MEGABYTE = 1048576
@@ -67,7 +71,14 @@
         """
         # As they were at the start; `self._state.settings` includes later reloads.
         self._settings = settings.entry
-        self._state = EntryState(self._settings, random.Random())
+        self._byte_budget = ByteBudget(
+            _HELD_BYTES_FRACTION * self._settings.maximum_memory_megabytes * _MEGABYTE
+        )
+        self._state = EntryState(
+            self._settings,
+            random.Random(),
+            open_pool=partial(open_pool, byte_budget=self._byte_budget),
+        )
         self._metrics = EntryMetrics()
         self._reloader = SettingsReloader(self._state, path)
         self._handler = RequestHandler(self._state, self._metrics)
@@ -228,6 +239,10 @@
             metrics.table_age.set({'table': table}, state.table_ages.get_age(table, now))
         metrics.endpoints_known.set({}, len(state.members.list_endpoints()))
         metrics.endpoints_leaving.set({}, len(state.members.list_leaving()))
+        budget = self._byte_budget
+        metrics.held_bytes.set({}, budget.held_bytes)
+        metrics.held_bytes_limit.set({}, budget.limit_bytes)
+        metrics.messages_given_up.set({}, budget.given_up)
         metrics.endpoints_resting.set({}, count_requested_backoffs(state))
 
     async def _handle_readiness(self, request: Request, writer: ResponseWriter) -> None:
--- a/src/fireflymux/entry/live_endpoint.py
+++ b/src/fireflymux/entry/live_endpoint.py
@@ -10,6 +10,7 @@
 from ..decisions.membership import Endpoint
 from ..decisions.prompts import PrefixCache
 from ..decisions.warmup import RequestPacer
+from ..http.byte_budget import ByteBudget
 from ..http.connection_pool import ConnectionPool, UpstreamPool
 
 #: Fraction of an engine's cache assumed to hold prefixes that later prompts can reuse.
@@ -73,11 +74,11 @@
 
         Returns:
             Whether it is neither leaving nor evacuated nor in a backoff that it has requested with
-            Retry-After.
+            Retry-After or that follows responses beyond all bounds.
         """
         if self.endpoint.is_leaving or self.is_evacuated:
             return False
-        return self.record.requested_backoff_until <= now
+        return self.record.refuses_until <= now
 
     def is_warming(self, now: float) -> bool:
         """Tells whether it warms up, so that only few requests may be sent to it.
@@ -88,10 +89,18 @@
         return self.warmup_until > now
 
 
-def open_pool(endpoint: Endpoint) -> UpstreamPool:
-    """Creates the pool of connections to an endpoint; none is opened yet."""
+def open_pool(endpoint: Endpoint, *, byte_budget: ByteBudget | None = None) -> UpstreamPool:
+    """Creates the pool of connections to an endpoint; none is opened yet.
+
+    Args:
+        endpoint: The endpoint.
+        byte_budget: Bounds what is kept of its responses; None for no bound.
+    """
     return ConnectionPool(
-        endpoint.host, endpoint.port, connect_timeout_seconds=_CONNECT_TIMEOUT_SECONDS
+        endpoint.host,
+        endpoint.port,
+        connect_timeout_seconds=_CONNECT_TIMEOUT_SECONDS,
+        byte_budget=byte_budget,
     )
 
 
--- a/src/fireflymux/entry/matching_response.py
+++ b/src/fireflymux/entry/matching_response.py
@@ -1,6 +1,6 @@
 """Reads the head of the response to an attempt, behind late responses to other requests."""
 
-from ..http.client_connection import ConnectionBroken
+from ..http.response_reader import ResponseTooLarge
 from ..http.connection_pool import UpstreamConnection
 from ..http.response_parser import IncomingResponse
 from ..platform.call_headers import ResponseMetadata, decode_response_headers
@@ -30,7 +30,8 @@
             return response, metadata
         remaining_bytes -= await _skip_body(connection, response, remaining_bytes)
         connection.drop(response)
-    raise ConnectionBroken('{0} answers to other requests'.format(_MAXIMUM_SKIPPED_RESPONSES))
+    size = _MAXIMUM_SKIPPED_BYTES - remaining_bytes
+    raise ResponseTooLarge('answers to other requests', size)
 
 
 async def _skip_body(
@@ -41,5 +42,5 @@
     while part := await connection.next_body_part(response):
         size += len(part)
         if size > maximum_bytes:
-            raise ConnectionBroken('the answers to other requests are too large')
+            raise ResponseTooLarge('answers to other requests', size)
     return size
--- a/src/fireflymux/entry/outcomes.py
+++ b/src/fireflymux/entry/outcomes.py
@@ -44,6 +44,19 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class Oversized:
+    """The endpoint sent more than a response may have, without completing one; it may have run.
+
+    Attributes:
+        shape: What it sent.
+        size: Bytes that were received or stated, about.
+    """
+
+    shape: str
+    size: int
+
+
 @dataclass(frozen=True, slots=True)
 class NotResumed:
     """The caller has a part of the stream, and the response of the endpoint does not continue it.
@@ -83,4 +96,4 @@
     """A stream was forwarded to the caller up to its end."""
 
 
-Outcome = NotSent | Abandoned | Rejected | Broken | NotResumed | Whole | Relayed
+Outcome = NotSent | Abandoned | Rejected | Broken | Oversized | NotResumed | Whole | Relayed
--- a/src/fireflymux/entry/placed_attempt.py
+++ b/src/fireflymux/entry/placed_attempt.py
@@ -6,7 +6,7 @@
 
 from ..decisions.waiting import WaitingRequest
 from ..observability.logs import get_logger
-from .attempt import Attempt, run_attempt
+from .attempt import run_attempt
 from .calls import Call
 from .detached_tasks import DetachedTasks
 from .entry_metrics import EntryMetrics, TokenState
@@ -14,6 +14,7 @@
 from .outcomes import Abandoned, NotSent, Outcome, Rejected, Relayed, Whole
 from .placement_log import log_placed
 from .quarantine import record_crash
+from .running_attempt import Attempt
 from .service_queue import refund_placement, release_placement
 from .state import EntryState
 
--- a/src/fireflymux/errors.py
+++ b/src/fireflymux/errors.py
@@ -43,6 +43,7 @@
     outcome_unknown = 'outcome_unknown'
     crash_suspected = 'crash_suspected'
     prompt_quarantined = 'prompt_quarantined'
+    response_too_large = 'response_too_large'
     endpoint_crashed = 'endpoint_crashed'
     answer_cut = 'answer_cut'
     answer_expired = 'answer_expired'
@@ -181,6 +182,12 @@
             1,
             'The endpoint broke off while it ran the request',
         ),
+        ErrorKind.response_too_large: ErrorResponse(
+            502,
+            ExecutionStatus.unknown,
+            0,
+            'The endpoint sent more than a response may have',
+        ),
         ErrorKind.answer_cut: ErrorResponse(502, ExecutionStatus.yes, 1, 'The answer broke off'),
         ErrorKind.answer_expired: ErrorResponse(
             410, ExecutionStatus.unknown, 0, 'The answer is no longer kept'
--- a/src/fireflymux/experiment/engine_connections.py
+++ b/src/fireflymux/experiment/engine_connections.py
@@ -1,7 +1,8 @@
 """Connections to simulated engines, which replace those of the package `http`."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
+from ..http.byte_budget import ByteBudget, HeldBytes
 from ..http.messages import HeaderFields, ResponseHead
 from ..http.response_parser import IncomingResponse
 from ..platform.call_headers import build_endpoint_response_headers, find_fetch_host
@@ -41,6 +42,13 @@
         if self._run is not None:
             self._engine.cancel(self._run)
 
+    def hold(self, give_up: Callable[[], None]) -> HeldBytes:
+        """Returns an account without a bound, since no bytes are received."""
+        return ByteBudget().open('', give_up)
+
+    def keep(self, size: int) -> None:
+        """Does nothing, since no bytes are received."""
+
     async def send(self, start_line: bytes, fields: HeaderFields, content: bytes) -> None:
         """Sends the request for the prompt that its target identifies."""
         prompt = self._prompts[start_line.split()[1]]
--- a/src/fireflymux/http/client_connection.py
+++ b/src/fireflymux/http/client_connection.py
@@ -12,21 +12,20 @@
 import errno
 import socket
 from array import array
+from collections.abc import Callable
 
 import attrs
 import trio
 
+from .byte_budget import ByteBudget, HeldBytes
 from .messages import HeaderFields, encode_head
 from .response_parser import IncomingResponse, ResponseParser
+from .response_reader import PART_COST_BYTES, ConnectionBroken, ResponseReader, ResponseTooLarge
 
-_RECEIVE_BYTES = 65536
 #: The kernel aborts a connection on which sent data stays unacknowledged for this long.
 _TCP_USER_TIMEOUT_MILLISECONDS = 2000
 _TCP_KEEPALIVE_SECONDS = 1
 _TCP_KEEPALIVE_PROBES = 2
-#: Maximum bytes received without a complete response head or body data. It bounds the size of a
-#: head and stops a server that sends chunk framing or interim responses without end.
-_MAXIMUM_BYTES_WITHOUT_PROGRESS = 131072
 #: Maximum number of requests with an identifier on one connection. It bounds the memory for the
 #: identifiers, and is large enough that a new connection for each of so many is no burden.
 _MAXIMUM_IDENTIFIERS = 256
@@ -51,10 +50,6 @@
         self.is_local = isinstance(error, OSError) and error.errno in _RESOURCE_EXHAUSTED_ERRNOS
 
 
-class ConnectionBroken(Exception):
-    """A connection failed, or its input was invalid, before the response was complete."""
-
-
 @attrs.define(eq=False)
 class ClientConnection:
     """An open connection to a server.
@@ -69,21 +64,31 @@
     # The same socket as a standard socket, for non-blocking checks.
     _raw_socket: socket.socket
     _parser: ResponseParser = attrs.field(factory=ResponseParser)
-    # Bytes received since the parser last made progress.
-    _bytes_without_progress: int = 0
+    _byte_budget: ByteBudget = attrs.field(factory=ByteBudget)
+    # What the budget knows the server by.
+    _source: str = ''
+    _reader: ResponseReader = attrs.field(init=False)
     # Hashes of the identifiers of all requests so far; a caller's identifier can be long. Two that
     # share a hash only cost a new connection. An array takes an eighth of the memory of a set.
     _identifier_hashes: 'array[int]' = attrs.field(factory=lambda: array('q'))
     idle_until: float = float('inf')
 
     @classmethod
-    async def open(cls, host: str, port: int, *, timeout_seconds: float) -> 'ClientConnection':
+    async def open(
+        cls,
+        host: str,
+        port: int,
+        *,
+        timeout_seconds: float,
+        byte_budget: ByteBudget | None = None,
+    ) -> 'ClientConnection':
         """Connects to a server.
 
         Args:
             host: IP address.
             port: TCP port.
             timeout_seconds: Connect timeout.
+            byte_budget: Bounds what is kept of responses; None for no bound.
 
         Returns:
             The open connection.
@@ -106,7 +111,8 @@
         except BaseException:
             sock.close()
             raise
-        return cls(sock, raw_socket)
+        source = '{0}:{1}'.format(host, port)
+        return cls(sock, raw_socket, byte_budget=byte_budget or ByteBudget(), source=source)
 
     @property
     def is_reusable(self) -> bool:
@@ -148,9 +154,32 @@
         """Records the identifier of a request that is about to be sent; empty for none."""
         self._identifier_hashes.append(hash(identifier))
 
+    def __attrs_post_init__(self) -> None:
+        """Creates the reader of the responses."""
+        held = self._byte_budget.open(self._source)
+        self._reader = ResponseReader(self._socket, self._raw_socket, self._parser, held)
+
+    def hold(self, give_up: Callable[[], None]) -> HeldBytes:
+        """Opens the account of what the next response holds.
+
+        Args:
+            give_up: Ends the request if too much is held in all.
+
+        Returns:
+            The account, which must be closed once nothing of the response is kept.
+        """
+        held = self._byte_budget.open(self._source, give_up)
+        self._reader.hold(held)
+        return held
+
+    def keep(self, size: int) -> None:
+        """Records how many bytes of the present response its reader keeps."""
+        self._reader.keep(size)
+
     def close(self) -> None:
-        """Closes the connection."""
+        """Closes the connection and lets go of what it has received."""
         self._socket.close()
+        self._parser.close()
 
     async def send(self, start_line: bytes, fields: HeaderFields, content: bytes) -> None:
         """Sends a request.
@@ -183,7 +212,7 @@
         """
         responses = self._parser.responses
         while not responses:
-            await self._receive()
+            await self._reader.receive()
         return responses[0]
 
     async def next_body_part(self, response: IncomingResponse) -> bytes:
@@ -198,13 +227,11 @@
         Raises:
             ConnectionBroken: The connection failed before the response was complete.
         """
-        while not response.unread_parts and not response.is_complete:
-            await self._receive()
-        if response.unread_parts:
-            part = b''.join(response.unread_parts)
-            response.unread_parts.clear()
-            return part
-        return b''
+        while not response.unread and not response.is_complete:
+            await self._reader.receive()
+        part = bytes(response.unread)
+        response.unread.clear()
+        return part
 
     def drop(self, response: IncomingResponse) -> None:
         """Removes a complete response, so that the next one can be read."""
@@ -223,43 +250,21 @@
         Raises:
             ConnectionBroken: The connection failed before the end, or the body is too large.
         """
-        parts: list[bytes] = []
-        size = 0
-        if (response.head.content_length or 0) > maximum_bytes:
-            raise ConnectionBroken('the answer is too large')
-        while True:
-            part = await self.next_body_part(response)
-            if not part:
-                return b''.join(parts)
-            size += len(part)
+        length = response.head.content_length
+        if (length or 0) > maximum_bytes:
+            raise ResponseTooLarge('a body', length or 0)
+        while not response.is_complete:
+            await self._reader.receive()
+            size = len(response.unread)
+            if length is None:
+                size += PART_COST_BYTES * response.body_units
             if size > maximum_bytes:
-                raise ConnectionBroken('the answer is too large')
-            parts.append(part)
-
-    async def _receive(self) -> None:
-        if self._parser.is_malformed or self._parser.is_ended:
-            raise ConnectionBroken('the server sent bytes that are no answer to the request')
-        try:
-            received = await self._socket.recv(_RECEIVE_BYTES)
-        except OSError as error:
-            raise ConnectionBroken(repr(error)) from error
-        if received:
-            self._feed_parser(received)
-            return
-        self._parser.feed_eof()
-        responses = self._parser.responses
-        if not responses or not responses[-1].is_complete:
-            raise ConnectionBroken('the server closed the connection')
-
-    def _feed_parser(self, received: bytes) -> None:
-        progress = self._parser.progress
-        self._parser.feed(received)
-        if self._parser.progress > progress:
-            self._bytes_without_progress = 0
-            return
-        self._bytes_without_progress += len(received)
-        if self._bytes_without_progress > _MAXIMUM_BYTES_WITHOUT_PROGRESS:
-            raise ConnectionBroken('the server sent bytes that are no answer, without an end')
+                raise ResponseTooLarge('a body', size)
+        content = bytes(response.unread)
+        response.unread.clear()
+        if len(content) > maximum_bytes:
+            raise ResponseTooLarge('a body', len(content))
+        return content
 
 
 def _set_tcp_options(sock: socket.socket) -> None:
--- a/src/fireflymux/http/connection_pool.py
+++ b/src/fireflymux/http/connection_pool.py
@@ -5,10 +5,12 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 from typing import Any, Protocol
 
 import trio
 
+from .byte_budget import ByteBudget, HeldBytes
 from .client_connection import ClientConnection
 from .messages import HeaderFields
 from .response_parser import IncomingResponse
@@ -31,6 +33,12 @@
     def close(self) -> None:
         """Closes the connection."""
 
+    def hold(self, give_up: Callable[[], None]) -> HeldBytes:
+        """Opens the account of what the next response holds."""
+
+    def keep(self, size: int) -> None:
+        """Records how many bytes of the present response its reader keeps."""
+
     async def send(self, start_line: bytes, fields: HeaderFields, content: bytes) -> None:
         """Sends a request."""
 
@@ -74,18 +82,27 @@
         maximum_idle_connections: Maximum number of idle connections kept open.
     """
 
-    def __init__(self, host: str, port: int, *, connect_timeout_seconds: float) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        *,
+        connect_timeout_seconds: float,
+        byte_budget: ByteBudget | None = None,
+    ) -> None:
         """Creates an empty pool.
 
         Args:
             host: IP address of the server.
             port: TCP port of the server.
             connect_timeout_seconds: Connect timeout of a new connection.
+            byte_budget: Bounds what is kept of responses; None for no bound.
         """
         self.maximum_idle_connections = _DEFAULT_MAXIMUM_IDLE_CONNECTIONS
         self._host = host
         self._port = port
         self._connect_timeout_seconds = connect_timeout_seconds
+        self._byte_budget = byte_budget
         self._idle: deque[ClientConnection] = deque()
 
     async def take(self, identifier: bytes) -> ClientConnection:
@@ -137,7 +154,10 @@
             ConnectFailed: The connection could not be opened in time.
         """
         return await ClientConnection.open(
-            self._host, self._port, timeout_seconds=self._connect_timeout_seconds
+            self._host,
+            self._port,
+            timeout_seconds=self._connect_timeout_seconds,
+            byte_budget=self._byte_budget,
         )
 
     def release_connection(self, connection: ClientConnection, idle_seconds: float | None) -> None:
--- a/src/fireflymux/http/response_parser.py
+++ b/src/fireflymux/http/response_parser.py
@@ -2,6 +2,7 @@
 
 import re
 from collections import deque
+from typing import Any
 
 import attrs
 import httptools
@@ -22,6 +23,15 @@
 _STATUS_LINE_START = re.compile(rb'HTTP/1\.[01] [0-9]{3}(?: |$)', re.MULTILINE)
 
 
+#: Memory that a head and a field of it take beside their bytes, about.
+_HEAD_COST_BYTES = 512
+_FIELD_COST_BYTES = 160
+#: Largest head, with what its fields cost.
+MAXIMUM_HEAD_BYTES = 131072
+#: Responses that are kept while none of them is read; a server sends one for each request.
+_MAXIMUM_QUEUED_RESPONSES = 32
+
+
 class _Unreadable(Exception):
     """Stops the httptools parser, which would go on to further responses otherwise."""
 
@@ -32,14 +42,16 @@
 
     Attributes:
         head: Status and header fields.
-        unread_parts: Body parts that were received but not read yet.
+        unread: Part of the body that was received but not read yet.
+        body_units: Parts in which the body has arrived.
         is_complete: Whether the response was received to its end.
         ends_at_close: Whether the body is delimited by the close of the connection,
             because the response states no length.
     """
 
     head: ResponseHead
-    unread_parts: deque[bytes] = attrs.field(factory=deque)
+    unread: bytearray = attrs.field(factory=bytearray)
+    body_units: int = 0
     is_complete: bool = False
     ends_at_close: bool = False
 
@@ -63,6 +75,10 @@
         progress: Number of final response heads plus body bytes received so far, which is only
             compared with an earlier value: it does not grow while a server sends only header or
             framing bytes.
+        units: Number of fields, interim responses and body parts received so far, which tells
+            how much work the input was.
+        overhead_bytes: Memory and work that the units since the last progress cost, beside their
+            bytes.
     """
 
     def __init__(self) -> None:
@@ -74,11 +90,19 @@
         self.is_in_response = False
         self.keeps_alive = True
         self.progress = 0
-        self._parser = httptools.HttpResponseParser(self)
+        self.units = 0
+        self.overhead_bytes = 0
+        self._head_bytes = 0
+        self._parser: Any = httptools.HttpResponseParser(self)
         self._reason = b''
         self._fields: HeaderFields = []
         self._current_response: IncomingResponse | None = None
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the current head and the unread bodies take, about."""
+        return self._head_bytes + sum(len(response.unread) for response in self.responses)
+
     def feed(self, received: bytes) -> None:
         """Parses the next bytes received; errors are reported in `is_malformed`.
 
@@ -99,9 +123,24 @@
         if response is not None and response.ends_at_close and not self.is_malformed:
             response.is_complete = True
 
+    def close(self) -> None:
+        """Lets go of all input; no more is parsed.
+
+        The parser and httptools refer to each other, so that the memory would otherwise be kept
+        until a full run of the garbage collector.
+        """
+        self.is_ended = True
+        self.keeps_alive = False
+        self.responses.clear()
+        self._parser = None
+        self._fields = []
+        self._current_response = None
+
     def on_message_begin(self) -> None:
         """Resets the state for a new response."""
         self.is_in_response = True
+        self._count_unit(_HEAD_COST_BYTES)
+        self._head_bytes = _HEAD_COST_BYTES
         self._reason = b''
         self._fields = []
         self._current_response = None
@@ -112,8 +151,12 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header field; one behind a chunked body is no part of the head."""
+        self._count_unit(_FIELD_COST_BYTES)
         if self._current_response is not None:
             return
+        self._head_bytes += len(name) + len(value) + _FIELD_COST_BYTES
+        if self._head_bytes > MAXIMUM_HEAD_BYTES:
+            raise _Unreadable(self._head_bytes)
         self._fields.append((name, value.rstrip(FIELD_WHITESPACE)))
 
     def on_headers_complete(self) -> None:
@@ -139,6 +182,8 @@
             ),
             ends_at_close=not (is_chunked or length or status in BODYLESS_STATUSES),
         )
+        if len(self.responses) >= _MAXIMUM_QUEUED_RESPONSES:
+            raise _Unreadable(len(self.responses))
         self.responses.append(self._current_response)
         self.progress += 1
         if self.answers_head:
@@ -147,7 +192,9 @@
     def on_body(self, part: bytes) -> None:
         """Adds a part of the body."""
         if self._current_response is not None:
-            self._current_response.unread_parts.append(part)
+            self._current_response.unread += part
+            self._current_response.body_units += 1
+            self.units += 1
             self.progress += len(part)
 
     def on_message_complete(self) -> None:
@@ -158,6 +205,10 @@
         self._current_response.is_complete = True
         self.keeps_alive = self.keeps_alive and self._parser.should_keep_alive()
 
+    def _count_unit(self, cost_bytes: int) -> None:
+        self.units += 1
+        self.overhead_bytes += cost_bytes
+
     def _require_one_head(self) -> None:
         """Raises `_Unreadable` if the reason phrase or a value holds the start of another response.
 
