Bound what callers make an instance keep

Cause: a connection kept the body of its last request, and of closed ones until a full garbage collection; the sum of bodies in progress and of answers that wait for their reader had no bound; a large answer was copied once more behind its head. Change: a request is let go of when it is handled, a closed parser at once. Callers have a `ByteBudget` of their own, so that what they send can't take the room of what they are to get. At the bound the largest request that is still being received is refused with 503 and a time to come back, or the largest answer that is read slowly is cut. Large answers are sent behind their heads without a copy.

--- a/features/byte_floods.feature
+++ b/features/byte_floods.feature
@@ -51,3 +51,18 @@
     Given an entry process of 150 MB beside an endpoint that sends a body with a length without end
     When 100 requests for it arrive at once, and 8 for sound answers of 4 MB beside them
     Then the process takes less than its memory, and all sound answers are whole
+
+  # Guards against callers that take the memory for all: with bodies that do not end, with kept
+  # connections after their bodies, or by reading large answers slowly.
+  Scenario Outline: Callers that hold much memory take none from others
+    Given an entry process of 150 MB beside an endpoint that sends chunks without end
+    When <callers> callers <act>, and sound requests come beside them
+    Then the process takes less than its memory, and nothing that did not run is told to have run
+    And each sound one is answered within 1 second
+
+    Examples:
+      | callers | act                                       |
+      | 100     | send 1 MB of a body that does not end     |
+      | 300     | send 1 MB of a body that does not end     |
+      | 1500    | keep their connections after long bodies  |
+      | 100     | read no answer of 4 MB                    |
--- a/src/fireflymux/entry/instance.py
+++ b/src/fireflymux/entry/instance.py
@@ -49,7 +49,7 @@
 _CONNECTION_CHECK_SECONDS = 1.0
 #: Fraction of the file descriptors and of the memory that connections of callers may take.
 _CALLER_CONNECTIONS_FRACTION = 0.5
-#: Fraction of the memory that messages from outside may take, beside the connections themselves.
+#: Fraction of the memory that messages of callers may take, and as much those of endpoints.
 _HELD_BYTES_FRACTION = 0.2
 #: Memory that an open connection takes, with its tasks, parser and buffers.
 _CONNECTION_BYTES = 32768
@@ -71,13 +71,14 @@
         """
         # As they were at the start; `self._state.settings` includes later reloads.
         self._settings = settings.entry
-        self._byte_budget = ByteBudget(
-            _HELD_BYTES_FRACTION * self._settings.maximum_memory_megabytes * _MEGABYTE
-        )
+        limit_bytes = _HELD_BYTES_FRACTION * self._settings.maximum_memory_megabytes * _MEGABYTE
+        # Apart, so that what callers send cannot take the room of what they are to get.
+        self._endpoint_bytes = ByteBudget(limit_bytes)
+        self._caller_bytes = ByteBudget(limit_bytes)
         self._state = EntryState(
             self._settings,
             random.Random(),
-            open_pool=partial(open_pool, byte_budget=self._byte_budget),
+            open_pool=partial(open_pool, byte_budget=self._endpoint_bytes),
         )
         self._metrics = EntryMetrics()
         self._reloader = SettingsReloader(self._state, path)
@@ -98,6 +99,7 @@
             limits=self._caller_limits,
             is_stopping=self._is_stopping,
             maximum_connections=_compute_maximum_connections(self._settings),
+            byte_budget=self._caller_bytes,
         )
         # The class itself is passed as the function that returns limits, which are its defaults.
         readiness_listener = Listener(
@@ -239,10 +241,10 @@
             metrics.table_age.set({'table': table}, state.table_ages.get_age(table, now))
         metrics.endpoints_known.set({}, len(state.members.list_endpoints()))
         metrics.endpoints_leaving.set({}, len(state.members.list_leaving()))
-        budget = self._byte_budget
-        metrics.held_bytes.set({}, budget.held_bytes)
-        metrics.held_bytes_limit.set({}, budget.limit_bytes)
-        metrics.messages_given_up.set({}, budget.given_up)
+        for side, budget in (('endpoints', self._endpoint_bytes), ('callers', self._caller_bytes)):
+            metrics.held_bytes.set({'side': side}, budget.held_bytes)
+            metrics.held_bytes_limit.set({'side': side}, budget.limit_bytes)
+            metrics.messages_given_up.set({'side': side}, budget.given_up)
         metrics.endpoints_resting.set({}, count_requested_backoffs(state))
 
     async def _handle_readiness(self, request: Request, writer: ResponseWriter) -> None:
--- a/src/fireflymux/entry/listeners.py
+++ b/src/fireflymux/entry/listeners.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from ..http.byte_budget import ByteBudget
 from ..http.messages import HttpLimits
 from ..http.server_connection import Handler, ServerConnection
 from ..observability.logs import get_logger
@@ -39,6 +40,7 @@
         limits: Callable[[], HttpLimits],
         is_stopping: Callable[[], bool],
         maximum_connections: int = 0,
+        byte_budget: ByteBudget | None = None,
     ) -> None:
         """Creates a listener that is not open yet.
 
@@ -49,6 +51,8 @@
             is_stopping: Tells whether connections close after their current response.
             maximum_connections: Number of open connections from which on idle ones are closed when
                 a new one is accepted, which happens even if none is idle; zero to close none.
+            byte_budget: Bounds what is kept of requests and of responses that are read slowly;
+                None for no bound.
         """
         host, _, port = address.rpartition(':')
         self._address = (host, int(port))
@@ -56,6 +60,7 @@
         self._limits = limits
         self._is_stopping = is_stopping
         self._maximum_connections = maximum_connections
+        self._byte_budget = byte_budget
         self._connections: set[ServerConnection] = set()
         self._next_eviction = float('-inf')
 
@@ -117,7 +122,12 @@
     async def _serve(self, accepted: socket.socket) -> None:
         accepted.setblocking(False)
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection = ServerConnection(accepted, self._limits(), is_stopping=self._is_stopping)
+        connection = ServerConnection(
+            accepted,
+            self._limits(),
+            is_stopping=self._is_stopping,
+            byte_budget=self._byte_budget,
+        )
         self._connections.add(connection)
         try:
             await connection.serve(self._handler)
--- a/src/fireflymux/http/byte_budget.py
+++ b/src/fireflymux/http/byte_budget.py
@@ -114,6 +114,11 @@
         self._reader: HeldBytes | None = None
         self._dense_turn = trio.Lock()
 
+    @property
+    def is_exceeded(self) -> bool:
+        """Whether more is held than may be."""
+        return self.held_bytes > self.limit_bytes
+
     @property
     def dense_turn(self) -> trio.Lock:
         """Lock under which input of many small units is parsed, by one connection at a time."""
@@ -144,7 +149,7 @@
         if delta < 0:
             self._wake()
             return
-        while self.held_bytes > self.limit_bytes and self._end_largest():
+        while self.is_exceeded and self._end_largest():
             self.given_up += 1
 
     def close(self, message: HeldBytes) -> None:
@@ -199,6 +204,8 @@
             candidates, key=lambda message: (self._by_source[message.source], message.size)
         )
         largest.end()
+        if largest in self._waiting:
+            self._waiting[largest].set()
         # Its task lets go of the bytes when it runs next; until then it must not be counted again.
         self.close(largest)
         return True
--- a/src/fireflymux/http/messages.py
+++ b/src/fireflymux/http/messages.py
@@ -16,6 +16,9 @@
 #: Statuses of final responses that have no body, whatever their header fields say.
 BODYLESS_STATUSES = frozenset((204, 304))
 
+#: Memory that a request and a header field take beside their bytes, about.
+_REQUEST_COST_BYTES = 512
+FIELD_COST_BYTES = 160
 #: Whitespace around the value of a header field, which is not a part of it; httptools strips only
 #: what precedes the value.
 FIELD_WHITESPACE = b' \t'
@@ -90,6 +93,12 @@
     keeps_alive: bool = True
     accepts_chunks: bool = True
 
+    @property
+    def memory_bytes(self) -> int:
+        """Memory that the request takes, about."""
+        size = _REQUEST_COST_BYTES + len(self.target) + len(self.content)
+        return size + sum(len(name) + len(text) + FIELD_COST_BYTES for name, text in self.fields)
+
     @property
     def path(self) -> bytes:
         """Path of the target, without the query."""
@@ -158,3 +167,9 @@
 def status_line(status: int) -> bytes:
     """Returns the status line of a response, without the line break."""
     return b'HTTP/1.1 %d %b' % (status, _REASON_PHRASES.get(status, b'Status'))
+
+
+def encode_chunk(content: bytes) -> bytes:
+    """Returns a part of a body in the chunked transfer coding; nothing for an empty part."""
+    # A chunk of length zero would end the body.
+    return b'%x\r\n%b\r\n' % (len(content), content) if content else b''
--- a/src/fireflymux/http/request_parser.py
+++ b/src/fireflymux/http/request_parser.py
@@ -6,12 +6,19 @@
 """
 
 from collections.abc import Callable
-from typing import NoReturn
+from typing import Any, NoReturn
 
 import attrs
 import httptools
 
-from .messages import FIELD_WHITESPACE, HeaderFields, HttpLimits, Request, find_header
+from .messages import (
+    FIELD_COST_BYTES,
+    FIELD_WHITESPACE,
+    HeaderFields,
+    HttpLimits,
+    Request,
+    find_header,
+)
 
 _BAD_REQUEST = 400
 _CONTENT_TOO_LARGE = 413
@@ -69,12 +76,25 @@
         self.expects_continue = False
         self._limits = limits
         self._on_request = on_request
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: Any = httptools.HttpRequestParser(self)
         self._target = b''
         self._fields: HeaderFields = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._head_bytes = 0
-        self._body_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the request which is being received takes, about."""
+        return self._head_bytes + len(self._fields) * FIELD_COST_BYTES + len(self._body)
+
+    def close(self) -> None:
+        """Lets go of all input; no more is parsed.
+
+        The parser and httptools refer to each other, so that the memory would otherwise be kept
+        until a full run of the garbage collector.
+        """
+        self._let_go()
+        self._parser = None
 
     def feed(self, received: bytes) -> None:
         """Parses the next bytes received; errors are reported in `violation`.
@@ -95,11 +115,7 @@
         self.requests_begun += 1
         self.is_in_head = True
         self.expects_continue = False
-        self._target = b''
-        self._fields = []
-        self._body = []
-        self._head_bytes = 0
-        self._body_bytes = 0
+        self._let_go()
 
     def on_url(self, part: bytes) -> None:
         """Adds a part of the request target, before which the method has been parsed."""
@@ -129,24 +145,31 @@
 
     def on_body(self, part: bytes) -> None:
         """Adds a part of the body."""
-        self._body_bytes += len(part)
-        if self._body_bytes > self._limits.body_bytes:
+        self._body += part
+        if len(self._body) > self._limits.body_bytes:
             self._reject(_CONTENT_TOO_LARGE, 'the body is too large')
-        self._body.append(part)
 
     def on_message_complete(self) -> None:
         """Passes the complete request to `on_request`."""
         self.is_in_body = False
-        self._on_request(
-            Request(
-                method=self.method,
-                target=self._target,
-                fields=self._fields,
-                content=b''.join(self._body),
-                keeps_alive=self._parser.should_keep_alive(),
-                accepts_chunks=self._knows_chunks(),
-            )
+        request = Request(
+            method=self.method,
+            target=self._target,
+            fields=self._fields,
+            content=bytes(self._body),
+            keeps_alive=self._parser.should_keep_alive(),
+            accepts_chunks=self._knows_chunks(),
         )
+        # An idle connection must not keep its last request.
+        self._let_go()
+        self._on_request(request)
+
+    def _let_go(self) -> None:
+        """Forgets the target, the fields and the body of the last request."""
+        self._target = b''
+        self._fields = []
+        self._body = bytearray()
+        self._head_bytes = 0
 
     def _knows_chunks(self) -> bool:
         """Tells whether the caller knows chunks and interim responses; HTTP/1.0 has neither."""
--- a/src/fireflymux/http/response_parser.py
+++ b/src/fireflymux/http/response_parser.py
@@ -9,6 +9,7 @@
 
 from .messages import (
     BODYLESS_STATUSES,
+    FIELD_COST_BYTES,
     FIELD_WHITESPACE,
     HeaderFields,
     ResponseHead,
@@ -23,9 +24,8 @@
 _STATUS_LINE_START = re.compile(rb'HTTP/1\.[01] [0-9]{3}(?: |$)', re.MULTILINE)
 
 
-#: Memory that a head and a field of it take beside their bytes, about.
+#: Memory that a head takes beside its bytes, about.
 _HEAD_COST_BYTES = 512
-_FIELD_COST_BYTES = 160
 #: Largest head, with what its fields cost.
 MAXIMUM_HEAD_BYTES = 131072
 #: Responses that are kept while none of them is read; a server sends one for each request.
@@ -151,10 +151,10 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header field; one behind a chunked body is no part of the head."""
-        self._count_unit(_FIELD_COST_BYTES)
+        self._count_unit(FIELD_COST_BYTES)
         if self._current_response is not None:
             return
-        self._head_bytes += len(name) + len(value) + _FIELD_COST_BYTES
+        self._head_bytes += len(name) + len(value) + FIELD_COST_BYTES
         if self._head_bytes > MAXIMUM_HEAD_BYTES:
             raise _Unreadable(self._head_bytes)
         self._fields.append((name, value.rstrip(FIELD_WHITESPACE)))
--- a/src/fireflymux/http/response_writer.py
+++ b/src/fireflymux/http/response_writer.py
@@ -7,43 +7,31 @@
 """
 
 import contextlib
-import enum
 import socket
 import struct
 from collections.abc import Callable, Iterable
 
 import trio
 
-from .messages import BODYLESS_STATUSES, encode_head, status_line
+from .byte_budget import ByteBudget
+from .messages import BODYLESS_STATUSES, encode_chunk, encode_head, status_line
+from .response_phase import ResponsePhase, ResponseStateError
 
 _LAST_CHUNK = b'0\r\n\r\n'
 _CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _HEAD_METHOD = b'HEAD'
 #: Time in which a caller has to read some of what was sent, before its connection is closed.
 _STALL_SECONDS = 15.0
+#: Largest body that is sent together with its head.
+_JOINED_BYTES = 65536
+#: What the budget knows responses by that their callers read slowly.
+_SLOW_READERS = 'slow readers'
 #: Values of the socket option for linger: a close resets the connection at once, or ends it in the
 #: usual way.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _END_ON_CLOSE = struct.pack('ii', 0, 0)
 
 
-class ResponsePhase(enum.Enum):
-    """How much of the current response was sent."""
-
-    #: Nothing: its head can be sent.
-    pending = 'pending'
-    #: The head, and chunks of the body.
-    body = 'body'
-    #: All of it, or no request was received yet.
-    complete = 'complete'
-    #: A part, and no more of it can follow: the connection has to be closed.
-    broken = 'broken'
-
-
-class ResponseStateError(Exception):
-    """A write does not fit the phase of the response; nothing was sent."""
-
-
 class ResponseWriter:
     """Writes the responses to the requests of one connection, in the order of the requests.
 
@@ -60,6 +48,7 @@
         *,
         is_stopping: Callable[[], bool],
         stall_seconds: float = _STALL_SECONDS,
+        byte_budget: ByteBudget | None = None,
     ) -> None:
         """Wraps an accepted socket.
 
@@ -69,12 +58,14 @@
             is_stopping: Tells whether the server is stopping; a response that starts while it
                 is says `Connection: close`, and the connection closes after it.
             stall_seconds: Time after which a write is given up if the caller reads nothing.
+            byte_budget: Bounds what is kept of responses that are read slowly; None for no bound.
         """
         self.must_close = False
         self._socket = sock
         self._raw_socket = raw_socket
         self._is_stopping = is_stopping
         self._stall_seconds = stall_seconds
+        self._byte_budget = byte_budget or ByteBudget()
         self._phase = ResponsePhase.complete
         self._may_have_body = True
         self._accepts_chunks = True
@@ -151,7 +142,13 @@
             self._set_linger(_END_ON_CLOSE)
         framing = (b'Content-Length', b'%d' % len(content))
         head = self._encode_head(status, fields, framing)
-        await self._send(head + self._select_body(content), ResponsePhase.complete)
+        body = self._select_body(content)
+        if len(body) > _JOINED_BYTES:
+            # Not joined, as that would be a copy of it for as long as the caller reads.
+            await self._send(head, ResponsePhase.body)
+            await self._send(body, ResponsePhase.complete)
+            return
+        await self._send(head + body, ResponsePhase.complete)
 
     async def start(
         self,
@@ -233,14 +230,38 @@
         """
         view = memoryview(content)
         try:
-            while view:
-                view = view[await self._send_some(view) :]
+            view = view[await self._send_some(view) :]
+            if view:
+                view = await self._send_rest(view, size=len(content))
         finally:
             if not view:
                 self._phase = next_phase
             elif len(view) < len(content):
                 self.abort()
 
+    async def _send_rest(self, view: memoryview, *, size: int) -> memoryview:
+        """Sends what the connection didn't take at once.
+
+        Args:
+            view: What is left to send.
+            size: Bytes that are kept until then.
+
+        Returns:
+            What is left, which is nothing unless it was given up.
+        """
+        with trio.CancelScope() as scope:
+            held = self._byte_budget.open(_SLOW_READERS, scope.cancel)
+            try:
+                held.resize(size)
+                while view:
+                    view = view[await self._send_some(view) :]
+            finally:
+                held.close()
+        if view:
+            self.abort()
+            raise ConnectionAbortedError('too much is kept for callers that read slowly')
+        return view
+
     async def _send_some(self, content: memoryview) -> int:
         """Sends as many bytes as the connection takes, and returns their number."""
         await trio.lowlevel.checkpoint()
@@ -256,7 +277,7 @@
 
     def _encode_part(self, content: bytes) -> bytes:
         """Encodes a part of a body of unknown length."""
-        encoded = _encode_chunk(content) if self._accepts_chunks else content
+        encoded = encode_chunk(content) if self._accepts_chunks else content
         return self._select_body(encoded)
 
     def _select_body(self, encoded: bytes) -> bytes:
@@ -279,8 +300,3 @@
         if self.must_close:
             lines.append((b'Connection', b'close'))
         return encode_head(status_line(status), lines)
-
-
-def _encode_chunk(content: bytes) -> bytes:
-    # A chunk of length zero would end the body.
-    return b'%x\r\n%b\r\n' % (len(content), content) if content else b''
--- a/src/fireflymux/http/server_connection.py
+++ b/src/fireflymux/http/server_connection.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from .byte_budget import ByteBudget
 from .messages import HttpLimits, Request
 from .request_parser import RequestParser, Violation
 from .response_writer import ResponseWriter
@@ -21,6 +22,12 @@
 #: as one read can contain several requests.
 _MAXIMUM_PIPELINED_REQUESTS = 4
 _REQUEST_TIMEOUT_STATUS = 408
+_UNAVAILABLE_STATUS = 503
+_RETRY_FIELDS = ((b'Retry-After', b'1'),)
+#: What the budget knows callers by, as one source.
+_CALLERS = 'callers'
+#: Time without input after which a request is refused if others wait for the memory it holds.
+_BLOCKING_STALL_SECONDS = 0.25
 #: Maximum time to drain input of the caller after the last response.
 _LINGER_SECONDS = 1.0
 
@@ -42,6 +49,7 @@
         limits: HttpLimits,
         *,
         is_stopping: Callable[[], bool],
+        byte_budget: ByteBudget | None = None,
     ) -> None:
         """Takes ownership of an accepted socket.
 
@@ -50,10 +58,17 @@
             limits: Size limits and timeouts for requests.
             is_stopping: Tells whether the server is stopping; each response then closes its
                 connection.
+            byte_budget: Bounds what is kept of requests, and of responses that the caller reads
+                slowly; None for no bound.
         """
         self._socket = trio.socket.from_stdlib_socket(sock)
         self._limits = limits
-        self._writer = ResponseWriter(self._socket, sock, is_stopping=is_stopping)
+        self._byte_budget = byte_budget or ByteBudget()
+        self._incoming = self._byte_budget.open(_CALLERS, self._give_up_incoming)
+        self._kept = self._byte_budget.open(_CALLERS)
+        self._writer = ResponseWriter(
+            self._socket, sock, is_stopping=is_stopping, byte_budget=self._byte_budget
+        )
         self._parser = RequestParser(limits, self._enqueue_request)
         self._requests: deque[Request] = deque()
         # Set when a request was queued or handled, or when reading ended.
@@ -93,12 +108,29 @@
                     nursery.cancel_scope.cancel()
         finally:
             self._socket.close()
+            self._parser.close()
+            self._incoming.close()
+            self._kept.close()
 
     def _enqueue_request(self, request: Request) -> None:
+        if self._parser.violation is not None:
+            # It follows one that is refused, behind which the connection closes.
+            return
         request.received_at = trio.current_time()
+        self._incoming.resize(0)
+        self._kept.resize(self._kept.size + request.memory_bytes)
+        if self._byte_budget.is_exceeded:
+            self._kept.resize(self._kept.size - request.memory_bytes)
+            self._give_up_incoming()
+            return
         self._requests.append(request)
         self._notify()
 
+    def _give_up_incoming(self) -> None:
+        """Refuses the request that is being received, since too much is kept in all."""
+        self._parser.violation = Violation(_UNAVAILABLE_STATUS, 'too many bytes are kept')
+        self._read_scope.cancel()
+
     def _notify(self) -> None:
         self._state_changed.set()
         self._state_changed = trio.Event()
@@ -125,12 +157,14 @@
         paused_at = trio.current_time()
         while len(self._requests) >= _MAXIMUM_PIPELINED_REQUESTS:
             await self._state_changed.wait()
+        await self._incoming.wait_for_room()
         self._read_deadline += trio.current_time() - paused_at
 
     async def _process(self, received: bytes) -> bool:
         """Parses input; returns False if the connection failed."""
         begun_before = self._parser.requests_begun
         self._parser.feed(received)
+        self._incoming.resize(self._parser.held_bytes)
         self._extend_read_deadline(is_new=self._parser.requests_begun > begun_before)
         if self._is_handling or self._requests:
             # The caller is told to go on after the responses to its earlier requests.
@@ -154,13 +188,18 @@
 
     async def _receive(self) -> bytes | None:
         """Receives bytes; None if cancelled or timed out, empty if the connection closed."""
+        if self._incoming.is_given_up:
+            return None
         self._read_scope = trio.CancelScope(deadline=self._read_deadline)
+        if self._incoming.blocks_others:
+            stall_deadline = trio.current_time() + _BLOCKING_STALL_SECONDS
+            self._read_scope.deadline = min(self._read_deadline, stall_deadline)
         with self._read_scope:
             try:
                 return await self._socket.recv(_RECEIVE_BYTES)
             except OSError:
                 return b''
-        if self._parser.is_in_head or self._parser.is_in_body:
+        if self._parser.violation is None and (self._parser.is_in_head or self._parser.is_in_body):
             self._parser.violation = Violation(_REQUEST_TIMEOUT_STATUS, 'the request is too slow')
         return None
 
@@ -210,7 +249,8 @@
         violation = self._parser.violation
         if violation is not None and not self._writer.must_close:
             self._writer.begin(method=self._parser.method, keeps_alive=False)
-            await self._writer.answer(violation.status, (), violation.reason.encode())
+            fields = _RETRY_FIELDS if violation.status == _UNAVAILABLE_STATUS else ()
+            await self._writer.answer(violation.status, fields, violation.reason.encode())
         if not self._writer.is_broken:
             await self._close_lingering()
 
@@ -223,6 +263,7 @@
             accepts_chunks=request.accepts_chunks,
         )
         await handler(request, self._writer)
+        self._kept.resize(self._kept.size - request.memory_bytes)
         if not self._writer.is_complete:
             # The response to the next request would continue the one that is not complete.
             self._writer.abort()
