--- a/src/fireflymux/http/response_writer.py
+++ b/src/fireflymux/http/response_writer.py
@@ -144,10 +144,9 @@
         head = self._encode_head(status, fields, framing)
         body = self._select_body(content)
         if len(body) > _JOINED_BYTES:
-            # Not joined, as that would be a copy of it for as long as the caller reads.
+            # Joined, it would be a copy that is kept for as long as the caller reads.
             await self._send(head, ResponsePhase.body)
-            await self._send(body, ResponsePhase.complete)
-            return
+            head = b''
         await self._send(head + body, ResponsePhase.complete)
 
     async def start(
@@ -230,25 +229,19 @@
         """
         view = memoryview(content)
         try:
-            view = view[await self._send_some(view) :]
             if view:
-                view = await self._send_rest(view, size=len(content))
+                view = view[await self._send_some(view) :]
+            if view:
+                await self._send_rest(view, size=len(content))
+                view = view[:0]
         finally:
             if not view:
                 self._phase = next_phase
             elif len(view) < len(content):
                 self.abort()
 
-    async def _send_rest(self, view: memoryview, *, size: int) -> memoryview:
-        """Sends what the connection didn't take at once.
-
-        Args:
-            view: What is left to send.
-            size: Bytes that are kept until then.
-
-        Returns:
-            What is left, which is nothing unless it was given up.
-        """
+    async def _send_rest(self, view: memoryview, *, size: int) -> None:
+        """Sends what the connection didn't take at once, of a message of a size in bytes."""
         with trio.CancelScope() as scope:
             held = self._byte_budget.open(_SLOW_READERS, scope.cancel)
             try:
@@ -257,10 +250,9 @@
                     view = view[await self._send_some(view) :]
             finally:
                 held.close()
-        if view:
+        if held.is_given_up and view:
             self.abort()
             raise ConnectionAbortedError('too much is kept for callers that read slowly')
-        return view
 
     async def _send_some(self, content: memoryview) -> int:
         """Sends as many bytes as the connection takes, and returns their number."""
