Soak: endpoints that are cut off until TCP ends their connections, and that flood

Each plan has two cuts, whose end falls near the end of the time of requests whose prompts make an instance probe the endpoint, and a flood; both are drawn by a generator of their own, so that the other events of a seed stay. Emulated links let connection attempts hang.

--- a/emulator/faulty_answers.py
+++ b/emulator/faulty_answers.py
@@ -40,6 +40,10 @@
 #: Faults beside an answer that is sound.
 EXTRAS = ('another before', 'twice at once', 'twice', 'twice')
 _SOUND_PROBABILITY = 0.7
+#: Bytes without end in place of an answer, and the blocks of them that are sent at the most.
+FLOOD = 'flood'
+_FLOOD_BLOCK_BYTES = 16384
+_FLOOD_BLOCKS = 1000
 _SOUND_PROBABILITY_OF_RESUMED = 0.2
 #: Probability that a stream that breaks off ends with the head of another answer.
 _SECOND_HEAD_PROBABILITY = 0.3
@@ -182,6 +186,9 @@
         writer.abort()
 
     async def _break(self, kind: str, writer: ResponseWriter, fields: HeaderFields) -> None:
+        if kind == FLOOD:
+            await self._flood(writer, fields)
+            return
         if kind == 'nothing for long':
             await trio.sleep(self._rng.uniform(*_SILENCE_SECONDS))
         if kind == _GARBAGE_IN_STREAM:
@@ -195,6 +202,16 @@
         }
         await send_raw(writer, raw.get(kind, b''))
 
+    async def _flood(self, writer: ResponseWriter, fields: HeaderFields) -> None:
+        """Sends fields, a body or events without end, until the other side closes."""
+        head = encode_answer(_OK, fields, b'')[:-2]
+        start, unit = self._rng.choice(
+            ((head, b'a:b\r\n'), (head, b'x' * 999), (b'', b'HTTP/1.1 100 Continue\r\n\r\n'))
+        )
+        await send_raw(writer, start)
+        for _ in range(_FLOOD_BLOCKS):
+            await send_raw(writer, unit * (_FLOOD_BLOCK_BYTES // len(unit)))
+
     async def _send_another(self, writer: ResponseWriter) -> None:
         fields = [(b'X-Attempt-Id', b'of-another'), (b'X-Server-Signature', b'another')]
         await send_extra_answer(writer, _OK, fields, b'id: 0\ndata: of-another 0\n\n')
--- a/emulator/faulty_endpoint.py
+++ b/emulator/faulty_endpoint.py
@@ -9,7 +9,7 @@
 from fireflymux.http.messages import HeaderFields, HttpLimits, Request, find_header
 from fireflymux.http.response_writer import ResponseWriter
 
-from .faulty_answers import EXTRAS, REFUSALS, FaultyAnswers
+from .faulty_answers import EXTRAS, FLOOD, REFUSALS, FaultyAnswers
 from .overlaps import Overlap
 
 #: Requests that an endpoint runs at a time; it rejects further ones.
@@ -21,6 +21,8 @@
 _ERROR_PROBABILITY = 0.6
 #: Probability that an endpoint in mode `faulty` breaks a stream off that it answers well otherwise.
 _BREAK_PROBABILITY = 0.4
+#: Probability that an endpoint in mode `flood` answers a request with bytes without end.
+_FLOOD_PROBABILITY = 0.3
 _OK = 200
 _FAILED = 500
 #: End of the identifiers of requests whose events are large, and the bytes added to each of these.
@@ -154,6 +156,8 @@
             arrival.ended_at = trio.current_time()
 
     def _draw_fault(self, request: Request) -> str:
+        if self.modes.is_held('flood') and self._rng.random() < _FLOOD_PROBABILITY:
+            return FLOOD
         if self.modes.is_held('faulty'):
             return self._faults.draw(
                 is_resumed=bool(find_header(request.fields, b'last-event-id'))
--- a/emulator/proxies.py
+++ b/emulator/proxies.py
@@ -22,6 +22,8 @@
         delay_seconds: Delay added to each block of bytes received, as faults set it.
         holds_upstream: Whether bytes towards the target are held back, as faults set it.
         holds_downstream: Whether bytes from the target are held back, as faults set it.
+        refuses_all: Whether connection attempts hang, as at a machine that is cut off; faults set
+            it.
     """
 
     def __init__(self, host: str, port: int, target: tuple[str, int]) -> None:
@@ -35,6 +37,7 @@
         self.delay_seconds = Overlap(0.0)
         self.holds_upstream = Overlap(initial=False)
         self.holds_downstream = Overlap(initial=False)
+        self.refuses_all = Overlap(initial=False)
         self._target = target
         self._pairs: set[tuple[socket.socket, socket.socket]] = set()
         self._listener = socket.socket()
@@ -59,10 +62,19 @@
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.lowlevel.wait_readable(self._listener)
+                if self.refuses_all.current:
+                    await self._hang_attempts()
                 client_socket, _ = self._listener.accept()
                 client_socket.setblocking(False)
                 nursery.start_soon(self._relay_connection, client_socket)
 
+    async def _hang_attempts(self) -> None:
+        """Keeps the queue of new connections full, so that the kernel answers no attempt."""
+        self._listener.listen(0)
+        while self.refuses_all.current:
+            await trio.sleep(0.02)
+        self._listener.listen(_BACKLOG)
+
     async def _relay_connection(self, client_socket: socket.socket) -> None:
         target_socket = socket.socket()
         target_socket.setblocking(False)
--- a/features/steps/byte_flood_steps.py
+++ b/features/steps/byte_flood_steps.py
@@ -13,7 +13,7 @@
 from emulator.entry_fleet import _LIMITS, encode_call, exchange, free_port, route
 from features.steps.entry_process_steps import _ask_readiness, _start_process
 from features.steps.entry_steps import _put_configuration, _run_on_fleet
-from fireflymux.decisions.ejection import _OVERSIZED_REST_SECONDS
+from fireflymux.decisions.ejection import _EJECTION_SECONDS
 
 _ROOT = Path(__file__).resolve().parent.parent.parent
 _MEGABYTE = 1048576
@@ -142,7 +142,7 @@
         replies = []
         for number in range(count + again):
             if number == count:
-                await trio.sleep(_OVERSIZED_REST_SECONDS)
+                await trio.sleep(_EJECTION_SECONDS)
             started = trio.current_time()
             raw = encode_call('/flooded/a', deadline_ms=_ROUTE_MILLISECONDS)
             replies.append((await exchange(address, raw), trio.current_time() - started))
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,6 +5,8 @@
 and some of them beyond that answer.
 """
 
+import zlib
+
 import trio
 
 from emulator.entry_fleet import encode_call
@@ -277,7 +279,10 @@
     return last.is_complete and not reader.answers[-1].closes
 
 
-def _encode_request(exchange: Exchange, **changes: str) -> bytes:
+def _encode_request(exchange: Exchange, *, more: str = '', version: str = '1.1') -> bytes:
+    lines = [more] if more else []
+    if exchange.kind == 'once':
+        lines.append(_encode_prompt(exchange.attempt))
     key = probe_key(exchange.key_version) if exchange.key_version else API_KEYS[exchange.account]
     return encode_call(
         ROUTES[exchange.kind] + exchange.attempt,
@@ -286,10 +291,17 @@
         deadline_ms=_DEADLINE_MS,
         content=str(exchange.event_count).encode() if exchange.event_count else b'',
         method=exchange.method,
-        **changes,
+        more='\r\n'.join(lines),
+        version=version,
     )
 
 
+def _encode_prompt(attempt: str) -> str:
+    """Returns the header lines of a prompt whose parts no other request has."""
+    identifier = zlib.crc32(attempt.encode())
+    return 'X-Token-Usage: 20,5\r\nX-Prompt-Prefix: {0:x}1:10,{0:x}2:10'.format(identifier)
+
+
 async def _read_answer(connection: StrictConnection, exchange: Exchange, number: int) -> None:
     reader = connection.reader
     try:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,8 @@
 #: Delay that the fault `delay` adds to each block of bytes.
 _PROXY_DELAY_SECONDS = 0.15
 _POLL_SECONDS = 0.02
+#: Time for which an endpoint that is cut off stays so once TCP has ended its connections.
+_CUT_AFTER_RESET_SECONDS = 0.3
 #: Time from the announcement that an endpoint is draining until its entry is removed.
 _ENTRY_REMOVAL_SECONDS = 2.5
 #: Time that a drained endpoint still runs after its entry was removed.
@@ -165,6 +167,25 @@
         await trio.sleep(event.duration_seconds)
 
 
+async def _cut(testbed: Testbed, event: Event) -> None:
+    """Cuts an endpoint off; some time later, as TCP would, ends its connections.
+
+    Requests whose attempts are then broken off have nearly used up the time of their route, and no
+    connection attempt is answered.
+    """
+    endpoint_host = testbed.endpoint_hosts[event.target]
+    endpoint = endpoint_host.endpoint
+    names = [endpoint_host.name] if endpoint is None else [endpoint_host.name, endpoint.name]
+    seconds = event.duration_seconds + _CUT_AFTER_RESET_SECONDS
+    for name in names:
+        testbed.record_disturbance(event.kind, name, seconds)
+    proxy = endpoint_host.proxy
+    with proxy.holds_downstream.hold(value=True), proxy.refuses_all.hold(value=True):
+        await trio.sleep(event.duration_seconds)
+        proxy.reset()
+        await trio.sleep(_CUT_AFTER_RESET_SECONDS)
+
+
 async def _drain(testbed: Testbed, event: Event) -> None:
     """Announces that an endpoint leaves, stops it some time later, and replaces it."""
     endpoint_host = testbed.endpoint_hosts[event.target]
@@ -238,7 +259,7 @@
         proxy.reset()
     elif kind == 'delay':
         faults.enter_context(proxy.delay_seconds.hold(_PROXY_DELAY_SECONDS))
-    elif kind in {'grey', 'breaks', 'faulty', 'stutter'}:
+    elif kind in {'grey', 'breaks', 'faulty', 'stutter', 'flood'}:
         faults.enter_context(endpoint.modes.hold(kind))
     if kind in {'silent', 'silent_up'}:
         faults.enter_context(proxy.holds_upstream.hold(value=True))
@@ -260,6 +281,7 @@
     'hup': _send_reload_signal,
     'peers_cut': _drop_peer_traffic,
     'peers_deaf': _drop_peer_traffic,
+    'cut': _cut,
     'drain': _drain,
     'crash': _crash,
     'odd_rows': _write_odd_rows,
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -1,5 +1,6 @@
 """Generates the faults of one soak run from its seed, without running anything."""
 
+import itertools
 import random
 
 import attrs
@@ -55,6 +56,11 @@
 _ALWAYS_DRAWN_SECONDS = (4.0, 6.0)
 #: Length of each event of a plan that has some kinds only.
 _THROUGHOUT_SECONDS = 2.0
+#: Events that each plan has at any endpoint: it is cut off until TCP has ended its connections,
+#: which is about when the time of its requests is over, or it floods some answers.
+_CUT_SECONDS = (1.85, 2.04)
+_CUT_COUNT = 2
+_FLOOD_SECONDS = (0.5, 2.0)
 #: With few retries their bound is reached, and with many most streams that broke are resumed.
 _RETRY_CONSTANTS = (10, 1000, 1000)
 
@@ -134,6 +140,8 @@
             events.append(_draw_restore(rng))
         events.extend(_draw_storm(rng, rng.randrange(instances)))
         events.append(_draw_long_event(rng, 'stutter', rng.randrange(_SERVICES)))
+        # Of a generator of their own, so that the other events of a seed stay as they were.
+        events.extend(_draw_cuts_and_flood(random.Random(-seed), 2 * endpoints_per_service))
         return cls(
             seed=seed,
             instances=instances,
@@ -153,7 +161,9 @@
         """
         plan = cls.from_seed(seed)
         targets = {kind: plan.instances for kind in INSTANCE_KINDS}
-        targets |= {kind: 2 * plan.endpoints_per_service for kind in ENDPOINT_KINDS}
+        targets |= {
+            kind: 2 * plan.endpoints_per_service for kind in (*ENDPOINT_KINDS, 'cut', 'flood')
+        }
         events = [
             Event(
                 start_seconds=float(start),
@@ -246,6 +256,19 @@
     return repetitions
 
 
+def _draw_cuts_and_flood(rng: random.Random, endpoints: int) -> list[Event]:
+    kinds = [*itertools.repeat(('cut', _CUT_SECONDS), _CUT_COUNT), ('flood', _FLOOD_SECONDS)]
+    return [
+        Event(
+            start_seconds=rng.uniform(0, FAULT_PHASE_SECONDS - _CUT_SECONDS[1]),
+            kind=kind,
+            target=rng.randrange(endpoints),
+            duration_seconds=rng.uniform(*seconds),
+        )
+        for kind, seconds in kinds
+    ]
+
+
 def _draw_restore(rng: random.Random) -> Event:
     """Draws a restore of the store from a backup.
 
--- a/src/fireflymux/decisions/ejection.py
+++ b/src/fireflymux/decisions/ejection.py
@@ -20,11 +20,10 @@
 _EJECTION_SECONDS = 3.0
 #: Fraction of the endpoints of a service that may be ejected at once.
 _MAXIMUM_EJECTED_FRACTION = 0.5
-#: Responses beyond all bounds after which an endpoint gets no work, the time within which they come,
-#: and the time without work.
+#: Responses beyond all bounds after which an endpoint gets no work for the time of an ejection, and
+#: the time within which they come.
 _OVERSIZED_COUNT = 3
 _OVERSIZED_WINDOW_SECONDS = 60.0
-_OVERSIZED_REST_SECONDS = 10.0
 
 
 @attrs.define
@@ -70,7 +69,7 @@
         is_frequent = is_full and now - self._oversized_at[0] < _OVERSIZED_WINDOW_SECONDS
         if not is_frequent or self._oversized_until > now:
             return False
-        self._oversized_until = now + _OVERSIZED_REST_SECONDS
+        self._oversized_until = now + _EJECTION_SECONDS
         return True
 
     def record_requested_backoff(self, until: float) -> None:
