--- a/emulator/entry_variants.py
+++ b/emulator/entry_variants.py
@@ -5,6 +5,7 @@
 """
 
 import attrs
+import trio
 
 from fireflymux.decisions import (
     crash_counts,
@@ -25,6 +26,7 @@
     matching_response,
     outcomes,
     peer_link,
+    placed_attempt,
     report_datagrams,
     state,
     warmups,
@@ -39,6 +41,10 @@
 from fireflymux.platform import store
 
 
+#: Time after which `late_record` records a send.
+_LATE_RECORD_SECONDS = 0.5
+
+
 def repeat_anything() -> None:
     """Retries every failed attempt, up to 3 in all, even of a request that must run only once.
 
@@ -203,6 +209,21 @@
     instance.EntryInstance._stop = stop
 
 
+def late_record() -> None:
+    """Records a send only some time after its attempt broke off."""
+    original = placed_attempt.run_attempt
+
+    async def run(entry_state: object, running: object) -> object:
+        outcome = await original(entry_state, running)
+        if isinstance(outcome, outcomes.Broken):
+            running.history.sends -= 1
+            await trio.sleep(_LATE_RECORD_SECONDS)
+            running.history.sends += 1
+        return outcome
+
+    placed_attempt.run_attempt = run
+
+
 def any_answer() -> None:
     """Takes whatever a connection to an endpoint brings next for the response to its request."""
 
@@ -305,6 +326,7 @@
     short_writes,
     open_after_close,
     no_grace,
+    late_record,
     any_answer,
     any_connection,
     second_head,
--- a/features/byte_floods.feature
+++ b/features/byte_floods.feature
@@ -66,3 +66,13 @@
       | 300     | send 1 MB of a body that does not end     |
       | 1500    | keep their connections after long bodies  |
       | 100     | read no answer of 4 MB                    |
+
+  # Guards against a shape that escapes the bounds because of where its bytes are cut.
+  Scenario: Floods of any shape that are cut anywhere hold a bounded amount
+    When floods of every shape but comments arrive in pieces of any length
+    Then each holds at most 256 KB at any time, until it is given up or its body has no bound here
+
+  # Guards against a sum that parts from what the messages hold, and messages that wait for ever.
+  Scenario: The bytes held are the sum over all messages, whatever becomes of them
+    When messages of some sources grow, pause, end and are given up in any order
+    Then the sum is right at each step, within its bound, and nobody is left waiting
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -22,6 +22,7 @@
       | short_writes        | 2    | configure     | check_bytes         |
       | open_after_close    | 2    | term          | check_bytes         |
       | no_grace            | 2    | term          | check_stops         |
+      | late_record         | 1    | cut           | check_once          |
     Then the named check of each run finds a violation
 
   Scenario Outline: Recovery is counted on the requests during which the machine ran the processes
