Sidecar: bound the bodies that must be kept whole

A sidecar read the response of a plain service, and kept that of a call with an Idempotency-Key, without any bound, so that an endpoint that sends without end takes its memory. Bodies of over 32 MB are given up: `response_too_large`, may have run, and a claim records the outcome as unknown.

--- a/features/role_responses.feature
+++ b/features/role_responses.feature
@@ -150,3 +150,14 @@
     Given a router whose stream breaks off within its second event
     When its caller reads the stream to its end
     Then it gets the first event and then an error event, and nothing between them
+
+  # Guards against a sidecar that runs out of memory, since a body without end is kept whole.
+  Scenario Outline: A body without end is given up by a sidecar that has to keep it whole
+    Given a <kind> that answers a call with a body of 60 MB
+    When a sidecar that keeps 1 MB sends it a call with an Idempotency-Key
+    Then the call fails as "response_too_large", may have run, and took at most 8 MB
+
+    Examples:
+      | kind    |
+      | service |
+      | engine  |
--- a/features/steps/odd_row_steps.py
+++ b/features/steps/odd_row_steps.py
@@ -15,7 +15,7 @@
 from fireflymux.decisions.crash_registry import CrashRegistry
 from fireflymux.messages import Heartbeat
 from fireflymux.observability.metrics import Metrics
-from fireflymux.sidecar.endpoint_call import _count_completion_tokens
+from fireflymux.sidecar.endpoint_results import count_completion_tokens
 from fireflymux.store.group_commit import GroupCommitter, PutResult
 from fireflymux.store.platform_client import CommitResult, PlatformClients, Put
 from fireflymux.web.credentials import compute_key_digest
@@ -334,7 +334,7 @@
 
 @when('a sidecar meters the response')
 def meter_response(context):
-    context.tokens = _count_completion_tokens(context.body)
+    context.tokens = count_completion_tokens(context.body)
 
 
 @then('it is charged by its size')
--- a/features/steps/role_responses_steps.py
+++ b/features/steps/role_responses_steps.py
@@ -1,16 +1,22 @@
 """Steps for answers of endpoints, sidecars and the platform that routers and sidecars get."""
 
+import tracemalloc
+
 import trio
 from behave import given, then, when
 
 from emulator.scripted_server import ScriptedAnswer, ScriptedServer, answer, broken_off
 from fireflymux._settings_generated import TlsSettings
+from fireflymux.errors import ExecutionStatus
 from fireflymux.messages import RunOrder
 from fireflymux.sidecar.endpoint_call import EndpointCall, EndpointClient
 from fireflymux.sidecar.response_buffer import ResponseBuffer
 from fireflymux.web.http_clients import create_endpoint_client
 
 
+_MEGABYTE = 1048576
+
+
 def build_order(**members):
     return RunOrder(
         **{
@@ -27,7 +33,7 @@
     )
 
 
-def _send_calls(context, kind, orders, body=b'{}'):
+def _send_calls(context, kind, orders, body=b'{}', **options):
     """Sends calls to a scripted endpoint one by one, as a sidecar does."""
     buffers = context.buffers = []
 
@@ -41,6 +47,7 @@
                     check=lambda: None,
                     prompt_token_weight=1.0,
                     cost_per_second=1.0,
+                    **options,
                 )
                 send = endpoint.call_engine if kind == 'engine' else endpoint.call_service
                 for order in orders:
@@ -152,3 +159,28 @@
 def check_path(context):
     line = context.server.requests[0].split(b'\r\n')[0]
     assert line == b'POST %s HTTP/1.1' % context.path.encode(), line
+
+
+@given('a {kind} that answers a call with a body of {megabytes:d} MB')
+def prepare_large_body(context, kind, megabytes):
+    context.kind = kind
+    context.answers = [answer(200, b'x' * (megabytes * _MEGABYTE))]
+
+
+@when('a sidecar that keeps 1 MB sends it a call with an Idempotency-Key')
+def send_keyed_call(context):
+    order = build_order(idempotency_key='key')
+    tracemalloc.start()
+    try:
+        _send_calls(context, context.kind, [order], maximum_response_bytes=_MEGABYTE)
+        context.allocated_megabytes = tracemalloc.get_traced_memory()[1] / _MEGABYTE
+    finally:
+        tracemalloc.stop()
+
+
+@then('the call fails as "{kind}", may have run, and took at most {bound:d} MB')
+def check_given_up(context, kind, bound):
+    failure = context.buffers[0].failure
+    assert failure is not None and failure.kind.value == kind, failure
+    assert failure.outcome is ExecutionStatus.unknown, failure
+    assert context.allocated_megabytes <= bound, context.allocated_megabytes
--- a/src/fireflymux/sidecar/endpoint_call.py
+++ b/src/fireflymux/sidecar/endpoint_call.py
@@ -6,62 +6,31 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 import httpx
-import orjson
 import trio
 
 from ..errors import CallFailure, ErrorKind, ExecutionStatus
-from ..messages import RunOrder
-from ..wire.headers import STREAM_END, encode_headers, filter_forwarded_headers
-from .response_buffer import ResponseBuffer, ResponseHead
+from ..wire.headers import STREAM_END, encode_headers
+from .endpoint_results import (
+    BYTES_PER_TOKEN,
+    ResponseTooLarge,
+    build_head,
+    count_completion_tokens,
+    to_failure,
+    to_oversized,
+)
+from .running_call import EndpointCall
 
 REQUEST_ID_HEADER = 'X-Request-Id'
 _EVENT_END = b'\n\n'
+#: Largest body that is kept whole: that of a call to a plain service, or with a key.
+_MAXIMUM_RESPONSE_BYTES = 33554432
 #: Trace event that httpcore emits just before it writes the first byte of a request.
 _SEND_STARTED = 'http11.send_request_headers.started'
 _MAXIMUM_RESUME_ATTEMPTS = 3
 _RESUME_DELAY_SECONDS = 0.2
-#: Assumed size of a token, for prompts and for responses that state no token count.
-_BYTES_PER_TOKEN = 4
-_MAXIMUM_COMPLETION_TOKENS = 1e7
-#: Response headers that are not forwarded, because sidecar and router set their own.
-_NOT_FORWARDED_HEADERS = frozenset(
-    ('content-type', 'content-length', 'content-encoding', 'date', 'server', 'x-request-id')
-)
-
-
-@dataclass(frozen=True, slots=True)
-class EndpointCall:
-    """One call to the endpoint, and the receivers of its response, cost and latency.
-
-    Attributes:
-        order: Run order that describes the call.
-        body: Request body.
-        buffer: Receives the response.
-        meter: Called with the cost units that have accrued since the last time.
-        observe_first_token: Called with the time to the first body bytes from an engine, or with
-            the duration of a complete call to a plain service, in seconds.
-    """
-
-    order: RunOrder
-    body: bytes
-    buffer: ResponseBuffer
-    meter: Callable[[float], None]
-    observe_first_token: Callable[[float], None]
-
-    @property
-    def endpoint_request_id(self) -> str:
-        """Identifier of this attempt, sent to the endpoint as the request identifier."""
-        return '{0}.{1}'.format(self.order.request, self.order.attempt)
-
-    @property
-    def is_resumable(self) -> bool:
-        """Whether the rest of the response may be requested, which an engine sends as a stream."""
-        head = self.buffer.head
-        return self.order.is_stream and (head is None or head.is_stream)
 
 
 class _SendRefused(Exception):
@@ -87,6 +56,7 @@
         check: Callable[[], CallFailure | None],
         prompt_token_weight: float,
         cost_per_second: float,
+        maximum_response_bytes: int = _MAXIMUM_RESPONSE_BYTES,
     ) -> None:
         """Creates a client for the endpoint at a URL.
 
@@ -96,12 +66,14 @@
             check: Checks admission (`check_admission`); returns why no call may be sent, or None.
             prompt_token_weight: Cost units for one prompt token.
             cost_per_second: Cost units for one second of a call to a plain service.
+            maximum_response_bytes: Largest body that must be kept whole.
         """
         self._client = client
         self._url = url.rstrip('/')
         self._check_admission = check
         self._prompt_token_weight = prompt_token_weight
         self._cost_per_second = cost_per_second
+        self._maximum_response_bytes = maximum_response_bytes
 
     async def call_service(self, call: EndpointCall) -> None:
         """Calls a plain service, without retries, and buffers its response.
@@ -111,25 +83,23 @@
         """
         sent_at = trio.current_time()
         try:
-            response = await self._client.request(
-                call.order.method,
-                self._url + call.order.path,
-                content=call.body,
-                headers=self._headers(call),
-                extensions=self._extensions(call),
-            )
+            response = await self._client.send(self._build_request(call), stream=True)
+            body = await self._read_body(response)
         except _SendRefused as refusal:
             call.buffer.finish(refusal.refused)
             return
+        except ResponseTooLarge as error:
+            call.buffer.finish(to_oversized(error))
+            return
         except httpx.HTTPError as error:
-            call.buffer.finish(_to_failure(error, ErrorKind.outcome_unknown))
+            call.buffer.finish(to_failure(error, ErrorKind.outcome_unknown))
             return
         finally:
             elapsed = trio.current_time() - sent_at
             call.meter(elapsed * self._cost_per_second)
         call.observe_first_token(elapsed)
-        call.buffer.publish_head(_build_head(response))
-        call.buffer.append(response.content)
+        call.buffer.publish_head(build_head(response))
+        call.buffer.append(body)
         call.buffer.finish()
 
     async def call_engine(self, call: EndpointCall) -> None:
@@ -138,14 +108,8 @@
         Args:
             call: The call, metered by its prompt and generated tokens.
         """
-        call.meter(len(call.body) / _BYTES_PER_TOKEN * self._prompt_token_weight)
-        request = self._client.build_request(
-            call.order.method,
-            self._url + call.order.path,
-            content=call.body,
-            headers=self._headers(call),
-            extensions=self._extensions(call),
-        )
+        call.meter(len(call.body) / BYTES_PER_TOKEN * self._prompt_token_weight)
+        request = self._build_request(call)
         failure = await self._send_and_receive(call, request, sent_at=trio.current_time())
         may_have_run = failure is not None and failure.outcome is not ExecutionStatus.no
         if may_have_run and call.is_resumable:
@@ -212,9 +176,11 @@
         except _SendRefused as refusal:
             return refusal.refused
         except httpx.HTTPError as error:
-            return _to_failure(error, ErrorKind.endpoint_crashed)
+            return to_failure(error, ErrorKind.endpoint_crashed)
         try:
             return await self._read_response(call, response, sent_at=sent_at)
+        except ResponseTooLarge as error:
+            return to_oversized(error)
         except httpx.HTTPError as error:
             return CallFailure(ErrorKind.endpoint_crashed, repr(error))
         finally:
@@ -234,7 +200,7 @@
         that is as not run, and the endpoint backs off. Any other status from 500 on counts as a
         crash.
         """
-        head = _build_head(response)
+        head = build_head(response)
         is_rest = head.status == httpx.codes.OK and head.is_stream
         if sent_at is None and not is_rest:
             return CallFailure(ErrorKind.answer_expired, 'the engine holds no such stream')
@@ -254,18 +220,55 @@
                 call.observe_first_token(trio.current_time() - sent_at)
                 # Observes the time for the first chunk only.
                 sent_at = None
-            call.buffer.append(chunk)
+            self._append(call, chunk)
             if head.is_stream:
                 # Counts each event, whatever it holds, as one generated token, which costs one
                 # unit. The end marker counts too; an event end split over two chunks does not.
                 call.meter(chunk.count(_EVENT_END))
         if not head.is_stream:
-            call.meter(_count_completion_tokens(call.buffer.content))
+            call.meter(count_completion_tokens(call.buffer.content))
             return None
         if call.buffer.ends_with(STREAM_END):
             return None
         return CallFailure(ErrorKind.endpoint_crashed, 'the stream ended early')
 
+    def _append(self, call: EndpointCall, chunk: bytes) -> None:
+        """Appends a part of a body to the buffer of the call.
+
+        Raises:
+            ResponseTooLarge: The body must be kept whole and is larger than it may be.
+        """
+        size = call.buffer.end_offset + len(chunk)
+        # Of a call without a key, the buffer drops its oldest bytes.
+        if call.order.idempotency_key and size > self._maximum_response_bytes:
+            raise ResponseTooLarge(size)
+        call.buffer.append(chunk)
+
+    def _build_request(self, call: EndpointCall) -> httpx.Request:
+        return self._client.build_request(
+            call.order.method,
+            self._url + call.order.path,
+            content=call.body,
+            headers=self._headers(call),
+            extensions=self._extensions(call),
+        )
+
+    async def _read_body(self, response: httpx.Response) -> bytes:
+        """Reads a body to its end and closes the response.
+
+        Raises:
+            ResponseTooLarge: It is larger than a response may be.
+        """
+        body = bytearray()
+        try:
+            async for chunk in response.aiter_bytes():
+                body += chunk
+                if len(body) > self._maximum_response_bytes:
+                    raise ResponseTooLarge(len(body))
+        finally:
+            await response.aclose()
+        return bytes(body)
+
     async def _check_before_send(self, event: str, _details: object) -> None:
         if event != _SEND_STARTED:
             return
@@ -289,36 +292,3 @@
         if call.order.traceparent:
             headers['traceparent'] = call.order.traceparent
         return encode_headers(headers)
-
-
-def _to_failure(error: httpx.HTTPError, kind: ErrorKind) -> CallFailure:
-    """Builds the failure for a transport error.
-
-    Args:
-        error: The error.
-        kind: Error kind to use if the endpoint may have received the request.
-
-    Returns:
-        The failure, which also tells whether the call may have run.
-    """
-    if isinstance(error, httpx.ConnectError | httpx.ConnectTimeout | httpx.PoolTimeout):
-        return CallFailure(ErrorKind.endpoint_unreachable, repr(error))
-    return CallFailure(kind, repr(error), ExecutionStatus.unknown)
-
-
-def _build_head(response: httpx.Response) -> ResponseHead:
-    return ResponseHead(
-        response.status_code,
-        response.headers.get('Content-Type', 'application/octet-stream'),
-        filter_forwarded_headers(dict(response.headers), _NOT_FORWARDED_HEADERS),
-    )
-
-
-def _count_completion_tokens(body: bytes) -> float:
-    """Returns the number of tokens that a response states, or one estimated from its size."""
-    estimate = len(body) / _BYTES_PER_TOKEN
-    try:
-        count = float(orjson.loads(body)['usage']['completion_tokens'])
-    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError):
-        return estimate
-    return count if 0 <= count <= _MAXIMUM_COMPLETION_TOKENS else estimate
