--- a/features/steps/byte_flood_steps.py
+++ b/features/steps/byte_flood_steps.py
@@ -70,10 +70,12 @@
 async def _call_sound(context, address):
     """Sends a sound request at each interval, whether or not those before it are answered."""
 
+    sound = context.sound
+
     async def call(number):
         started = trio.current_time()
         reply = await exchange(address, encode_call('/sound/a', deadline_ms=10000))
-        context.sound[number] = (trio.current_time() - started, reply.status)
+        sound[number] = (trio.current_time() - started, reply.status)
 
     async with trio.open_nursery() as nursery:
         while True:
