--- a/src/fireflymux/entry/attempt.py
+++ b/src/fireflymux/entry/attempt.py
@@ -9,9 +9,10 @@
 import trio
 
 from ..decisions.engine_choice import Placement
-from ..http.client_connection import ConnectFailed, ConnectionBroken, ResponseTooLarge
+from ..http.client_connection import ConnectFailed
 from ..http.connection_pool import UpstreamConnection
 from ..http.response_parser import IncomingResponse
+from ..http.response_reader import ConnectionBroken, ResponseTooLarge
 from ..platform.call_headers import (
     ResponseMetadata,
     build_request_headers,
--- a/src/fireflymux/entry/matching_response.py
+++ b/src/fireflymux/entry/matching_response.py
@@ -1,8 +1,8 @@
 """Reads the head of the response to an attempt, behind late responses to other requests."""
 
-from ..http.response_reader import ResponseTooLarge
 from ..http.connection_pool import UpstreamConnection
 from ..http.response_parser import IncomingResponse
+from ..http.response_reader import ResponseTooLarge
 from ..platform.call_headers import ResponseMetadata, decode_response_headers
 
 #: Largest body of a response that is not a stream and states its length.
--- a/src/fireflymux/http/byte_budget.py
+++ b/src/fireflymux/http/byte_budget.py
@@ -19,6 +19,8 @@
 _PAUSE_FRACTION = 0.75
 #: Size up to which a message is never paused.
 _SMALL_BYTES = 65536
+#: Time without input after which a message is given up if others wait for the memory it holds.
+BLOCKING_STALL_SECONDS = 0.25
 _UNLIMITED = float('inf')
 
 
@@ -97,6 +99,8 @@
         limit_bytes: Most that all messages may hold together.
         held_bytes: What they hold.
         given_up: Number of messages that were given up.
+        dense_turn: Lock under which input of many small units is parsed, by one connection at a
+            time.
     """
 
     def __init__(self, limit_bytes: float = _UNLIMITED) -> None:
@@ -108,22 +112,17 @@
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
         self.given_up = 0
+        self.dense_turn = trio.Lock()
         self._by_source: Counter[str] = Counter()
         self._messages: set[HeldBytes] = set()
         self._waiting: dict[HeldBytes, trio.Event] = {}
         self._reader: HeldBytes | None = None
-        self._dense_turn = trio.Lock()
 
     @property
     def is_exceeded(self) -> bool:
         """Whether more is held than may be."""
         return self.held_bytes > self.limit_bytes
 
-    @property
-    def dense_turn(self) -> trio.Lock:
-        """Lock under which input of many small units is parsed, by one connection at a time."""
-        return self._dense_turn
-
     def open(self, source: str, give_up: Callable[[], None] | None = None) -> HeldBytes:
         """Opens the account of a message.
 
--- a/src/fireflymux/http/client_connection.py
+++ b/src/fireflymux/http/client_connection.py
@@ -20,12 +20,14 @@
 from .byte_budget import ByteBudget, HeldBytes
 from .messages import HeaderFields, encode_head
 from .response_parser import IncomingResponse, ResponseParser
-from .response_reader import PART_COST_BYTES, ConnectionBroken, ResponseReader, ResponseTooLarge
+from .response_reader import ConnectionBroken, ResponseReader, ResponseTooLarge
 
 #: The kernel aborts a connection on which sent data stays unacknowledged for this long.
 _TCP_USER_TIMEOUT_MILLISECONDS = 2000
 _TCP_KEEPALIVE_SECONDS = 1
 _TCP_KEEPALIVE_PROBES = 2
+#: What a part of a body counts for beside its bytes, against the largest body without a length.
+_PART_COST_BYTES = 64
 #: Maximum number of requests with an identifier on one connection. It bounds the memory for the
 #: identifiers, and is large enough that a new connection for each of so many is no burden.
 _MAXIMUM_IDENTIFIERS = 256
@@ -73,6 +75,11 @@
     _identifier_hashes: 'array[int]' = attrs.field(factory=lambda: array('q'))
     idle_until: float = float('inf')
 
+    def __attrs_post_init__(self) -> None:
+        """Creates the reader of the responses."""
+        held = self._byte_budget.open(self._source)
+        self._reader = ResponseReader(self._socket, self._raw_socket, self._parser, held)
+
     @classmethod
     async def open(
         cls,
@@ -154,11 +161,6 @@
         """Records the identifier of a request that is about to be sent; empty for none."""
         self._identifier_hashes.append(hash(identifier))
 
-    def __attrs_post_init__(self) -> None:
-        """Creates the reader of the responses."""
-        held = self._byte_budget.open(self._source)
-        self._reader = ResponseReader(self._socket, self._raw_socket, self._parser, held)
-
     def hold(self, give_up: Callable[[], None]) -> HeldBytes:
         """Opens the account of what the next response holds.
 
@@ -251,19 +253,18 @@
             ConnectionBroken: The connection failed before the end, or the body is too large.
         """
         length = response.head.content_length
-        if (length or 0) > maximum_bytes:
-            raise ResponseTooLarge('a body', length or 0)
-        while not response.is_complete:
-            await self._reader.receive()
-            size = len(response.unread)
-            if length is None:
-                size += PART_COST_BYTES * response.body_units
+        if length is not None and length > maximum_bytes:
+            raise ResponseTooLarge('a body', length)
+        part_cost = _PART_COST_BYTES if length is None else 0
+        while True:
+            size = len(response.unread) + part_cost * response.body_units
             if size > maximum_bytes:
                 raise ResponseTooLarge('a body', size)
+            if response.is_complete:
+                break
+            await self._reader.receive()
         content = bytes(response.unread)
         response.unread.clear()
-        if len(content) > maximum_bytes:
-            raise ResponseTooLarge('a body', len(content))
         return content
 
 
--- a/src/fireflymux/http/messages.py
+++ b/src/fireflymux/http/messages.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+from functools import cached_property
 from types import MappingProxyType
 
 import attrs
@@ -93,7 +94,7 @@
     keeps_alive: bool = True
     accepts_chunks: bool = True
 
-    @property
+    @cached_property
     def memory_bytes(self) -> int:
         """Memory that the request takes, about."""
         size = _REQUEST_COST_BYTES + len(self.target) + len(self.content)
--- a/src/fireflymux/http/response_parser.py
+++ b/src/fireflymux/http/response_parser.py
@@ -27,7 +27,7 @@
 #: Memory that a head takes beside its bytes, about.
 _HEAD_COST_BYTES = 512
 #: Largest head, with what its fields cost.
-MAXIMUM_HEAD_BYTES = 131072
+_MAXIMUM_HEAD_BYTES = 131072
 #: Responses that are kept while none of them is read; a server sends one for each request.
 _MAXIMUM_QUEUED_RESPONSES = 32
 
@@ -155,7 +155,7 @@
         if self._current_response is not None:
             return
         self._head_bytes += len(name) + len(value) + FIELD_COST_BYTES
-        if self._head_bytes > MAXIMUM_HEAD_BYTES:
+        if self._head_bytes > _MAXIMUM_HEAD_BYTES:
             raise _Unreadable(self._head_bytes)
         self._fields.append((name, value.rstrip(FIELD_WHITESPACE)))
 
--- a/src/fireflymux/http/response_reader.py
+++ b/src/fireflymux/http/response_reader.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from .byte_budget import HeldBytes
+from .byte_budget import BLOCKING_STALL_SECONDS, HeldBytes
 from .response_parser import ResponseParser
 
 #: Sizes of one read. It grows while a body arrives in large parts, and is small otherwise: what one
@@ -19,10 +19,6 @@
 #: interim responses cost. It bounds the size of a head and stops a server that sends chunk framing
 #: or interim responses without end.
 _MAXIMUM_BYTES_WITHOUT_PROGRESS = 131072
-#: Time without input after which a response is given up if others wait for the memory it holds.
-_BLOCKING_STALL_SECONDS = 0.25
-#: What a part of a body counts for beside its bytes, against the largest body without a length.
-PART_COST_BYTES = 64
 
 
 class ConnectionBroken(Exception):
@@ -117,7 +113,7 @@
         Raises:
             ResponseTooLarge: No input came for a while.
         """
-        with trio.move_on_after(_BLOCKING_STALL_SECONDS):
+        with trio.move_on_after(BLOCKING_STALL_SECONDS):
             await self._receive_some()
             return
         raise ResponseTooLarge('a pause behind a part of a response', self._held.size)
--- a/src/fireflymux/http/server_connection.py
+++ b/src/fireflymux/http/server_connection.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from .byte_budget import ByteBudget
+from .byte_budget import BLOCKING_STALL_SECONDS, ByteBudget
 from .messages import HttpLimits, Request
 from .request_parser import RequestParser, Violation
 from .response_writer import ResponseWriter
@@ -26,8 +26,6 @@
 _RETRY_FIELDS = ((b'Retry-After', b'1'),)
 #: What the budget knows callers by, as one source.
 _CALLERS = 'callers'
-#: Time without input after which a request is refused if others wait for the memory it holds.
-_BLOCKING_STALL_SECONDS = 0.25
 #: Maximum time to drain input of the caller after the last response.
 _LINGER_SECONDS = 1.0
 
@@ -192,7 +190,7 @@
             return None
         self._read_scope = trio.CancelScope(deadline=self._read_deadline)
         if self._incoming.blocks_others:
-            stall_deadline = trio.current_time() + _BLOCKING_STALL_SECONDS
+            stall_deadline = trio.current_time() + BLOCKING_STALL_SECONDS
             self._read_scope.deadline = min(self._read_deadline, stall_deadline)
         with self._read_scope:
             try:
