Soak: the cuts and floods of a seed have a generator of their own indeed

Python seeds a generator with the size of a number, so that the seed -5 is 5, and the new events were drawn from the numbers that drew the others.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -141,7 +141,8 @@
         events.extend(_draw_storm(rng, rng.randrange(instances)))
         events.append(_draw_long_event(rng, 'stutter', rng.randrange(_SERVICES)))
         # Of a generator of their own, so that the other events of a seed stay as they were.
-        events.extend(_draw_cuts_and_flood(random.Random(-seed), 2 * endpoints_per_service))
+        late_rng = random.Random('cuts and flood {0}'.format(seed))
+        events.extend(_draw_cuts_and_flood(late_rng, 2 * endpoints_per_service))
         return cls(
             seed=seed,
             instances=instances,
