Log what is asked of the store about each table, and why nothing is asked

A table that waited for the other one wrote nothing, so that a change that was known late could not be told from one that a peer did not hand over.

--- a/src/fireflymux/entry/peer_snapshot.py
+++ b/src/fireflymux/entry/peer_snapshot.py
@@ -200,7 +200,7 @@
                 content = await self._request_snapshot(host)
             return _decode_snapshot(content)
         except (ConnectFailed, ConnectionBroken, trio.TooSlowError) as error:
-            _log.debug('snapshot_not_fetched', host=host, reason=repr(error))
+            _log.info('snapshot_not_fetched', host=host, reason=repr(error))
         except ValueError as error:
             _log.warning('snapshot_malformed', host=host, reason=repr(error))
         return None
--- a/src/fireflymux/entry/store_follower.py
+++ b/src/fireflymux/entry/store_follower.py
@@ -82,6 +82,7 @@
         # In the order in which they became unavailable; the values are not used.
         self._unavailable_tables: dict[str, None] = {}
         self._responded = trio.Event()
+        self._followed: set[str] = set()
 
     async def run(self) -> None:
         """Reads the tables, and follows them whenever it should, until cancelled."""
@@ -102,9 +103,11 @@
             # Other instances can report a newer era before the store responds to this one.
             self._store.update_era(self._state.members_version.era)
             if version is not None and not self._is_follower():
+                self._record_following(table, version, is_followed=False)
                 self._state.table_ages.record_doubt(table)
                 await trio.sleep(_FOLLOWER_CHECK_SECONDS)
                 continue
+            self._record_following(table, version, is_followed=True)
             started = trio.current_time()
             try:
                 version = await self._read_or_wait(followed, version)
@@ -122,11 +125,15 @@
 
         While it responds for no table, only the first one is asked for at that interval.
         """
-        if next(iter(self._unavailable_tables)) != table:
+        first = next(iter(self._unavailable_tables))
+        if first != table:
+            _log.info('store_call_waits', table=table, seconds=_IDLE_RETRY_SECONDS, until=first)
             with trio.move_on_after(_IDLE_RETRY_SECONDS):
                 await self._responded.wait()
             return
-        await trio.sleep(delay * self._state.rng.uniform(0.5, 1))
+        seconds = delay * self._state.rng.uniform(0.5, 1)
+        _log.info('store_call_waits', table=table, seconds=round(seconds, 3), until='')
+        await trio.sleep(seconds)
 
     async def _read_or_wait(
         self, followed: FollowedTable, version: StoreVersion | None
@@ -168,17 +175,34 @@
             await trio.sleep(_PAUSE_SECONDS)
         return changes.version
 
+    def _record_following(
+        self, table: str, version: StoreVersion | None, *, is_followed: bool
+    ) -> None:
+        """Logs when this instance begins or ceases to ask the store about a table."""
+        if is_followed == (table in self._followed):
+            return
+        self._followed ^= {table}
+        _log.info(
+            'store_follow_began' if is_followed else 'store_follow_ended',
+            table=table,
+            version=str(version),
+            age=self._get_age(table),
+        )
+
+    def _get_age(self, table: str) -> float:
+        """Returns the age of what is known of a table in seconds, for the log."""
+        return round(self._state.table_ages.get_age(table, trio.current_time()), 3)
+
     def _record_read(self, table: str, version: StoreVersion) -> None:
         """Records that the store returned a table, or its changes, up to a version."""
-        now = trio.current_time()
-        age = self._state.table_ages.get_age(table, now)
-        self._state.table_ages.record_read(table, version, now)
+        age = self._get_age(table)
+        self._state.table_ages.record_read(table, version, trio.current_time())
         if table not in self._unavailable_tables:
             return
         self._unavailable_tables.pop(table)
         self._responded.set()
         self._responded = trio.Event()
-        _log.info('store_regained', table=table, version=str(version), age=round(age, 3))
+        _log.info('store_regained', table=table, version=str(version), age=age)
 
     def _record_outage(self, table: str, error: StoreUnavailable, started: float) -> None:
         """Records that the store did not respond for a table, and logs the first time."""
@@ -186,17 +210,12 @@
         self._state.members.record_outage(now)
         # Reports then state that the store does not respond, so that others follow in its place.
         self._state.table_ages.record_doubt(table)
+        seconds, age = round(now - started, 3), self._get_age(table)
         if table in self._unavailable_tables:
-            _log.debug('store_still_lost', table=table, seconds=round(now - started, 3))
+            _log.info('store_still_lost', table=table, reason=str(error), seconds=seconds, age=age)
             return
         self._unavailable_tables[table] = None
-        _log.warning(
-            'store_lost',
-            table=table,
-            reason=str(error),
-            seconds=round(now - started, 3),
-            age=round(self._state.table_ages.get_age(table, now), 3),
-        )
+        _log.warning('store_lost', table=table, reason=str(error), seconds=seconds, age=age)
 
     def _apply_configuration(
         self, rows: Sequence[Row], is_full_table: bool, version: StoreVersion
