--- a/emulator/entry_fleet.py
+++ b/emulator/entry_fleet.py
@@ -2,6 +2,7 @@
 
 import random
 import socket
+from collections import Counter
 from collections.abc import Mapping
 from contextlib import asynccontextmanager
 from types import MappingProxyType
@@ -20,7 +21,7 @@
 from fireflymux.settings import EntryProcessSettings
 
 from .backend import Backend
-from .row_store import RowStore
+from .row_store import RowStore, find_table
 
 HOST = 'models.example'
 KEY = 'key-of-mothers'
@@ -136,8 +137,9 @@
         self.instances: list[EntryInstance] = []
         self.settings: list[EntrySettings] = []
         self._nursery = nursery
-        self._outage_by_address: dict[str, str] = {}
-        self._losses_by_address: dict[str, int] = {}
+        # By address and table; the empty table stands for all tables and writes.
+        self._outages: dict[tuple[str, str], str] = {}
+        self._losses: Counter[tuple[str, str]] = Counter()
         self._peer_port = free_port()
 
     async def start_store(self) -> str:
@@ -149,35 +151,39 @@
         address = '127.0.0.1:{0}'.format(free_port())
 
         async def respond(request: Request, writer: ResponseWriter) -> None:
-            losses = self._losses_by_address.get(address, 0)
+            affecting = {(address, ''), (address, find_table(request))}
+            losses = sum(self._losses[key] for key in affecting)
 
             def find_outage() -> str:
-                is_lost = self._losses_by_address.get(address, 0) > losses
-                return 'silent' if is_lost else self._outage_by_address.get(address, '')
+                if sum(self._losses[key] for key in affecting) > losses:
+                    return 'silent'
+                return next(filter(None, map(self._outages.get, affecting)), '')
 
             await self.store.respond(request, writer, find_outage)
 
         await self._listen(address, respond)
         return address
 
-    def turn_away(self, store_address: str, outage: str) -> None:
+    def turn_away(self, store_address: str, outage: str, *, table: str = '') -> None:
         """Begins or ends an outage of the store at one of its addresses.
 
         Args:
             store_address: Address of the listener.
             outage: `busy`, `reset` or `silent`, as in `RowStore.respond`; empty to end it.
+            table: Table whose reads alone it affects; empty for all calls.
         """
-        self._outage_by_address[store_address] = outage
+        self._outages[store_address, table] = outage
 
-    def lose_answers(self, store_address: str) -> None:
+    def lose_answers(self, store_address: str, *, table: str = '') -> None:
         """Loses the answers to the calls of the store that are pending at one of its addresses.
 
         Later calls are answered; nothing tells the callers that the earlier ones never are.
 
         Args:
             store_address: Address of the listener.
+            table: Table whose reads alone are affected; empty for all calls.
         """
-        self._losses_by_address[store_address] = self._losses_by_address.get(store_address, 0) + 1
+        self._losses[store_address, table] += 1
 
     async def add_backend(
         self, name: str, service: str, behaviour: str = 'answer', **changes: Any
--- a/emulator/row_store.py
+++ b/emulator/row_store.py
@@ -28,7 +28,7 @@
         version: Version of the newest change.
         era: Number of restores from a backup so far; stated in every answer.
         calls: Number of requests received.
-        answer_seconds: Time that the store takes for each answer, after any wait for changes.
+        answer_seconds: Time that each answer is on its way after it was made.
     """
 
     def __init__(self) -> None:
@@ -114,14 +114,14 @@
             self.put(row['table'], row['key'], base64.b64decode(row['value']))
         for row in transaction['remove']:
             self.remove(row['table'], row['key'])
-        return {'ver': self.version, 'now_ms': 0}
+        return {'ver': self.version, 'now_ms': _read_clock()}
 
     def _read_table(self, table: str) -> dict[str, Any]:
         rows = [
             _encode_row(table, key, raw, version)
             for key, (raw, version) in sorted(self._tables.get(table, {}).items())
         ]
-        return {'rows': rows, 'more_pages': False, 'ver': self.version, 'now_ms': 0}
+        return {'rows': rows, 'more_pages': False, 'ver': self.version, 'now_ms': _read_clock()}
 
     async def _wait_for_changes(self, query: dict[str, str]) -> dict[str, Any] | None:
         """Waits for changes of a table after a version, up to the time that the query states.
@@ -140,7 +140,7 @@
         if self.era != era or not self._can_follow_from(after):
             return None
         rows = self._changes_since(query['table'], after)
-        return {'rows': rows, 'ver': self.version, 'now_ms': 0}
+        return {'rows': rows, 'ver': self.version, 'now_ms': _read_clock()}
 
     def _can_follow_from(self, version: int) -> bool:
         return self._oldest_version <= version <= self.version
@@ -172,6 +172,16 @@
     return not outage
 
 
+def _read_clock() -> int:
+    """Returns the time of the store's steady clock in milliseconds."""
+    return int(trio.current_time() * 1000)
+
+
+def find_table(request: Request) -> str:
+    """Returns the table that a read is about; empty for a write, which may be about several."""
+    return parse_qs(request.query.decode()).get('table', ('',))[0]
+
+
 def _encode_row(table: str, key: str, raw: bytes | None, version: int) -> dict[str, Any]:
     row: dict[str, Any] = {'table': table, 'part': '', 'key': key, 'ver': version}
     if raw is None:
--- a/features/store_silence.feature
+++ b/features/store_silence.feature
@@ -21,3 +21,13 @@
     Given a store that takes 0.35 seconds for each answer
     When an instance follows it for 6 seconds
     Then at most 25 calls were made and everything that changed is in force
+
+  Scenario: No instance states a smaller age than that of a change which it does not know
+    Given a store whose answers are 0.25 seconds on their way
+    When it changes every 0.2 seconds, for 8 seconds
+    Then the age that an instance states is never smaller than that of the oldest change it lacks
+
+  Scenario: A call that has to be repeated is repeated once its instance relies on the store again
+    Given a call for changes that others show to have missed one
+    When its instance relies on other instances for 0.4 seconds, and then on the store again
+    Then the call is repeated within 0.1 seconds of that
