--- a/emulator/entry_variants.py
+++ b/emulator/entry_variants.py
@@ -38,7 +38,7 @@
     response_writer,
 )
 from fireflymux.http.server_connection import ServerConnection
-from fireflymux.platform import store
+from fireflymux.platform import store_calls
 
 
 #: Time after which `late_record` records a send.
@@ -241,7 +241,7 @@
 
 def no_era() -> None:
     """Ignores the era of the store, so that a restore from a backup goes unnoticed."""
-    store.StoreClient._read_era = lambda _client, _head: 0
+    store_calls.StoreCalls._read_era = lambda _calls, _head: 0
 
 
 def first_configuration() -> None:
--- a/src/fireflymux/platform/store.py
+++ b/src/fireflymux/platform/store.py
@@ -13,16 +13,13 @@
 import orjson
 import trio
 
-from ..bounded_values import MAXIMUM_INTEGER, parse_integer
 from ..decisions.poll_timing import OVERDUE_SECONDS, choose_wait
 from ..decisions.store_changes import ListedChanges
 from ..decisions.store_version import StoreVersion
 from ..http.client_connection import ConnectFailed, ConnectionBroken
-from ..http.messages import ResponseHead, find_header
-from ..observability.logs import get_logger
 from .hedged_reads import HedgedRead
 from .pending_polls import PendingPoll, PendingPolls
-from .store_connections import StoreConnections
+from .store_calls import StoreCalls
 from .store_rows import (
     HistoryLost,
     Page,
@@ -33,19 +30,12 @@
     decode_page,
 )
 
-_log = get_logger(__name__)
-
 _OK = 200
 _GONE = 410
 #: Timeout of a write, and of opening a connection.
 _CALL_TIMEOUT_SECONDS = 1.5
 _ROWS_PER_PAGE = 500
-#: Bytes of a malformed header field that are logged.
-_LOGGED_BYTES = 100
 _MILLISECONDS_PER_SECOND = 1000
-#: Response field with the store's era, which increases when it is restored from an older copy.
-_ERA_FIELD = b'store-era'
-
 
 _CALL_FAILURES = (ConnectFailed, ConnectionBroken, trio.TooSlowError, ValueError)
 
@@ -59,11 +49,7 @@
 
 
 class StoreClient:
-    """Client of the store for one process.
-
-    Attributes:
-        era: Newest known era of the store, from its responses or from other instances.
-    """
+    """Client of the store for one process."""
 
     def __init__(
         self, address: str, *, on_changes: Callable[[ListedChanges], None] = _ignore
@@ -74,35 +60,31 @@
             address: IP address and port of the store.
             on_changes: Is called with what each read shows of the changes of the store.
         """
-        self.era = 0
-        self._connections = StoreConnections(
-            address, connect_timeout_seconds=_CALL_TIMEOUT_SECONDS
-        )
         self._polls = PendingPolls()
         self._on_changes = on_changes
-        self._era_changed = trio.Event()
+        self._calls = StoreCalls(
+            address,
+            connect_timeout_seconds=_CALL_TIMEOUT_SECONDS,
+            on_new_era=self._polls.cancel,
+        )
+
+    @property
+    def era(self) -> int:
+        """Newest known era of the store, from its responses or from other instances."""
+        return self._calls.era
 
     def update_era(self, era: int) -> None:
         """Records the era of the store; a newer one cancels the pending long polls.
 
-        The known era begins at zero, so the first greater one that is learned counts as newer,
-        too, although the store may not have been restored since this process started.
-
         Args:
             era: Era stated by the store or by another instance; the known one and older ones are
                 ignored.
         """
-        if era <= self.era:
-            return
-        _log.warning('store_went_back', era=era, previous=self.era)
-        self.era = era
-        self._polls.cancel()
-        self._era_changed.set()
-        self._era_changed = trio.Event()
+        self._calls.update_era(era)
 
     async def wait_for_new_era(self) -> None:
         """Waits until a newer era is learned (see `update_era`)."""
-        await self._era_changed.wait()
+        await self._calls.wait_for_new_era()
 
     async def read_table(self, table: str) -> TableRows:
         """Reads every row of a table.
@@ -209,7 +191,9 @@
     async def _write(self, change: dict[str, Any]) -> None:
         try:
             with trio.fail_after(_CALL_TIMEOUT_SECONDS):
-                reply = await self._exchange('POST /api/rows-tx HTTP/1.1', orjson.dumps(change))
+                reply = await self._calls.exchange(
+                    'POST /api/rows-tx HTTP/1.1', orjson.dumps(change)
+                )
         except _CALL_FAILURES as error:
             raise StoreUnavailable(repr(error)) from error
         if reply.status != _OK:
@@ -229,7 +213,7 @@
             wait = 0 if is_repeat else int(wait_seconds * _MILLISECONDS_PER_SECOND)
             query = {'table': table, 'after': after, 'wait_ms': wait}
             line = _encode_start_line('rows-feed', query)
-            return await self._exchange(line, followed_table=table)
+            return await self._calls.exchange(line, followed_table=table)
 
         def record_overdue() -> None:
             on_overdue()
@@ -247,7 +231,7 @@
         line = _encode_start_line(name, query)
 
         async def send(is_repeat: bool) -> StoreReply:
-            return await self._exchange(line)
+            return await self._calls.exchange(line)
 
         return await self._run_read(HedgedRead(send, failures=_CALL_FAILURES).run(OVERDUE_SECONDS))
 
@@ -268,26 +252,6 @@
         self._polls.record_changes(changes)
         return page
 
-    async def _exchange(
-        self, start_line: str, content: bytes = b'', *, followed_table: str = ''
-    ) -> StoreReply:
-        response = await self._connections.exchange(
-            start_line, content, followed_table=followed_table
-        )
-        status = response.head.status
-        json_body = orjson.loads(response.body) if response.body and status == _OK else None
-        era = self._read_era(response.head)
-        self.update_era(era)
-        return StoreReply(status, era, json_body)
-
-    def _read_era(self, head: ResponseHead) -> int:
-        """Returns the era stated in a response, or the known one if it states no valid one."""
-        stated = find_header(head.fields, _ERA_FIELD)
-        era = parse_integer(stated, maximum=MAXIMUM_INTEGER)
-        if era is None and stated:
-            _log.warning('era_malformed', stated=stated[:_LOGGED_BYTES].decode('latin-1'))
-        return self.era if era is None else era
-
 
 def _encode_start_line(name: str, query: dict[str, Any]) -> str:
     return 'GET /api/{0}?{1} HTTP/1.1'.format(name, urlencode(query))
