A table that the store answers for again is asked for in time, whatever becomes of the other one

Callers saw refusals by an older version, and requests to leaving endpoints, for up to 4.7 s after a change, at all instances alike, where the store answered about one table and not about the other. Cause: to save calls while the store is away, only the table that failed first was asked for; the other one waited for that one, or 4 s. Its bound hung on another table. Each lost table has calls of its own, one every RETRY_SECONDS, which go on beside each other; the calls about two lost tables alternate, and the first response has the other one asked for at once.

--- a/src/fireflymux/entry/store_follower.py
+++ b/src/fireflymux/entry/store_follower.py
@@ -12,6 +12,7 @@
 import trio
 
 from ..decisions.evacuations import EvacuationList
+from ..decisions.poll_timing import RETRY_SECONDS, choose_retry
 from ..decisions.store_version import StoreVersion
 from ..observability.logs import get_logger
 from ..platform.configuration_row import (
@@ -36,10 +37,13 @@
 _BATCH_SECONDS = 0.2
 #: Pause before the next call if the one before made no progress.
 _PAUSE_SECONDS = 0.1
-_FIRST_RETRY_DELAY_SECONDS = 0.1
-_MAXIMUM_RETRY_DELAY_SECONDS = 0.8
-#: Time until a table is asked for again while the store responds for no table.
-_IDLE_RETRY_SECONDS = 4.0
+#: Greatest pause after the first refusal of a call; it doubles with each further one, up to
+#: `RETRY_SECONDS`.
+_FIRST_PAUSE_SECONDS = 0.1
+#: Parts of a pause, and of the time between two calls about a lost table, that are drawn, so that
+#: instances which lost the store at the same time do not call it at the same times.
+_PAUSE_PARTS = (0.5, 1.0)
+_RETRY_PARTS = (0.95, 1.0)
 
 ApplyRows = Callable[[Sequence[Row], bool, StoreVersion], None]
 
@@ -79,9 +83,10 @@
         self._state = state
         self._store = store
         self._is_follower = is_follower
-        # In the order in which they became unavailable; the values are not used.
-        self._unavailable_tables: dict[str, None] = {}
-        self._responded = trio.Event()
+        # Tables that the store gives no response about, and the time of a call about each; its
+        # further ones follow every `RETRY_SECONDS`.
+        self._lost_tables: dict[str, float] = {}
+        self._regained = trio.Event()
         self._followed: set[str] = set()
 
     async def run(self) -> None:
@@ -98,7 +103,7 @@
         """Reads a table, and follows it whenever this instance is one of its followers."""
         table = followed.table
         version: StoreVersion | None = None
-        delay = _FIRST_RETRY_DELAY_SECONDS
+        pause = _FIRST_PAUSE_SECONDS
         while True:
             # Other instances can report a newer era before the store responds to this one.
             self._store.update_era(self._state.members_version.era)
@@ -109,47 +114,58 @@
                 continue
             self._record_following(table, version, is_followed=True)
             started = trio.current_time()
+            retry_seconds = self._choose_retry(table, started)
             try:
-                version = await self._read_or_wait(followed, version)
+                version = await self._read_or_wait(followed, version, retry_seconds)
             except StoreUnavailable as error:
                 self._record_outage(table, error, started)
-                # A call that got no response has taken as long as a pause already.
-                passed = trio.current_time() - started
-                await self._wait_to_retry(table, max(delay - passed, _FIRST_RETRY_DELAY_SECONDS))
-                delay = min(delay * 2, _MAXIMUM_RETRY_DELAY_SECONDS)
+                seconds = min(pause * self._draw(_PAUSE_PARTS), retry_seconds or RETRY_SECONDS)
+                await self._wait_to_retry(table, started + seconds)
+                pause = min(pause * 2, RETRY_SECONDS / _PAUSE_PARTS[0])
                 continue
-            delay = _FIRST_RETRY_DELAY_SECONDS
+            pause = _FIRST_PAUSE_SECONDS
 
-    async def _wait_to_retry(self, table: str, delay: float) -> None:
-        """Waits before the next call about a table that the store does not respond for.
+    def _draw(self, parts: tuple[float, float]) -> float:
+        return self._state.rng.uniform(*parts)
 
-        While it responds for no table, only the first one is asked for at that interval.
-        """
-        first = next(iter(self._unavailable_tables))
-        if first != table:
-            _log.info('store_call_waits', table=table, seconds=_IDLE_RETRY_SECONDS, until=first)
-            with trio.move_on_after(_IDLE_RETRY_SECONDS):
-                await self._responded.wait()
-            return
-        seconds = delay * self._state.rng.uniform(0.5, 1)
-        _log.info('store_call_waits', table=table, seconds=round(seconds, 3), until='')
-        await trio.sleep(seconds)
+    def _choose_retry(self, table: str, now: float) -> float | None:
+        """Returns the seconds until a call about a lost table is repeated; None if it is not."""
+        if table not in self._lost_tables:
+            return None
+        others = (at for name, at in self._lost_tables.items() if name != table)
+        seconds = choose_retry(now, next(others, None)) * self._draw(_RETRY_PARTS)
+        self._lost_tables[table] = now + seconds
+        return seconds
+
+    async def _wait_to_retry(self, table: str, until: float) -> None:
+        """Waits before the next call about a lost table, but not once another one is regained."""
+        seconds = max(until - trio.current_time(), 0)
+        _log.info('store_call_waits', table=table, seconds=round(seconds, 3))
+        with trio.move_on_after(seconds):
+            await self._regained.wait()
 
     async def _read_or_wait(
-        self, followed: FollowedTable, version: StoreVersion | None
+        self,
+        followed: FollowedTable,
+        version: StoreVersion | None,
+        retry_seconds: float | None,
     ) -> StoreVersion | None:
         """Reads a table in full if no version is known, otherwise waits for changes of it.
 
         Args:
             followed: The table.
             version: Version up to which it is known; None before the first read.
+            retry_seconds: Time until the call is repeated if the table is lost, None otherwise.
 
         Returns:
             The new version; None if the table must be read in full again.
         """
         table = followed.table
+        on_overdue = partial(self._record_overdue, table)
         if version is None:
-            snapshot = await self._store.read_table(table)
+            snapshot = await self._store.read_table(
+                table, retry_seconds=retry_seconds, on_overdue=on_overdue
+            )
             self._record_read(table, snapshot.version)
             followed.apply(snapshot.rows, True, snapshot.version)
             return snapshot.version
@@ -158,8 +174,9 @@
             table,
             version,
             may_wait=not ages.is_in_doubt(table),
+            retry_seconds=retry_seconds,
             may_repeat=self._is_follower,
-            on_overdue=partial(ages.record_doubt, table),
+            on_overdue=on_overdue,
         )
         if isinstance(changes, HistoryLost):
             _log.info('history_lost', table=table, version=str(version))
@@ -197,13 +214,21 @@
         """Records that the store returned a table, or its changes, up to a version."""
         age = self._get_age(table)
         self._state.table_ages.record_read(table, version, trio.current_time())
-        if table not in self._unavailable_tables:
+        if table not in self._lost_tables:
             return
-        self._unavailable_tables.pop(table)
-        self._responded.set()
-        self._responded = trio.Event()
+        self._lost_tables.pop(table)
+        # The outage has lasted until now.
+        self._state.members.record_outage(trio.current_time())
+        self._regained.set()
+        self._regained = trio.Event()
         _log.info('store_regained', table=table, version=str(version), age=age)
 
+    def _record_overdue(self, table: str) -> None:
+        """Records that a response about a table is overdue."""
+        self._state.table_ages.record_doubt(table)
+        if table in self._lost_tables:
+            self._state.members.record_outage(trio.current_time())
+
     def _record_outage(self, table: str, error: StoreUnavailable, started: float) -> None:
         """Records that the store did not respond for a table, and logs the first time."""
         now = trio.current_time()
@@ -211,10 +236,10 @@
         # Reports then state that the store does not respond, so that others follow in its place.
         self._state.table_ages.record_doubt(table)
         seconds, age = round(now - started, 3), self._get_age(table)
-        if table in self._unavailable_tables:
+        if table in self._lost_tables:
             _log.info('store_still_lost', table=table, reason=str(error), seconds=seconds, age=age)
             return
-        self._unavailable_tables[table] = None
+        self._lost_tables[table] = now
         _log.warning('store_lost', table=table, reason=str(error), seconds=seconds, age=age)
 
     def _apply_configuration(
--- a/src/fireflymux/platform/hedged_reads.py
+++ b/src/fireflymux/platform/hedged_reads.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from ..decisions.poll_timing import REPEAT_SECONDS
+from ..decisions.poll_timing import RepeatPlan
 
 _ResponseT = TypeVar('_ResponseT')
 #: Sends the read once and returns its response; gets whether this is a repetition.
@@ -23,7 +23,7 @@
 
 
 class HedgedRead(Generic[_ResponseT]):
-    """One read of the store, which is sent twice at most."""
+    """One read of the store, which is sent until there is a response or its plan is over."""
 
     def __init__(self, send: SendRead[_ResponseT], *, failures: tuple[type[Exception], ...]):
         """Prepares the read.
@@ -41,7 +41,7 @@
 
     async def run(
         self,
-        patience_seconds: float,
+        plan: RepeatPlan,
         *,
         wait_for_repeat: WaitForRepeat = trio.sleep_forever,
         on_overdue: Callable[[], None] = _ignore,
@@ -49,9 +49,9 @@
         """Sends the read until there is a response.
 
         Args:
-            patience_seconds: Time after which the first call is overdue.
-            wait_for_repeat: Returns when the read has to be repeated earlier.
-            on_overdue: Is called when the first call is overdue.
+            plan: When it is repeated.
+            wait_for_repeat: Returns when the read has to be repeated earlier than planned.
+            on_overdue: Is called each time that a response is overdue by the plan.
 
         Returns:
             The first response.
@@ -63,14 +63,12 @@
         with self._scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._try_once)
-                is_overdue = True
-                with trio.move_on_after(patience_seconds):
-                    await wait_for_repeat()
-                    is_overdue = False
-                if is_overdue:
-                    on_overdue()
-                nursery.start_soon(self._try_once)
-                await trio.sleep(REPEAT_SECONDS)
+                seconds = plan.overdue_seconds
+                for _ in range(plan.repetitions):
+                    await _wait(seconds, wait_for_repeat, on_overdue)
+                    nursery.start_soon(self._try_once)
+                    seconds = plan.repeat_seconds
+                await trio.sleep(seconds)
                 self._scope.cancel()
         if self._responses:
             return self._responses[0]
@@ -90,3 +88,13 @@
             return
         self._responses.append(response)
         self._scope.cancel()
+
+
+async def _wait(
+    seconds: float, wait_for_repeat: WaitForRepeat, on_overdue: Callable[[], None]
+) -> None:
+    """Waits until a read has to be repeated, and tells if that is since it is overdue."""
+    with trio.move_on_after(seconds):
+        await wait_for_repeat()
+        return
+    on_overdue()
--- a/src/fireflymux/platform/pending_polls.py
+++ b/src/fireflymux/platform/pending_polls.py
@@ -35,6 +35,8 @@
         await trio.sleep(EVIDENCE_GRACE_SECONDS)
         if not self.may_repeat():
             await trio.sleep_forever()
+        # A further repetition needs another reason.
+        self.must_repeat = trio.Event()
 
 
 class PendingPolls:
--- a/src/fireflymux/platform/store.py
+++ b/src/fireflymux/platform/store.py
@@ -13,7 +13,7 @@
 import orjson
 import trio
 
-from ..decisions.poll_timing import OVERDUE_SECONDS, choose_wait
+from ..decisions.poll_timing import RepeatPlan, choose_wait
 from ..decisions.store_changes import ListedChanges
 from ..decisions.store_version import StoreVersion
 from ..http.client_connection import ConnectFailed, ConnectionBroken
@@ -86,11 +86,20 @@
         """Waits until a newer era is learned (see `update_era`)."""
         await self._calls.wait_for_new_era()
 
-    async def read_table(self, table: str) -> TableRows:
+    async def read_table(
+        self,
+        table: str,
+        *,
+        retry_seconds: float | None = None,
+        on_overdue: Callable[[], None] = _ignore,
+    ) -> TableRows:
         """Reads every row of a table.
 
         Args:
             table: Name of the table.
+            retry_seconds: If the store gave no response about the table, the time until the first
+                repetition (see `RepeatPlan.from_retry`); None otherwise.
+            on_overdue: Is called each time that a response is overdue.
 
         Returns:
             The rows, all of one era, as of the version of the first page. Later pages can hold
@@ -101,11 +110,12 @@
         """
         rows: list[Row] = []
         version: StoreVersion | None = None
+        plan = _choose_plan(0, retry_seconds)
         start = ''
         while True:
             # Tables are always used with the empty `part`.
             query = {'table': table, 'part': '', 'from': start, 'limit': _ROWS_PER_PAGE}
-            page = self._decode_page(await self._read('rows-get', query))
+            page = self._decode_page(await self._read('rows-get', query, plan, on_overdue))
             rows.extend(page.rows)
             # The version of the first page: changes made since then are followed from there.
             version = version or page.version
@@ -124,6 +134,7 @@
         after: StoreVersion,
         *,
         may_wait: bool = True,
+        retry_seconds: float | None = None,
         may_repeat: Callable[[], bool] = _always,
         on_overdue: Callable[[], None] = _ignore,
     ) -> TableRows | HistoryLost:
@@ -134,9 +145,10 @@
             after: Version up to which the changes are known.
             may_wait: Whether the store may wait for a change (see `poll_timing`); it responds at
                 once otherwise.
+            retry_seconds: As for `read_table`.
             may_repeat: Tells whether the call is repeated before it is overdue, if a response about
                 another table shows that there are changes.
-            on_overdue: Is called when the response is overdue, before the call is repeated.
+            on_overdue: Is called each time that a response is overdue, before the call is repeated.
 
         Returns:
             The changed rows in order, possibly none, or `HistoryLost` if the store no longer
@@ -149,8 +161,16 @@
         wait_seconds = choose_wait(now, self._polls.list_ends()) if may_wait else 0
         reply: StoreReply | None = None
         poll = PendingPoll(after, now + wait_seconds, may_repeat)
+        plan = _choose_plan(wait_seconds, retry_seconds)
+
+        def record_overdue() -> None:
+            on_overdue()
+            # What the store does not tell about a lost table says nothing of the others.
+            if retry_seconds is None:
+                self._polls.repeat_all()
+
         with self._polls.add(poll):
-            reply = await self._poll(table, poll, wait_seconds, on_overdue)
+            reply = await self._poll(table, poll, wait_seconds, plan, record_overdue)
         # `reply` is None if `update_era` cancelled the call. Version numbers are reused in each
         # era, so changes since a version of an older era cannot be requested.
         if reply is None or after.era != self.era or reply.status == _GONE:
@@ -204,9 +224,10 @@
         table: str,
         poll: PendingPoll,
         wait_seconds: float,
+        plan: RepeatPlan,
         on_overdue: Callable[[], None],
     ) -> StoreReply:
-        """Sends a long poll; its repetition does not wait for changes."""
+        """Sends a long poll; its repetitions do not wait for changes."""
         after = poll.after.number
 
         async def send(is_repeat: bool) -> StoreReply:
@@ -215,25 +236,21 @@
             line = _encode_start_line('rows-feed', query)
             return await self._calls.exchange(line, followed_table=table)
 
-        def record_overdue() -> None:
-            on_overdue()
-            self._polls.repeat_all()
-
+        read = HedgedRead(send, failures=_CALL_FAILURES)
         return await self._run_read(
-            HedgedRead(send, failures=_CALL_FAILURES).run(
-                wait_seconds + OVERDUE_SECONDS,
-                wait_for_repeat=poll.wait_for_repeat,
-                on_overdue=record_overdue,
-            )
+            read.run(plan, wait_for_repeat=poll.wait_for_repeat, on_overdue=on_overdue)
         )
 
-    async def _read(self, name: str, query: dict[str, Any]) -> StoreReply:
+    async def _read(
+        self, name: str, query: dict[str, Any], plan: RepeatPlan, on_overdue: Callable[[], None]
+    ) -> StoreReply:
         line = _encode_start_line(name, query)
 
         async def send(is_repeat: bool) -> StoreReply:
             return await self._calls.exchange(line)
 
-        return await self._run_read(HedgedRead(send, failures=_CALL_FAILURES).run(OVERDUE_SECONDS))
+        read = HedgedRead(send, failures=_CALL_FAILURES)
+        return await self._run_read(read.run(plan, on_overdue=on_overdue))
 
     async def _run_read(self, read: Awaitable[StoreReply]) -> StoreReply:
         try:
@@ -253,5 +270,12 @@
         return page
 
 
+def _choose_plan(wait_seconds: float, retry_seconds: float | None) -> RepeatPlan:
+    """Returns when a read is repeated; `retry_seconds` as in `StoreClient.read_table`."""
+    if retry_seconds is None:
+        return RepeatPlan.from_wait(wait_seconds)
+    return RepeatPlan.from_retry(retry_seconds)
+
+
 def _encode_start_line(name: str, query: dict[str, Any]) -> str:
     return 'GET /api/{0}?{1} HTTP/1.1'.format(name, urlencode(query))
