A call for changes that has to be repeated is repeated once its instance relies on the store again

Where an instance did not follow at the moment at which another response showed that its call had missed a change, the call was never repeated, and the change known only when the wait was over, up to 2.9 s later, though the instance followed again at once. It asks again now whether it relies on the store. The scenario failed before (never repeated) and passes.

--- a/src/fireflymux/platform/pending_polls.py
+++ b/src/fireflymux/platform/pending_polls.py
@@ -10,6 +10,9 @@
 from ..decisions.store_changes import ListedChanges
 from ..decisions.store_version import StoreVersion
 
+#: Time after which an instance that relies on others checks again whether it relies on the store.
+_RELIANCE_CHECK_SECONDS = 0.05
+
 
 @attrs.define(eq=False)
 class PendingPoll:
@@ -33,8 +36,8 @@
         """Waits until the call has to be repeated, and for the time that it then still has."""
         await self.must_repeat.wait()
         await trio.sleep(EVIDENCE_GRACE_SECONDS)
-        if not self.may_repeat():
-            await trio.sleep_forever()
+        while not self.may_repeat():
+            await trio.sleep(_RELIANCE_CHECK_SECONDS)
         # A further repetition needs another reason.
         self.must_repeat = trio.Event()
 
