The age of what is known counts from when the store said so, not from when its response arrived

Instances that do not follow rely on the age that their followers state. The store states a steady clock. A call is sent before its response is made, so that the difference of the two times bounds the offset of the clocks from below (decisions/store_clock.py); a response is as of its stated time and that offset, never before the call was sent, and an age never gets smaller by a response that is older.

--- a/features/steps/outside_decoder_steps.py
+++ b/features/steps/outside_decoder_steps.py
@@ -168,7 +168,7 @@
     def run(rows, reply, other):
         for body in (reply | {'rows': [*rows, row]}, reply | {'rows': other}, other):
             try:
-                page = decode_page(StoreReply(200, 0, body))
+                page = decode_page(StoreReply(200, 0, body, 0.0))
             except StoreUnavailable:
                 continue
             assert all(0 <= found.number < 2**53 for found in page.rows), page
--- a/features/steps/store_age_steps.py
+++ b/features/steps/store_age_steps.py
@@ -2,8 +2,12 @@
 
 import trio
 from behave import given, then, when
+from hypothesis import given as generate
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies
 
 from emulator.entry_fleet import configuration, open_fleet, route
+from fireflymux.decisions.store_clock import StoreClock
 from fireflymux.decisions.store_version import StoreVersion
 from fireflymux.platform.pending_polls import PendingPoll
 
@@ -106,3 +110,34 @@
 @then('the call is repeated within 0.1 seconds of that')
 def check_repeated(context):
     assert context.is_repeated
+
+
+@when(
+    'responses take any time, and the clocks of the store and of its clients differ and drift apart'
+)
+def generate_responses(context):
+    seconds = strategies.floats(0, 5)
+
+    @hypothesis_settings(max_examples=200, derandomize=True, deadline=None, database=None)
+    @generate(
+        strategies.floats(-1e6, 1e6),
+        strategies.floats(-0.0002, 0.0002),
+        strategies.lists(strategies.tuples(seconds, seconds, seconds), min_size=1, max_size=40),
+    )
+    def run(difference, drift, calls):
+        clock = StoreClock()
+        now = 0.0
+        for before, there, back in calls:
+            sent_at = now + 100 * before
+            made_at = sent_at + there
+            now = made_at + back
+            stated = int((difference + made_at * (1 + drift)) * 1000) / 1000
+            taken = clock.find_time(stated, sent_at=sent_at, received_at=now)
+            assert sent_at <= taken <= made_at + 0.002, (taken, made_at)
+
+    run()
+
+
+@then('the time that a response is taken to be of is never after the one at which it was made')
+def check_responses(context):
+    """The When step asserts it for each generated case."""
--- a/features/store_silence.feature
+++ b/features/store_silence.feature
@@ -31,3 +31,7 @@
     Given a call for changes that others show to have missed one
     When its instance relies on other instances for 0.4 seconds, and then on the store again
     Then the call is repeated within 0.1 seconds of that
+
+  Scenario: What a response says is never taken to be newer than the response
+    When responses take any time, and the clocks of the store and of its clients differ and drift apart
+    Then the time that a response is taken to be of is never after the one at which it was made
--- a/src/fireflymux/decisions/store_changes.py
+++ b/src/fireflymux/decisions/store_changes.py
@@ -15,10 +15,12 @@
     Attributes:
         newest: Newest version of the store, as the response states it.
         numbers: Numbers of the changes that it lists.
+        as_of: Time in seconds at which that version was the newest one.
     """
 
     newest: StoreVersion
-    numbers: frozenset[int] = frozenset()
+    numbers: frozenset[int]
+    as_of: float
 
     def advance(self, known: StoreVersion) -> StoreVersion:
         """Returns the version up to which another table is known.
--- a/src/fireflymux/decisions/table_ages.py
+++ b/src/fireflymux/decisions/table_ages.py
@@ -40,27 +40,27 @@
         """
         self._tables = {table: _KnownTable() for table in tables}
 
-    def record_read(self, table: str, version: StoreVersion, now: float) -> None:
+    def record_read(self, table: str, version: StoreVersion, as_of: float) -> None:
         """Records that the store returned a table, or its changes, up to a version.
 
         Args:
             table: Name of the table.
             version: The version.
-            now: Time in seconds.
+            as_of: Time in seconds at which that was the newest version of the store.
         """
-        self._tables[table] = _KnownTable(version, now, is_in_doubt=False)
+        current_at = max(self._tables[table].current_at, as_of)
+        self._tables[table] = _KnownTable(version, current_at, is_in_doubt=False)
 
-    def record_response(self, changes: ListedChanges, now: float) -> None:
+    def record_response(self, changes: ListedChanges) -> None:
         """Records a response of the store about any table.
 
         Args:
             changes: What it shows of the changes of the store.
-            now: Time in seconds.
         """
         for known in self._tables.values():
             known.version = changes.advance(known.version)
             if known.version >= changes.newest:
-                known.current_at = now
+                known.current_at = max(known.current_at, changes.as_of)
 
     def record_doubt(self, table: str) -> None:
         """Records that a call about a table is overdue or has failed."""
--- a/src/fireflymux/entry/instance.py
+++ b/src/fireflymux/entry/instance.py
@@ -86,9 +86,7 @@
         self._peers = PeerLink(self._state, self._metrics)
         store = StoreClient(
             self._settings.store_address,
-            on_changes=lambda changes: self._state.table_ages.record_response(
-                changes, trio.current_time()
-            ),
+            on_changes=self._state.table_ages.record_response,
         )
         self._registry = InstanceRegistry(self._state, store)
         self._store = StoreFollower(self._state, store, is_follower=self._peers.is_store_follower)
--- a/src/fireflymux/entry/store_follower.py
+++ b/src/fireflymux/entry/store_follower.py
@@ -24,7 +24,7 @@
 )
 from ..platform.endpoint_row import ENDPOINT_TABLE
 from ..platform.store import StoreClient
-from ..platform.store_rows import HistoryLost, Row, StoreUnavailable
+from ..platform.store_rows import HistoryLost, Row, StoreUnavailable, TableRows
 from .endpoint_rows import change_endpoint_rows, replace_endpoint_rows
 from .evacuating import apply_evacuations, update_evacuations
 from .state import EntryState
@@ -166,7 +166,7 @@
             snapshot = await self._store.read_table(
                 table, retry_seconds=retry_seconds, on_overdue=on_overdue
             )
-            self._record_read(table, snapshot.version)
+            self._record_read(table, snapshot)
             followed.apply(snapshot.rows, True, snapshot.version)
             return snapshot.version
         ages = self._state.table_ages
@@ -184,7 +184,7 @@
             # one that responds at once without a newer version.
             await trio.sleep(_PAUSE_SECONDS)
             return None
-        self._record_read(table, changes.version)
+        self._record_read(table, changes)
         if changes.rows:
             followed.apply(changes.rows, False, changes.version)
             await trio.sleep(followed.batch_seconds)
@@ -210,10 +210,10 @@
         """Returns the age of what is known of a table in seconds, for the log."""
         return round(self._state.table_ages.get_age(table, trio.current_time()), 3)
 
-    def _record_read(self, table: str, version: StoreVersion) -> None:
+    def _record_read(self, table: str, read: TableRows) -> None:
         """Records that the store returned a table, or its changes, up to a version."""
         age = self._get_age(table)
-        self._state.table_ages.record_read(table, version, trio.current_time())
+        self._state.table_ages.record_read(table, read.version, read.as_of)
         if table not in self._lost_tables:
             return
         self._lost_tables.pop(table)
@@ -221,7 +221,7 @@
         self._state.members.record_outage(trio.current_time())
         self._regained.set()
         self._regained = trio.Event()
-        _log.info('store_regained', table=table, version=str(version), age=age)
+        _log.info('store_regained', table=table, version=str(read.version), age=age)
 
     def _record_overdue(self, table: str) -> None:
         """Records that a response about a table is overdue."""
--- a/src/fireflymux/platform/store.py
+++ b/src/fireflymux/platform/store.py
@@ -110,6 +110,7 @@
         """
         rows: list[Row] = []
         version: StoreVersion | None = None
+        as_of = 0.0
         plan = _choose_plan(0, retry_seconds)
         start = ''
         while True:
@@ -118,11 +119,12 @@
             page = self._decode_page(await self._read('rows-get', query, plan, on_overdue))
             rows.extend(page.rows)
             # The version of the first page: changes made since then are followed from there.
-            version = version or page.version
+            if version is None:
+                version, as_of = page.version, page.as_of
             if version.era != page.version.era:
                 raise StoreUnavailable('the store restarted from an older copy between two pages')
             if not page.has_more:
-                return TableRows(tuple(rows), version)
+                return TableRows(tuple(rows), version, as_of)
             if not page.rows or page.rows[-1].key < start:
                 raise StoreUnavailable('a page of the table does not go on after the one before')
             # The first key in order after the last one read.
@@ -158,6 +160,7 @@
             StoreUnavailable: The call failed or was rejected.
         """
         now = trio.current_time()
+        may_wait = may_wait and not self._calls.clock.claim_sample(now)
         wait_seconds = choose_wait(now, self._polls.list_ends()) if may_wait else 0
         reply: StoreReply | None = None
         poll = PendingPoll(after, now + wait_seconds, may_repeat)
@@ -176,7 +179,7 @@
         if reply is None or after.era != self.era or reply.status == _GONE:
             return HistoryLost()
         page = self._decode_page(reply)
-        return TableRows(page.rows, page.version)
+        return TableRows(page.rows, page.version, page.as_of)
 
     async def put_row(self, table: str, key: str, content: bytes) -> None:
         """Writes a row unconditionally.
@@ -264,7 +267,9 @@
     def _decode_page(self, reply: StoreReply) -> Page:
         """Decodes the response to a read, and records what it shows of the store's changes."""
         page = decode_page(reply)
-        changes = ListedChanges(page.version, frozenset(row.number for row in page.rows))
+        changes = ListedChanges(
+            page.version, frozenset(row.number for row in page.rows), page.as_of
+        )
         self._on_changes(changes)
         self._polls.record_changes(changes)
         return page
--- a/src/fireflymux/platform/store_rows.py
+++ b/src/fireflymux/platform/store_rows.py
@@ -43,10 +43,16 @@
     """Rows of a table as of a version of the store.
 
     `read_table` returns all rows, `follow_table` only the changed and removed ones.
+
+    Attributes:
+        rows: The rows.
+        version: The version.
+        as_of: Time in seconds at which that version was the newest one of the store.
     """
 
     rows: tuple[Row, ...]
     version: StoreVersion
+    as_of: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,11 +69,13 @@
         era: Era of the store that the response states; the newest known one if it states none.
         json_body: Decoded JSON body, for reads a page of rows; None if the body is empty or the
             status is not 200.
+        as_of: Time in seconds at which what it says held.
     """
 
     status: int
     era: int
     json_body: Any
+    as_of: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,11 +86,13 @@
         rows: The rows.
         version: Version of the store at which they were read.
         has_more: Whether there are rows after them.
+        as_of: Time in seconds at which that version was the newest one of the store.
     """
 
     rows: tuple[Row, ...]
     version: StoreVersion
     has_more: bool
+    as_of: float
 
 
 def decode_page(reply: StoreReply) -> Page:
@@ -108,7 +118,7 @@
         raise StoreUnavailable('the response states no version: {0}'.format(error)) from error
     decoded = [_decode_row(raw) for raw in body['rows']]
     rows = tuple(row for row in decoded if row is not None)
-    return Page(rows, version, bool(body.get('more_pages')))
+    return Page(rows, version, bool(body.get('more_pages')), reply.as_of)
 
 
 def _decode_row(raw: Any) -> Row | None:
