--- a/src/fireflymux/entry/peer_snapshot.py
+++ b/src/fireflymux/entry/peer_snapshot.py
@@ -8,18 +8,16 @@
 """
 
 from collections.abc import Iterable, Mapping
-from urllib.parse import parse_qs, urlencode
+from urllib.parse import parse_qs
 
 import attrs
-import msgspec
 import orjson
 import trio
 
 from .._messages_generated import EntrySnapshot
-from ..bounded_values import MAXIMUM_INTEGER, check_integer, is_ipv4_address, parse_integer
+from ..bounded_values import MAXIMUM_INTEGER, is_ipv4_address, parse_integer
 from ..decisions.evacuations import EvacuationList
 from ..decisions.store_version import StoreVersion
-from ..http.client_connection import ClientConnection, ConnectFailed, ConnectionBroken
 from ..http.messages import Request
 from ..http.response_writer import ResponseWriter
 from ..observability.logs import get_logger
@@ -28,31 +26,27 @@
 from .endpoint_wishes import mark_leaving
 from .evacuating import apply_evacuations
 from .peer_link import PeerLink
+from .snapshot_client import (
+    CONFIG_KEY,
+    ERA_KEY,
+    EVACUATIONS_KEY,
+    MEMBERS_KEY,
+    SNAPSHOT_PATH,
+    fetch_snapshot,
+)
 from .state import EntryState
 
 _log = get_logger(__name__)
-_PATH = b'/v1/snapshot'
-#: Query parameters with the versions that the requesting instance has; the response leaves out the
-#: tables that are not newer.
-_CONFIG_KEY = 'config_version'
-_ERA_KEY = 'members_era'
-_MEMBERS_KEY = 'members_version'
-#: Query parameter by which the requesting instance asks for evacuations; instances that do not know
-#: them cannot decode a snapshot with them.
-_EVACUATIONS_KEY = 'evacuations'
 _POLL_SECONDS = 0.1
 #: Time that the store has to deliver a change to a follower before it is fetched from a peer.
 _FETCH_DELAY_SECONDS = 0.25
-_FETCH_TIMEOUT_SECONDS = 1.0
 #: Rounds in which an instance that starts asks others: in the first all that it knows of, in each
 #: further one those that snapshots of the round before have named and that were not asked yet.
 _DISCOVERY_ROUNDS = 2
-_MAXIMUM_SNAPSHOT_BYTES = 16777216
 #: Version assumed if the requesting instance did not state one; lower than any real one.
 _UNSTATED_VERSION = -1
 #: Fields of a snapshot that state the evacuations.
 _EVACUATION_FIELDS = ('evacuated', 'op_era', 'op_version')
-_DECODER = msgspec.json.Decoder(EntrySnapshot)
 _OK = 200
 _NOT_FOUND = 404
 
@@ -78,12 +72,12 @@
             request: The request.
             writer: Writes the response.
         """
-        if request.path != _PATH:
+        if request.path != SNAPSHOT_PATH:
             await writer.answer(_NOT_FOUND, (), b'')
             return
         query = parse_qs(request.query.decode('latin-1'))
         fields = attrs.asdict(self._build_snapshot(query), recurse=False)
-        for name in () if _EVACUATIONS_KEY in query else _EVACUATION_FIELDS:
+        for name in () if EVACUATIONS_KEY in query else _EVACUATION_FIELDS:
             fields.pop(name)
         await writer.answer(_OK, (), orjson.dumps(fields))
 
@@ -108,9 +102,9 @@
     def _build_snapshot(self, query: Mapping[str, list[str]]) -> EntrySnapshot:
         """Builds a snapshot without the tables that the requesting instance has already."""
         state = self._state
-        has_config = _parse_version(query, _CONFIG_KEY) >= state.configuration_version
+        has_config = _parse_version(query, CONFIG_KEY) >= state.configuration_version
         known_members = StoreVersion(
-            _parse_version(query, _ERA_KEY), _parse_version(query, _MEMBERS_KEY)
+            _parse_version(query, ERA_KEY), _parse_version(query, MEMBERS_KEY)
         )
         rows = {} if known_members >= state.members_version else state.member_rows
         evacuations = state.candidates.evacuations.newest
@@ -163,7 +157,7 @@
         return self._state.configuration is not None and self._state.has_endpoint_list
 
     async def _fetch(self, host: str) -> None:
-        snapshot = await self._fetch_snapshot(host)
+        snapshot = await fetch_snapshot(self._state, host)
         if snapshot is not None:
             self._apply(snapshot, host)
 
@@ -189,41 +183,10 @@
 
     async def _collect(self, host: str, snapshots: dict[str, EntrySnapshot]) -> None:
         """Adds the snapshot of an instance to those found, if it can be fetched."""
-        snapshot = await self._fetch_snapshot(host)
+        snapshot = await fetch_snapshot(self._state, host)
         if snapshot is not None:
             snapshots[host] = snapshot
 
-    async def _fetch_snapshot(self, host: str) -> EntrySnapshot | None:
-        """Fetches the snapshot of an instance; returns None and logs the reason if that fails."""
-        try:
-            with trio.fail_after(_FETCH_TIMEOUT_SECONDS):
-                content = await self._request_snapshot(host)
-            return _decode_snapshot(content)
-        except (ConnectFailed, ConnectionBroken, trio.TooSlowError) as error:
-            _log.info('snapshot_not_fetched', host=host, reason=repr(error))
-        except ValueError as error:
-            _log.warning('snapshot_malformed', host=host, reason=repr(error))
-        return None
-
-    async def _request_snapshot(self, host: str) -> bytes:
-        port = self._state.settings.peer_port
-        connection = await ClientConnection.open(
-            host, port, timeout_seconds=_FETCH_TIMEOUT_SECONDS
-        )
-        try:
-            versions = {
-                _CONFIG_KEY: self._state.configuration_version,
-                _ERA_KEY: self._state.members_version.era,
-                _MEMBERS_KEY: self._state.members_version.number,
-                _EVACUATIONS_KEY: 1,
-            }
-            target = b'%b?%b' % (_PATH, urlencode(versions).encode())
-            await connection.send(b'GET %b HTTP/1.1' % target, [(b'Host', host.encode())], b'')
-            response = await connection.next_response()
-            return await connection.read_full_body(response, _MAXIMUM_SNAPSHOT_BYTES)
-        finally:
-            connection.close()
-
     def _apply(self, snapshot: EntrySnapshot, host: str) -> None:
         """Applies what a snapshot holds that is newer than the state."""
         state = self._state
@@ -253,33 +216,6 @@
         self._state.apply_configuration(configuration, row, host)
 
 
-def _decode_snapshot(content: bytes) -> EntrySnapshot:
-    """Decodes a snapshot; members that it does not know are left out.
-
-    Args:
-        content: JSON content of a response.
-
-    Returns:
-        The snapshot.
-
-    Raises:
-        ValueError: A member has another type, or a version is out of range.
-    """
-    try:
-        snapshot = _DECODER.decode(content)
-    except RecursionError as error:
-        raise ValueError('the snapshot is nested too deeply') from error
-    for version in (
-        snapshot.config_version,
-        snapshot.members_era,
-        snapshot.members_version,
-        snapshot.op_era,
-        snapshot.op_version,
-    ):
-        check_integer(version)
-    return snapshot
-
-
 def _list_named_hosts(snapshots: Iterable[EntrySnapshot]) -> set[str]:
     """Returns the IPv4 addresses of the instances that snapshots name."""
     named: set[str] = set()
