--- a/features/steps/later_build_steps.py
+++ b/features/steps/later_build_steps.py
@@ -9,8 +9,7 @@
 from behave import then, when
 
 from features.steps.entry_steps import _run_on_fleet
-from fireflymux.entry import peer_link, peer_notices, report_datagrams
-from fireflymux.entry.peer_snapshot import PeerSnapshots
+from fireflymux.entry import peer_link, peer_notices, report_datagrams, snapshot_client
 
 _ENCODERS = (
     (peer_link, 'encode_report'),
@@ -28,8 +27,8 @@
 
 
 def _add_member(request_snapshot):
-    async def request(snapshots, host):
-        content = orjson.loads(await request_snapshot(snapshots, host))
+    async def request(state, host):
+        content = orjson.loads(await request_snapshot(state, host))
         return orjson.dumps(content | {'further': [1]})
 
     return request
@@ -57,8 +56,8 @@
         for module, name in _ENCODERS:
             encoder = _add_field(getattr(module, name))
             patches.enter_context(patch.object(module, name, encoder))
-        request = _add_member(PeerSnapshots._request_snapshot)
-        patches.enter_context(patch.object(PeerSnapshots, '_request_snapshot', request))
+        request = _add_member(snapshot_client._request_snapshot)
+        patches.enter_context(patch.object(snapshot_client, '_request_snapshot', request))
         _run_on_fleet(context, act)
 
 
--- a/src/fireflymux/entry/peer_snapshot.py
+++ b/src/fireflymux/entry/peer_snapshot.py
@@ -40,6 +40,10 @@
 _POLL_SECONDS = 0.1
 #: Time that the store has to deliver a change to a follower before it is fetched from a peer.
 _FETCH_DELAY_SECONDS = 0.25
+#: Time that a host has to answer until the next one is asked beside it.
+_NEXT_HOST_SECONDS = 0.25
+#: Time for which a host that did not answer is asked after the others.
+_UNANSWERED_SECONDS = 10.0
 #: Rounds in which an instance that starts asks others: in the first all that it knows of, in each
 #: further one those that snapshots of the round before have named and that were not asked yet.
 _DISCOVERY_ROUNDS = 2
@@ -64,6 +68,8 @@
         self._state = state
         self._link = link
         self._behind_since: float | None = None
+        # Hosts that have not given the snapshot that they were last asked for, and when that was.
+        self._unanswered: dict[str, float] = {}
 
     async def handle_request(self, request: Request, writer: ResponseWriter) -> None:
         """Handles another instance's request for a snapshot.
@@ -95,7 +101,7 @@
             if now - self._behind_since < self._get_fetch_delay():
                 continue
             if self._has_tables():
-                await self._fetch(self._choose_host(hosts))
+                await self._fetch(hosts)
             else:
                 await self._fetch_first()
 
@@ -147,19 +153,37 @@
             return 0
         return _FETCH_DELAY_SECONDS
 
-    def _choose_host(self, hosts: list[str]) -> str:
-        """Chooses a host at random, preferring those in this failure domain."""
-        near = set(self._link.list_neighbours()).intersection(hosts)
-        return self._state.rng.choice(sorted(near) or hosts)
+    def _order_hosts(self, hosts: list[str]) -> list[str]:
+        """Orders hosts: those that did not answer come last, and neighbours before others."""
+        near = set(self._link.list_neighbours())
+        oldest = trio.current_time() - _UNANSWERED_SECONDS
+        self._unanswered = {host: at for host, at in self._unanswered.items() if at > oldest}
+        shuffled = self._state.rng.sample(hosts, len(hosts))
+        return sorted(shuffled, key=lambda host: (host in self._unanswered, host not in near))
 
     def _has_tables(self) -> bool:
         """Tells whether the instance has a configuration and a list of endpoints."""
         return self._state.configuration is not None and self._state.has_endpoint_list
 
-    async def _fetch(self, host: str) -> None:
+    async def _fetch(self, hosts: list[str]) -> None:
+        """Asks hosts in turn until one gives a snapshot; those asked before may still do so."""
+        async with trio.open_nursery() as nursery:
+            for host in self._order_hosts(hosts):
+                failed = trio.Event()
+                nursery.start_soon(self._ask, host, nursery.cancel_scope, failed)
+                with trio.move_on_after(_NEXT_HOST_SECONDS):
+                    await failed.wait()
+
+    async def _ask(self, host: str, scope: trio.CancelScope, failed: trio.Event) -> None:
+        """Applies the snapshot of a host and ends the fetch, or tells that there is none."""
+        self._unanswered[host] = trio.current_time()
         snapshot = await fetch_snapshot(self._state, host)
-        if snapshot is not None:
-            self._apply(snapshot, host)
+        if snapshot is None:
+            failed.set()
+            return
+        self._unanswered.pop(host, None)
+        self._apply(snapshot, host)
+        scope.cancel()
 
     async def _fetch_first(self) -> None:
         """Fetches snapshots from all instances, and applies the newest version of each table.
