--- a/emulator/entry_demo.py
+++ b/emulator/entry_demo.py
@@ -9,7 +9,8 @@
 
 import trio
 
-from .entry_fleet import EntryFleet, Reply, configuration, open_fleet, route
+from .caller_exchange import Reply
+from .entry_fleet import EntryFleet, configuration, open_fleet, route
 
 _BACKENDS = (
     ('engine-1', 'stylist', 'stream and cut'),
--- a/emulator/entry_variants.py
+++ b/emulator/entry_variants.py
@@ -40,7 +40,6 @@
 from fireflymux.http.server_connection import ServerConnection
 from fireflymux.platform import store_calls
 
-
 #: Time after which `late_record` records a send.
 _LATE_RECORD_SECONDS = 0.5
 
--- a/emulator/instance_process.py
+++ b/emulator/instance_process.py
@@ -11,7 +11,7 @@
 
 from fireflymux.http.client_connection import ConnectFailed
 
-from .entry_fleet import exchange
+from .caller_exchange import exchange
 from .overlaps import Overlap
 
 #: Folder of the build in the work tree.
--- a/features/steps/broken_stream_steps.py
+++ b/features/steps/broken_stream_steps.py
@@ -7,7 +7,8 @@
 from behave import given, then, when
 
 from emulator.backend import LONG_EVENT_ID
-from emulator.entry_fleet import encode_call, route
+from emulator.caller_exchange import encode_call
+from emulator.entry_fleet import route
 from features.steps.entry_steps import _put_configuration, _run_on_fleet, _set_up_one_route
 
 _READ_SECONDS = 3
--- a/features/steps/byte_flood_steps.py
+++ b/features/steps/byte_flood_steps.py
@@ -10,7 +10,8 @@
 import trio
 from behave import given, then, when
 
-from emulator.entry_fleet import _LIMITS, encode_call, exchange, free_port, route
+from emulator.caller_exchange import encode_call, exchange
+from emulator.entry_fleet import _LIMITS, free_port, route
 from features.steps.entry_process_steps import _ask_readiness, _start_process
 from features.steps.entry_steps import _put_configuration, _run_on_fleet
 from fireflymux.decisions.ejection import _EJECTION_SECONDS
--- a/features/steps/call_end_steps.py
+++ b/features/steps/call_end_steps.py
@@ -8,8 +8,8 @@
 
 from emulator.scripted_calls import end_at_step, open_unreachable_port
 from fireflymux.decisions.entry_configuration import Repeatability
-from fireflymux.entry.quarantine import _PROBE_SECONDS
 from fireflymux.entry.failure_responses import write_failure
+from fireflymux.entry.quarantine import _PROBE_SECONDS
 from fireflymux.errors import NOT_RUN_STATUSES, CallFailure, ErrorKind, ExecutionStatus
 
 #: Statuses that tell that a request may have run.
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -8,7 +8,8 @@
 import trio
 from behave import given, then, when
 
-from emulator.entry_fleet import encode_call, free_port
+from emulator.caller_exchange import encode_call
+from emulator.entry_fleet import free_port
 from features.steps.broken_stream_steps import read_to_close
 from features.steps.entry_steps import _run_on_fleet
 from fireflymux.entry.listeners import Listener
--- a/features/steps/caller_memory_steps.py
+++ b/features/steps/caller_memory_steps.py
@@ -3,7 +3,7 @@
 import trio
 from behave import then, when
 
-from emulator.entry_fleet import encode_call
+from emulator.caller_exchange import encode_call
 from features.steps.byte_flood_steps import (
     _await_sound,
     _call_sound,
--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -5,8 +5,9 @@
 import trio
 from behave import given, then, when
 
+from emulator.caller_exchange import encode_call, exchange
 from emulator.crashing_endpoint import start_crashing_endpoints
-from emulator.entry_fleet import configuration, encode_call, exchange, open_fleet, route
+from emulator.entry_fleet import configuration, open_fleet, route
 
 _BAD_PART = 'bad0'
 _CONTACT_SECONDS = 3.0
--- a/features/steps/entry_connection_steps.py
+++ b/features/steps/entry_connection_steps.py
@@ -6,7 +6,8 @@
 import trio
 from behave import given, then, when
 
-from emulator.entry_fleet import encode_call, route
+from emulator.caller_exchange import encode_call
+from emulator.entry_fleet import route
 from features.steps.entry_steps import _count_runs, _put_configuration, _run_on_fleet
 from fireflymux.http.client_connection import ConnectFailed
 
--- a/features/steps/entry_metrics_steps.py
+++ b/features/steps/entry_metrics_steps.py
@@ -3,7 +3,8 @@
 import trio
 from behave import then, when
 
-from emulator.entry_fleet import exchange, free_port
+from emulator.caller_exchange import exchange
+from emulator.entry_fleet import free_port
 from features.steps.entry_steps import _run_on_fleet
 
 
--- a/features/steps/entry_process_steps.py
+++ b/features/steps/entry_process_steps.py
@@ -10,7 +10,8 @@
 import trio
 from behave import given, then, when
 
-from emulator.entry_fleet import encode_call, exchange, free_port, route
+from emulator.caller_exchange import encode_call, exchange
+from emulator.entry_fleet import free_port, route
 from features.steps.entry_steps import _put_configuration, _run_on_fleet
 
 _ROOT = Path(__file__).resolve().parent.parent.parent
--- a/features/steps/entry_request_steps.py
+++ b/features/steps/entry_request_steps.py
@@ -2,7 +2,7 @@
 
 from behave import then, when
 
-from emulator.entry_fleet import exchange
+from emulator.caller_exchange import exchange
 from features.steps.entry_steps import _run_on_fleet, check_not_run
 
 _FORGED_HEADERS = '\r\n'.join(
--- a/features/steps/entry_restart_steps.py
+++ b/features/steps/entry_restart_steps.py
@@ -6,7 +6,8 @@
 import trio.testing
 from behave import given, then, when
 
-from emulator.entry_fleet import KEY, configuration, route
+from emulator.caller_exchange import KEY
+from emulator.entry_fleet import configuration, route
 from features.steps.entry_steps import _run_on_fleet
 from fireflymux._settings_generated import EntrySettings
 from fireflymux.decisions.engine_choice import Placement
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -10,7 +10,8 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies
 
-from emulator.entry_fleet import KEY, exchange, route
+from emulator.caller_exchange import KEY, exchange
+from emulator.entry_fleet import route
 from features.steps.entry_steps import (
     _put_configuration,
     _run_on_fleet,
--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -6,7 +6,8 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies
 
-from emulator.entry_fleet import KEY, configuration, open_fleet, route
+from emulator.caller_exchange import KEY
+from emulator.entry_fleet import configuration, open_fleet, route
 from fireflymux.decisions.followers import is_follower
 
 _REPRODUCIBLE_SETTINGS = hypothesis_settings(
--- a/features/steps/kept_connection_steps.py
+++ b/features/steps/kept_connection_steps.py
@@ -7,7 +7,8 @@
 from behave import given, then, when
 
 from emulator.backend import Backend
-from emulator.entry_fleet import Reply, configuration, encode_call, exchange, free_port, route
+from emulator.caller_exchange import Reply, encode_call, exchange
+from emulator.entry_fleet import configuration, free_port, route
 from emulator.raw_response import encode_answer, send_raw
 from emulator.repeating_backend import COPY_TIMINGS, RepeatingBackend
 from features.steps.entry_steps import _put_configuration, _run_on_fleet, _start_instances
--- a/features/steps/outside_peer_steps.py
+++ b/features/steps/outside_peer_steps.py
@@ -8,7 +8,7 @@
 import trio
 from behave import then, when
 
-from emulator.entry_fleet import exchange
+from emulator.caller_exchange import exchange
 from features.steps.entry_steps import _run_on_fleet
 from features.steps.outside_values_steps import _expand, check_answered
 from fireflymux._messages_generated import PeerDatagram, PeerNotice, PeerReport
--- a/features/steps/outside_values_steps.py
+++ b/features/steps/outside_values_steps.py
@@ -7,7 +7,8 @@
 import trio
 from behave import given, then, when
 
-from emulator.entry_fleet import encode_call, exchange, route
+from emulator.caller_exchange import encode_call, exchange
+from emulator.entry_fleet import route
 from features.steps.entry_steps import _put_configuration, _run_on_fleet, _start_instances
 
 #: What each of two instances knows at last: configuration, endpoints, and how many it hears.
--- a/features/steps/partial_outage_steps.py
+++ b/features/steps/partial_outage_steps.py
@@ -4,7 +4,8 @@
 import trio
 from behave import given, then, when
 
-from emulator.entry_fleet import KEY, configuration, open_fleet, route
+from emulator.caller_exchange import KEY
+from emulator.entry_fleet import configuration, open_fleet, route
 
 _TABLES = ('op', 'servers')
 _NEW_KEY = 'new-key'
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -3,7 +3,8 @@
 import trio
 from behave import given, then, when
 
-from emulator.entry_fleet import configuration, encode_call, exchange, open_fleet, route
+from emulator.caller_exchange import encode_call, exchange
+from emulator.entry_fleet import configuration, open_fleet, route
 from fireflymux.http.client_connection import ClientConnection, ConnectionBroken
 
 _STOP_SECONDS = 4.0
--- a/features/steps/response_state_steps.py
+++ b/features/steps/response_state_steps.py
@@ -6,7 +6,8 @@
 import trio
 from behave import given, then, when
 
-from emulator.entry_fleet import KEY, encode_call, free_port
+from emulator.caller_exchange import KEY, encode_call
+from emulator.entry_fleet import free_port
 from features.steps.broken_stream_steps import parse_stream, read_to_close
 from features.steps.entry_steps import _run_on_fleet
 from fireflymux.entry.event_relay import EventRelay
--- a/features/steps/role_responses_steps.py
+++ b/features/steps/role_responses_steps.py
@@ -13,7 +13,6 @@
 from fireflymux.sidecar.response_buffer import ResponseBuffer
 from fireflymux.web.http_clients import create_endpoint_client
 
-
 _MEGABYTE = 1048576
 
 
--- a/features/steps/role_value_steps.py
+++ b/features/steps/role_value_steps.py
@@ -10,6 +10,7 @@
 
 from emulator.fleet import Fleet
 from emulator.scripted_server import ScriptedServer, answer
+from features.steps.role_responses_steps import build_order
 from fireflymux._settings_generated import (
     FleetSettings,
     InstanceSettings,
@@ -33,8 +34,6 @@
 from fireflymux.web.http_clients import FleetClients
 from fireflymux.wire import codec
 
-from features.steps.role_responses_steps import build_order
-
 _NOWHERE = 'http://127.0.0.1:1'
 _CONTRACT = {
     'account': 'families',
--- a/features/steps/router_responses_steps.py
+++ b/features/steps/router_responses_steps.py
@@ -8,6 +8,8 @@
 from quart_trio import QuartTrio
 
 from emulator.scripted_server import ECHO, ScriptedAnswer, ScriptedServer, answer, broken_off
+from features.steps.role_responses_steps import _send_calls, build_order
+from features.steps.role_value_steps import build_sidecar
 from fireflymux._settings_generated import FleetSettings, TlsSettings
 from fireflymux.decisions.crash_registry import CrashRegistry
 from fireflymux.errors import CallFailure, ErrorKind, ExecutionStatus, to_problem
@@ -17,17 +19,14 @@
 from fireflymux.router.backlog import Backlog, Placement
 from fireflymux.router.caller_requests import CallerRequest
 from fireflymux.router.dispatch import DispatchContext, Dispatcher
-from fireflymux.router.sidecar_peer import SidecarPeer
 from fireflymux.router.placement import Placer
 from fireflymux.router.run_client import BufferedResponse, RunClient, StreamedResponse, is_complete
+from fireflymux.router.sidecar_peer import SidecarPeer
 from fireflymux.sidecar.sidecar_app import create_app
 from fireflymux.web.http_clients import FleetClients
 from fireflymux.web.responses import build_problem_response
 from fireflymux.wire import codec, headers
 
-from features.steps.role_responses_steps import _send_calls, build_order
-from features.steps.role_value_steps import build_sidecar
-
 _EVENT = b'data: {"id": 0}\n\n'
 _ECHO = (headers.REQUEST_ECHO.encode(), b'request')
 _STREAM = b'text/event-stream'
--- a/features/steps/store_silence_steps.py
+++ b/features/steps/store_silence_steps.py
@@ -3,7 +3,8 @@
 import trio
 from behave import given, then, when
 
-from emulator.entry_fleet import KEY, configuration, open_fleet, route
+from emulator.caller_exchange import KEY
+from emulator.entry_fleet import configuration, open_fleet, route
 
 _NEW_KEY = 'new-key'
 _NEW_DOMAIN = 'b'
--- a/features/steps/upgrade_steps.py
+++ b/features/steps/upgrade_steps.py
@@ -9,7 +9,8 @@
 import trio
 from behave import given, then, when
 
-from emulator.entry_fleet import KEY, encode_call, exchange, free_port, route
+from emulator.caller_exchange import KEY, encode_call, exchange
+from emulator.entry_fleet import free_port, route
 from emulator.instance_process import InstanceProcess
 from emulator.production_build import (
     ROOT,
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from emulator.entry_fleet import encode_call
+from emulator.caller_exchange import encode_call
 from emulator.faulty_endpoint import BIG_SUFFIX
 from emulator.instance_process import InstanceProcess
 from emulator.strict_connection import ConnectionEnded, StrictConnection
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -17,8 +17,8 @@
     STORE_PORT,
     AddressBlock,
 )
-from emulator.entry_fleet import configuration, route
 from emulator.endpoint_host import EndpointHost
+from emulator.entry_fleet import configuration, route
 from emulator.faulty_endpoint import SLOTS, FaultyEndpoint
 from emulator.instance_process import ROOT, InstanceProcess
 from emulator.overlaps import Overlap
