--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -14,9 +14,10 @@
 
 from emulator.faulty_endpoint import Arrival
 from soak import checks
+from soak.event import Event
 from soak.faults import inject_fault
 from soak.history import Disturbance, Exchange, History, OwnEnd, Stop
-from soak.plan import FAULT_PHASE_SECONDS, Event, Plan
+from soak.plan import FAULT_PHASE_SECONDS, Plan
 
 _ROOT = Path(__file__).resolve().parent.parent.parent
 _TIMEOUT_SECONDS = 180
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,13 +10,10 @@
 from emulator.odd_rows import ODD_ROWS
 from emulator.proxies import TcpProxy
 
-from .history import Stop
-from .plan import (
-    RESTORE_OUTAGE_SECONDS,
-    REWRITE_DELAY_SECONDS,
-    TABLE_OUTAGE_KINDS,
-    Event,
-)
+from .event import Event
+from .history import SETTLE_SECONDS, Stop
+from .plan import RESTORE_OUTAGE_SECONDS, REWRITE_DELAY_SECONDS
+from .table_outages import TABLE_OUTAGE_KINDS
 from .testbed import SERVICES, Testbed
 
 #: Delay that the fault `delay` adds to each block of bytes.
@@ -83,9 +80,12 @@
 
 
 async def _interrupt_table(testbed: Testbed, event: Event) -> None:
-    """Starts an outage of the store about one table, which disturbs what hangs on that one only."""
+    """Starts an outage of the store about one table, which disturbs what hangs on that one only.
+
+    What the store accepts once it is over has to be known in time: there is no time to settle.
+    """
     table, _, outage = event.kind.partition('_')
-    testbed.record_disturbance(event.kind, table, event.duration_seconds)
+    testbed.record_disturbance(event.kind, table, event.duration_seconds - SETTLE_SECONDS)
     with testbed.interrupt_store(testbed.instances, outage, table=table):
         await trio.sleep(event.duration_seconds)
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -5,6 +5,9 @@
 
 import attrs
 
+from .event import Event
+from .table_outages import OTHER_AWAY_SECONDS, choose_table_outages
+
 #: Length of the phase in which faults begin and end; it starts with the first requests.
 FAULT_PHASE_SECONDS = 8.0
 #: Length of the phase after that, in which the instances have to recover.
@@ -24,16 +27,6 @@
 
 #: Outages of the store, for all instances or for one.
 _OUTAGE_KINDS = ('store_busy', 'store_reset', 'store_silent')
-#: Tables that the instances follow, and outages of one of them alone, for all instances.
-STORE_TABLES = ('op', 'servers')
-TABLE_OUTAGE_KINDS = tuple(
-    '{0}_{1}'.format(table, kind.removeprefix('store_'))
-    for kind in _OUTAGE_KINDS
-    for table in STORE_TABLES
-)
-#: Lengths of such an outage; seed after seed has the next one.
-_TABLE_OUTAGE_STEP_SECONDS = 0.5
-_TABLE_OUTAGE_LENGTHS = 16
 #: Kinds of events that affect one instance: signals, outages of the store for this instance, and
 #: loss of the traffic between instances. A kind that is listed twice is drawn twice as often.
 _SIGNAL_KINDS = ('pause', 'pause', 'kill', 'term', 'term', 'hup')
@@ -75,27 +68,6 @@
 _RETRY_CONSTANTS = (10, 1000, 1000)
 
 
-@attrs.define(frozen=True, kw_only=True)
-class Event:
-    """One fault, or one change that operators or endpoints make.
-
-    Attributes:
-        start_seconds: Time since the start of the fault phase.
-        kind: Kind of the event; `faults` has a function for each.
-        target: Index of the instance, the endpoint host or the service; -1 if the event affects the
-            store.
-        duration_seconds: How long the fault lasts; unused by kinds that end by themselves, such as
-            `drain` and `term`.
-        backup_age_seconds: Age of the backup that the store is restored from.
-    """
-
-    start_seconds: float
-    kind: str
-    target: int
-    duration_seconds: float
-    backup_age_seconds: float = 0.0
-
-
 @attrs.define(frozen=True, kw_only=True)
 class Plan:
     """Everything about a soak run that its seed determines before it starts.
@@ -153,7 +125,11 @@
         # Of a generator of their own, so that the other events of a seed stay as they were.
         late_rng = random.Random('cuts and flood {0}'.format(seed))
         events.extend(_draw_cuts_and_flood(late_rng, 2 * endpoints_per_service))
-        events.append(_choose_table_outage(seed))
+        events.extend(
+            choose_table_outages(
+                seed, 2 * endpoints_per_service, back_at=FAULT_PHASE_SECONDS - OTHER_AWAY_SECONDS
+            )
+        )
         return cls(
             seed=seed,
             instances=instances,
@@ -281,21 +257,6 @@
     ]
 
 
-def _choose_table_outage(seed: int) -> Event:
-    """Returns the outage of one table that a seed has; it ends with the fault phase at the latest.
-
-    The kinds and the lengths of consecutive seeds go through all pairs of them.
-    """
-    length, turn = seed % _TABLE_OUTAGE_LENGTHS + 1, seed // _TABLE_OUTAGE_LENGTHS
-    seconds = length * _TABLE_OUTAGE_STEP_SECONDS
-    return Event(
-        start_seconds=(FAULT_PHASE_SECONDS - seconds) / 2,
-        kind=TABLE_OUTAGE_KINDS[(seed + turn) % len(TABLE_OUTAGE_KINDS)],
-        target=-1,
-        duration_seconds=seconds,
-    )
-
-
 def _draw_restore(rng: random.Random) -> Event:
     """Draws a restore of the store from a backup.
 
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -30,7 +30,8 @@
 from fireflymux.http.response_writer import ResponseWriter
 
 from .history import Disturbance, History, OwnEnd
-from .plan import STORE_TABLES, Plan
+from .plan import Plan
+from .table_outages import STORE_TABLES
 
 SERVICES = ('models', 'orders')
 API_KEYS: Mapping[str, str] = MappingProxyType(
--- a/soak/upgrade.py
+++ b/soak/upgrade.py
@@ -9,9 +9,10 @@
 from emulator.instance_process import ROOT
 
 from .checks import find_violations
+from .event import Event
 from .faults import inject_fault
 from .history import Exchange, History
-from .plan import Event, Plan
+from .plan import Plan
 from .testbed import Testbed
 from .traffic import start_traffic
 
