--- a/src/fireflymux/decisions/poll_timing.py
+++ b/src/fireflymux/decisions/poll_timing.py
@@ -97,12 +97,13 @@
         other_ends: Times at which the waits of the pending calls about other tables end.
 
     Returns:
-        Seconds; the longest wait that does not end near another one.
+        Seconds; the longest wait in which a call ends at least every `EVIDENCE_SECONDS`.
     """
     latest = now + WAIT_SECONDS
     last_end = max((end for end in other_ends if end > now), default=None)
     if last_end is None:
-        return WAIT_SECONDS
+        # No other call shows meanwhile whether this one has missed a change.
+        return EVIDENCE_SECONDS
     if last_end + EVIDENCE_SECONDS <= latest:
         return last_end + EVIDENCE_SECONDS - now
     return max(last_end - EVIDENCE_SECONDS - now, 0)
